The package of abstract classes and clients is called ports

Cause: platform/ is to be the adapter to the users' platform, and packages/platform held the abstract classes and the clients of our own stand-ins: one word for two things. Ruled out: a name for the adapter other than the one the users ask for.

--- a/packages/cli/src/internal/admin-client.ts
+++ b/packages/cli/src/internal/admin-client.ts
@@ -1,5 +1,5 @@
 import { z } from 'zod';
-import { SharedKeys, callJson } from '@redwingcrank/platform';
+import { SharedKeys, callJson } from '@redwingcrank/ports';
 import type {
   AdminRouteName,
   EventFilter,
--- a/packages/cli/src/internal/cli-settings.ts
+++ b/packages/cli/src/internal/cli-settings.ts
@@ -1,5 +1,5 @@
 import { z } from 'zod';
-import type { SettingOptions } from '@redwingcrank/platform';
+import type { SettingOptions } from '@redwingcrank/ports';
 
 /** What every command takes. */
 export const COMMON_OPTIONS = {
--- a/packages/cli/src/internal/command.ts
+++ b/packages/cli/src/internal/command.ts
@@ -1,5 +1,5 @@
 import type { z } from 'zod';
-import type { SettingOptions } from '@redwingcrank/platform';
+import type { SettingOptions } from '@redwingcrank/ports';
 import { AdminClient } from './admin-client.js';
 import { Cluster } from './cluster.js';
 import type { commonSchema } from './cli-settings.js';
--- a/packages/cli/src/internal/publish-manifest.ts
+++ b/packages/cli/src/internal/publish-manifest.ts
@@ -2,8 +2,8 @@
 import { setTimeout as wait } from 'node:timers/promises';
 import type { Manifest } from '@redwingcrank/protocol';
 import { CodedError, MANIFEST_STREAM } from '@redwingcrank/protocol';
-import type { PlatformLog } from '@redwingcrank/platform';
-import { HttpPlatformLog } from '@redwingcrank/platform';
+import type { PlatformLog } from '@redwingcrank/ports';
+import { HttpPlatformLog } from '@redwingcrank/ports';
 import type { AdminClient } from './admin-client.js';
 import type { Output } from './output.js';
 
--- a/packages/daemon/src/internal/admin-api.ts
+++ b/packages/daemon/src/internal/admin-api.ts
@@ -9,7 +9,7 @@
 } from '@redwingcrank/protocol';
 import { ADMIN_ROUTES, CodedError } from '@redwingcrank/protocol';
 import type { TaskState, TaskExplanation } from '@redwingcrank/decisions';
-import type { JsonAnswer, JsonRequest, SharedKeys } from '@redwingcrank/platform';
+import type { JsonAnswer, JsonRequest, SharedKeys } from '@redwingcrank/ports';
 import type { TaskSource } from './admin-views.js';
 import { jobViews, taskView, teamViews } from './admin-views.js';
 import type { PageQuery } from './paging.js';
--- a/packages/daemon/src/internal/control-task.ts
+++ b/packages/daemon/src/internal/control-task.ts
@@ -1,7 +1,7 @@
 import { Subject } from 'rxjs';
 import type { ControlSnapshot } from '@redwingcrank/protocol';
 import { controlSnapshotSchema, controlStream } from '@redwingcrank/protocol';
-import type { PlatformLog } from '@redwingcrank/platform';
+import type { PlatformLog } from '@redwingcrank/ports';
 import type { ApplyResult } from '@redwingcrank/decisions';
 import { ControlFold, StreamReader } from '@redwingcrank/decisions';
 import type { EventLog } from './event-log.js';
--- a/packages/daemon/src/internal/home-history.ts
+++ b/packages/daemon/src/internal/home-history.ts
@@ -1,4 +1,4 @@
-import type { PlatformLog } from '@redwingcrank/platform';
+import type { PlatformLog } from '@redwingcrank/ports';
 import { sleep } from './sleep.js';
 
 const RETRY_PAUSE_MS = 1_000;
--- a/packages/daemon/src/internal/host-list-task.ts
+++ b/packages/daemon/src/internal/host-list-task.ts
@@ -1,6 +1,6 @@
 import { BehaviorSubject } from 'rxjs';
 import type { ListedHost } from '@redwingcrank/protocol';
-import type { HostListSource } from '@redwingcrank/platform';
+import type { HostListSource } from '@redwingcrank/ports';
 import { HostListJudge } from '@redwingcrank/decisions';
 import type { EventLog } from './event-log.js';
 import { sleep } from './sleep.js';
--- a/packages/daemon/src/internal/lease-keeper.ts
+++ b/packages/daemon/src/internal/lease-keeper.ts
@@ -1,6 +1,6 @@
 import { Subject } from 'rxjs';
 import type { AskedReport, Manifest, WorkerReport } from '@redwingcrank/protocol';
-import type { WorkerClient } from '@redwingcrank/platform';
+import type { WorkerClient } from '@redwingcrank/ports';
 import type { ControlNode, HostState, WorkerAct } from '@redwingcrank/decisions';
 import type { EventLog } from './event-log.js';
 import { sleep } from './sleep.js';
--- a/packages/daemon/src/internal/manifest-task.ts
+++ b/packages/daemon/src/internal/manifest-task.ts
@@ -1,7 +1,7 @@
 import { BehaviorSubject } from 'rxjs';
 import type { Manifest, ManifestSnapshot } from '@redwingcrank/protocol';
 import { MANIFEST_STREAM, manifestSnapshotSchema } from '@redwingcrank/protocol';
-import type { PlatformLog } from '@redwingcrank/platform';
+import type { PlatformLog } from '@redwingcrank/ports';
 import type { ManifestRejection, ManifestVerdict } from '@redwingcrank/decisions';
 import { ManifestFold, StreamReader } from '@redwingcrank/decisions';
 import type { EventLog } from './event-log.js';
--- a/packages/daemon/src/internal/node-context.ts
+++ b/packages/daemon/src/internal/node-context.ts
@@ -1,5 +1,5 @@
 import type { Registry } from 'prom-client';
-import type { PlatformLog } from '@redwingcrank/platform';
+import type { PlatformLog } from '@redwingcrank/ports';
 import type { ControlTask } from './control-task.js';
 import type { EventLog } from './event-log.js';
 import type { HostListTask } from './host-list-task.js';
--- a/packages/daemon/src/internal/node-process.ts
+++ b/packages/daemon/src/internal/node-process.ts
@@ -10,7 +10,7 @@
   HttpPlatformLog,
   JsonListener,
   SharedKeys,
-} from '@redwingcrank/platform';
+} from '@redwingcrank/ports';
 import type { AdminSource } from './admin-api.js';
 import { AdminApi } from './admin-api.js';
 import { hostViews } from './admin-views.js';
--- a/packages/daemon/src/internal/peer-task.ts
+++ b/packages/daemon/src/internal/peer-task.ts
@@ -13,8 +13,8 @@
   AskedReport,
 } from '@redwingcrank/protocol';
 import { CodedError, helloSchema } from '@redwingcrank/protocol';
-import type { SharedKeys } from '@redwingcrank/platform';
-import { LISTENER_LIMITS } from '@redwingcrank/platform';
+import type { SharedKeys } from '@redwingcrank/ports';
+import { LISTENER_LIMITS } from '@redwingcrank/ports';
 import { KeyKeeper } from './key-keeper.js';
 import type { PeerRouter } from './peer-router.js';
 import { makePeerRouter } from './peer-router.js';
--- a/packages/daemon/src/internal/scheduler-task.ts
+++ b/packages/daemon/src/internal/scheduler-task.ts
@@ -9,7 +9,7 @@
   WorkerReport,
 } from '@redwingcrank/protocol';
 import { controlStream } from '@redwingcrank/protocol';
-import type { PlatformLog } from '@redwingcrank/platform';
+import type { PlatformLog } from '@redwingcrank/ports';
 import type {
   ControlNode,
   PlacementPolicy,
--- a/packages/daemon/src/internal/scheduling-role.ts
+++ b/packages/daemon/src/internal/scheduling-role.ts
@@ -1,7 +1,7 @@
 import { auditTime, merge } from 'rxjs';
 import type { NodeState, TaskExplanation, Unplaced } from '@redwingcrank/decisions';
 import { ColocationFit, ControlNode, SchedulingMemory, rendezvous } from '@redwingcrank/decisions';
-import { HttpWorkerClient } from '@redwingcrank/platform';
+import { HttpWorkerClient } from '@redwingcrank/ports';
 import { LeaseKeeper } from './lease-keeper.js';
 import type { NodeContext } from './node-context.js';
 import { SchedulerTask } from './scheduler-task.js';
--- a/packages/daemon/src/internal/settings.ts
+++ b/packages/daemon/src/internal/settings.ts
@@ -1,14 +1,14 @@
 import yargs from 'yargs';
 import { z } from 'zod';
 import { InvalidInputError, faultsOf } from '@redwingcrank/protocol';
-import type { LayeredSettings, SettingOptions } from '@redwingcrank/platform';
+import type { LayeredSettings, SettingOptions } from '@redwingcrank/ports';
 import {
   YARGS_PARSING,
   describeSettings,
   layerSettings,
   variableOf,
   yargsOptions,
-} from '@redwingcrank/platform';
+} from '@redwingcrank/ports';
 
 export const ROLES = ['entry', 'scheduler'] as const;
 
--- a/packages/daemon/src/internal/snapshot-writer.ts
+++ b/packages/daemon/src/internal/snapshot-writer.ts
@@ -1,5 +1,5 @@
 import { randomUUID } from 'node:crypto';
-import type { PlatformLog } from '@redwingcrank/platform';
+import type { PlatformLog } from '@redwingcrank/ports';
 import { splitSnapshot } from '@redwingcrank/decisions';
 import type { EventLog } from './event-log.js';
 import { sleep } from './sleep.js';
--- a/packages/daemon/src/internal/stream-follower.ts
+++ b/packages/daemon/src/internal/stream-follower.ts
@@ -1,7 +1,7 @@
 import { Subject } from 'rxjs';
 import type { LogEntry } from '@redwingcrank/protocol';
-import type { PlatformLog } from '@redwingcrank/platform';
-import { PAGE_LIMIT } from '@redwingcrank/platform';
+import type { PlatformLog } from '@redwingcrank/ports';
+import { PAGE_LIMIT } from '@redwingcrank/ports';
 import { Backoff } from './backoff.js';
 import { sleep } from './sleep.js';
 
--- a/packages/daemon/src/internal/stream-task.ts
+++ b/packages/daemon/src/internal/stream-task.ts
@@ -1,6 +1,6 @@
 import { BehaviorSubject } from 'rxjs';
 import type { LogEntry } from '@redwingcrank/protocol';
-import type { PlatformLog } from '@redwingcrank/platform';
+import type { PlatformLog } from '@redwingcrank/ports';
 import type { StreamReader } from '@redwingcrank/decisions';
 import type { EventLog } from './event-log.js';
 import type { LostRecords } from './stream-follower.js';
--- a/packages/daemon/src/internal/throttler.ts
+++ b/packages/daemon/src/internal/throttler.ts
@@ -1,4 +1,4 @@
-import type { WorkerClient } from '@redwingcrank/platform';
+import type { WorkerClient } from '@redwingcrank/ports';
 import type { Colocation, ControlFold, TaskState } from '@redwingcrank/decisions';
 import type { EventLog } from './event-log.js';
 
--- a/packages/daemon/src/test/home-history_test.ts
+++ b/packages/daemon/src/test/home-history_test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import type { LogPage } from '@redwingcrank/protocol';
-import { PlatformLog } from '@redwingcrank/platform';
+import { PlatformLog } from '@redwingcrank/ports';
 import { recordHome } from '../internal/home-history.js';
 
 /** A log that already has records, and may have lost the oldest. */
--- a/packages/daemon/src/test/peer-task_test.ts
+++ b/packages/daemon/src/test/peer-task_test.ts
@@ -2,7 +2,7 @@
 import http from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { after, test } from 'node:test';
-import { SharedKeys } from '@redwingcrank/platform';
+import { SharedKeys } from '@redwingcrank/ports';
 import type { Hello } from '@redwingcrank/protocol';
 import { HybridClock } from '@redwingcrank/protocol';
 import { PeerTask } from '../internal/peer-task.js';
--- a/packages/daemon/src/test/stream-follower_test.ts
+++ b/packages/daemon/src/test/stream-follower_test.ts
@@ -2,7 +2,7 @@
 import { mock, test } from 'node:test';
 import type { LogPage } from '@redwingcrank/protocol';
 import { PlatformError } from '@redwingcrank/protocol';
-import { PlatformLog } from '@redwingcrank/platform';
+import { PlatformLog } from '@redwingcrank/ports';
 import { Backoff } from '../internal/backoff.js';
 import { StreamFollower } from '../internal/stream-follower.js';
 
--- a/packages/docs/src/settings-page.ts
+++ b/packages/docs/src/settings-page.ts
@@ -1,7 +1,7 @@
 import { COMMANDS, COMMON_OPTIONS } from '@redwingcrank/cli';
 import { NODE_OPTIONS } from '@redwingcrank/daemon';
-import type { SettingOptions } from '@redwingcrank/platform';
-import { variableOf } from '@redwingcrank/platform';
+import type { SettingOptions } from '@redwingcrank/ports';
+import { variableOf } from '@redwingcrank/ports';
 import type { GeneratedFile } from './generated-file.js';
 import { markdownTable, pageHead } from './generated-file.js';
 
--- a/packages/standins/src/fake-host-list.ts
+++ b/packages/standins/src/fake-host-list.ts
@@ -1,5 +1,5 @@
 import type { ListedHost } from '@redwingcrank/protocol';
-import type { JsonHandler } from '@redwingcrank/platform';
+import type { JsonHandler } from '@redwingcrank/ports';
 
 /** The platform's list of hosts; changes show after a lag. */
 export class FakeHostList {
--- a/packages/standins/src/fake-log.ts
+++ b/packages/standins/src/fake-log.ts
@@ -1,5 +1,5 @@
 import type { LogPage } from '@redwingcrank/protocol';
-import type { JsonAnswer, JsonHandler, JsonRequest } from '@redwingcrank/platform';
+import type { JsonAnswer, JsonHandler, JsonRequest } from '@redwingcrank/ports';
 
 interface Stream {
   first: number;
--- a/packages/standins/src/fake-worker.ts
+++ b/packages/standins/src/fake-worker.ts
@@ -8,7 +8,7 @@
   WorkerReport,
   WorkerTaskState,
 } from '@redwingcrank/protocol';
-import type { JsonAnswer, JsonHandler } from '@redwingcrank/platform';
+import type { JsonAnswer, JsonHandler } from '@redwingcrank/ports';
 import type { Degradation } from './fake-endpoint.js';
 import { FakeEndpoint } from './fake-endpoint.js';
 
--- a/packages/standins/src/fault-gate.ts
+++ b/packages/standins/src/fault-gate.ts
@@ -1,6 +1,6 @@
 import { z } from 'zod';
-import type { JsonAnswer, JsonHandler, JsonRequest } from '@redwingcrank/platform';
-import { JsonListener } from '@redwingcrank/platform';
+import type { JsonAnswer, JsonHandler, JsonRequest } from '@redwingcrank/ports';
+import { JsonListener } from '@redwingcrank/ports';
 
 const faultsSchema = z.strictObject({
   /** Every call waits this long first. */
--- a/packages/standins/src/platform-main.ts
+++ b/packages/standins/src/platform-main.ts
@@ -1,6 +1,6 @@
 import yargs from 'yargs';
 import { hideBin } from 'yargs/helpers';
-import { JsonListener } from '@redwingcrank/platform';
+import { JsonListener } from '@redwingcrank/ports';
 import { FakeHostList } from './fake-host-list.js';
 import { FakeLog } from './fake-log.js';
 import { FaultGate } from './fault-gate.js';
--- a/packages/standins/src/test/manifest-in-force_test.ts
+++ b/packages/standins/src/test/manifest-in-force_test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import { after, before, test } from 'node:test';
 import { CodedError, MANIFEST_STREAM } from '@redwingcrank/protocol';
-import { HttpPlatformLog } from '@redwingcrank/platform';
+import { HttpPlatformLog } from '@redwingcrank/ports';
 import type { DemoPlatform } from '../demo-platform.js';
 import { waitFor } from '../wait-for.js';
 import {
--- a/packages/standins/src/worker-main.ts
+++ b/packages/standins/src/worker-main.ts
@@ -1,7 +1,7 @@
 import yargs from 'yargs';
 import { hideBin } from 'yargs/helpers';
-import type { JsonAnswer, JsonRequest } from '@redwingcrank/platform';
-import { JsonListener } from '@redwingcrank/platform';
+import type { JsonAnswer, JsonRequest } from '@redwingcrank/ports';
+import { JsonListener } from '@redwingcrank/ports';
 import type { Degradation } from './fake-endpoint.js';
 import { RestartableWorker } from './restartable-worker.js';
 import { FaultGate } from './fault-gate.js';
