A job interface, a scheduling core and the adapter to the users' platform: the whole path, thin

Cause: nothing of the project could run on the users' platform: no job interface, no deploy file. Ruled out: the state of a job as events folded from a control stream; keyed topics keep the newest record of a key for good, so one record a job holds all its progress and a takeover reads just it.

--- /dev/null
+++ b/packages/jobs/src/internal/worker-state.ts
@@ -0,0 +1,129 @@
+import type { StepSpec } from '../job.js';
+import type { TaskRef } from '../task-ref.js';
+import type { WorkerEntry } from '../worker.js';
+import { WorkerHealth } from './worker-health.js';
+
+/** A run that occupies room on a worker, or may. */
+export interface WorkerRun {
+  readonly ref: TaskRef;
+  readonly run: number;
+  readonly spec: StepSpec;
+  readonly startedMs: number;
+  /**
+   * A report asked for after this time that does not know the run proves that it never will run.
+   * Infinite while the start is on its way.
+   */
+  settledMs: number;
+  seen: boolean;
+  /** When the newest stop was sent; 0 before the first. */
+  stopSentMs: number;
+  checkpoint: string;
+  percent: number;
+  /** When `percent` last rose. */
+  movedMs: number;
+  measure: number;
+  /** The share of its speed that the run was last told to work at. */
+  pace: number;
+}
+
+/** One worker as the scheduling node sees it. */
+export class WorkerState {
+  entry: WorkerEntry;
+
+  /** Whether the store lists it. */
+  listed = true;
+
+  /** Whether it has answered under this node's fencing token, so that its lists are the truth. */
+  fenced = false;
+
+  answeredMs = -Infinity;
+
+  /** After this time every lease it may have been given is over, on its own slow clock too. */
+  leaseEndMs: number;
+
+  /** Ends up to this number have been worked into the jobs. */
+  processedEnd = 0;
+
+  /** Ends up to this number may be forgotten by the worker. */
+  ackedEnd = 0;
+
+  /** No start before this time: the last one found no room. */
+  fullUntilMs = 0;
+
+  /** The share of their speed that filling tasks are held at here. */
+  pace = 100;
+
+  paceChangedMs = 0;
+
+  readonly health = new WorkerHealth();
+
+  readonly runs = new Map<string, WorkerRun>();
+
+  #cpuMilli = 0;
+
+  #memMb = 0;
+
+  #gpus = 0;
+
+  #fillMilli = 0;
+
+  #servingMilli = 0;
+
+  constructor(entry: WorkerEntry, leaseEndMs: number) {
+    this.entry = entry;
+    this.leaseEndMs = leaseEndMs;
+  }
+
+  /** Reserved processor time; filling tasks reserve none. */
+  get cpuMilli(): number {
+    return this.#cpuMilli;
+  }
+
+  /** What the filling tasks here would use if nothing else did. */
+  get fillMilli(): number {
+    return this.#fillMilli;
+  }
+
+  /** Reserved by tasks that answer callers of their own. */
+  get servingMilli(): number {
+    return this.#servingMilli;
+  }
+
+  add(key: string, run: WorkerRun): void {
+    this.remove(key);
+    this.runs.set(key, run);
+    this.#count(run.spec, 1);
+  }
+
+  remove(key: string): void {
+    const run = this.runs.get(key);
+    if (!run) return;
+    this.runs.delete(key);
+    this.#count(run.spec, -1);
+  }
+
+  hasRoomFor(spec: StepSpec): boolean {
+    const { capacity } = this.entry;
+    const cpu = spec.fills ? 0 : spec.cpuMilli;
+    if (this.#cpuMilli + cpu > capacity.cpuMilli) return false;
+    if (this.#memMb + spec.memMb > capacity.memMb) return false;
+    return this.#gpus + spec.gpus <= capacity.gpus;
+  }
+
+  /** How many tasks of a step, of one occurrence, occupy room here. */
+  countOf({ jobId, occurrence, step }: TaskRef): number {
+    let count = 0;
+    for (const { ref } of this.runs.values()) {
+      if (ref.jobId === jobId && ref.occurrence === occurrence && ref.step === step) count += 1;
+    }
+    return count;
+  }
+
+  #count(spec: StepSpec, sign: 1 | -1): void {
+    if (spec.fills) this.#fillMilli += sign * spec.cpuMilli;
+    else this.#cpuMilli += sign * spec.cpuMilli;
+    if (spec.targetMs > 0) this.#servingMilli += sign * spec.cpuMilli;
+    this.#memMb += sign * spec.memMb;
+    this.#gpus += sign * spec.gpus;
+  }
+}
--- /dev/null
+++ b/packages/runtime/src/internal/keyed-follower.ts
@@ -0,0 +1,154 @@
+import { Subject } from 'rxjs';
+import type { KeyedLog, KeyedRecord } from '../keyed-log.js';
+import { RecordsExpiredError } from '../keyed-log.js';
+import type { NodeLog } from '../node-log.js';
+import { delay, steadyMs } from './delay.js';
+
+/** A follower's message: its view starts anew, one record of it, or it has caught up. */
+export type FollowerMessage =
+  | { readonly kind: 'reset' }
+  | { readonly kind: 'record'; readonly rec: KeyedRecord }
+  | { readonly kind: 'caught-up' };
+
+export interface FollowerSettings {
+  readonly name: string;
+  /** How long a read may wait at the store for a record, in milliseconds. */
+  readonly waitMs: number;
+  /** The pause between reads, in milliseconds: each costs processor time and a call. */
+  readonly gapMs: number;
+}
+
+/** The pause after a failed read, in milliseconds: short, as an outage may end at any moment. */
+const RETRY_MS = 150;
+
+/**
+ * Follows a keyed log: the newest record of each key first, then every record as it comes. When
+ * records it needs have expired, it starts anew; nothing it was told before is then valid.
+ */
+export class KeyedFollower {
+  readonly #source: KeyedLog;
+
+  readonly #log: NodeLog;
+
+  readonly #settings: FollowerSettings;
+
+  readonly #stopping = new AbortController();
+
+  #gapMs: number;
+
+  #gap = new AbortController();
+
+  #next: number | undefined;
+
+  #freshMs = -Infinity;
+
+  #isLost = false;
+
+  readonly messages$ = new Subject<FollowerMessage>();
+
+  constructor(source: KeyedLog, log: NodeLog, settings: FollowerSettings) {
+    this.#source = source;
+    this.#log = log;
+    this.#settings = settings;
+    this.#gapMs = settings.gapMs;
+  }
+
+  /** When the view was last known to be complete, on the steady clock. */
+  get freshMs(): number {
+    return this.#freshMs;
+  }
+
+  /** Where the view ends in the log; undefined before it is loaded. */
+  get next(): number | undefined {
+    return this.#next;
+  }
+
+  /** Follows until stopped. */
+  async run(): Promise<void> {
+    while (!this.#stopping.signal.aborted) {
+      await this.#guarded();
+    }
+  }
+
+  /** Ends the present pause. */
+  hurry(): void {
+    this.#gap.abort();
+  }
+
+  /** From now on, how long to pause between reads, in milliseconds. */
+  setGap(gapMs: number): void {
+    this.#gapMs = gapMs;
+    this.hurry();
+  }
+
+  stop(): void {
+    this.#stopping.abort();
+    this.#gap.abort();
+  }
+
+  async #guarded(): Promise<void> {
+    try {
+      if (this.#next === undefined) await this.#load();
+      else await this.#read(this.#next);
+      this.#regained();
+      await this.#pause(this.#gapMs);
+    } catch (err) {
+      if (err instanceof RecordsExpiredError) this.#next = undefined;
+      this.#lost(err);
+      await this.#pause(RETRY_MS);
+    }
+  }
+
+  async #load(): Promise<void> {
+    const askedMs = steadyMs();
+    let page = await this.#source.newest('');
+    const { end } = page;
+    this.messages$.next({ kind: 'reset' });
+    let { records } = page;
+    this.#tell(records);
+    while (page.hasMore) {
+      page = await this.#source.newest(records.at(-1)!.key);
+      records = page.records;
+      this.#tell(records);
+    }
+    // Read on from the first page's end: what changed while the pages came is read again.
+    this.#next = end;
+    this.#freshMs = askedMs;
+    this.messages$.next({ kind: 'caught-up' });
+  }
+
+  async #read(from: number): Promise<void> {
+    const askedMs = steadyMs();
+    const { records, next, end } = await this.#source.read(from, this.#settings.waitMs);
+    this.#tell(records);
+    this.#next = next;
+    if (next >= end) {
+      this.#freshMs = Math.max(this.#freshMs, askedMs);
+      this.messages$.next({ kind: 'caught-up' });
+    }
+  }
+
+  #tell(records: readonly KeyedRecord[]): void {
+    for (const rec of records) this.messages$.next({ kind: 'record', rec });
+  }
+
+  #lost(err: unknown): void {
+    if (this.#isLost || this.#stopping.signal.aborted) return;
+    this.#isLost = true;
+    const reason = err instanceof Error ? err.message : String(err);
+    this.#log.emit('warn', 'log-lost', { log: this.#settings.name, reason });
+  }
+
+  #regained(): void {
+    if (!this.#isLost) return;
+    this.#isLost = false;
+    this.#log.emit('info', 'log-regained', { log: this.#settings.name, next: this.#next });
+  }
+
+  async #pause(ms: number): Promise<void> {
+    if (ms === 0) return;
+    this.#gap = new AbortController();
+    if (this.#stopping.signal.aborted) return;
+    await delay(ms, this.#gap.signal);
+  }
+}
--- /dev/null
+++ b/packages/runtime/src/internal/leader-term.ts
@@ -0,0 +1,338 @@
+import type { Subscription } from 'rxjs';
+import type { Order, OrderOutcome, WorkerReport } from '@redwingcrank/jobs';
+import { JobProgress, Scheduler, isFinal } from '@redwingcrank/jobs';
+import type { KeyedRecord, KeyedWrite } from '../keyed-log.js';
+import type { NodeLog } from '../node-log.js';
+import type { NodeSettings } from '../node-settings.js';
+import type { PlatformPort } from '../platform-port.js';
+import { delay, steadyMs } from './delay.js';
+import type { FollowerMessage } from './keyed-follower.js';
+import { KeyedFollower } from './keyed-follower.js';
+import { LeaderWriter } from './leader-writer.js';
+import {
+  CLOCK_MARGIN_MS,
+  CLOCK_SLACK,
+  GATHER_MS,
+  LEADER_WRITE_MS,
+  ROUND_MS,
+  STANDSTILL_MS,
+  STOP_AGAIN_MS,
+  UNCONFIRMED_MS,
+} from './timing.js';
+import type { ConfigWatch } from './config-watch.js';
+import type { LinkListener } from './worker-link.js';
+import { WorkerLink } from './worker-link.js';
+import type { LeaderRecord } from './work-records.js';
+import { cancelKey, encodeLeader, jobKey, leaderKey, progressKey } from './work-records.js';
+import type { StoredJob, WorkChange, WorkTable } from './work-table.js';
+
+/** How often the entries of workers are read, in milliseconds. */
+const WORKER_LIST_GAP_MS = 250;
+
+/** A job's records are deleted this long after its state may be forgotten, in milliseconds. */
+const FORGET_SLACK_MS = 30_000;
+
+/** How often jobs to forget are looked for, in milliseconds. */
+const FORGET_EVERY_MS = 5_000;
+
+
+/** One term of this node as the one that schedules: from its claim until it is replaced. */
+export class LeaderTerm implements LinkListener {
+  readonly #record: LeaderRecord;
+
+  readonly #port: PlatformPort;
+
+  readonly #settings: NodeSettings;
+
+  readonly #log: NodeLog;
+
+  readonly #table: WorkTable;
+
+  readonly #config: ConfigWatch;
+
+  readonly #writer: LeaderWriter;
+
+  readonly #scheduler: Scheduler;
+
+  readonly #workerList: KeyedFollower;
+
+  readonly #links = new Map<string, WorkerLink>();
+
+  readonly #subscriptions: Subscription[] = [];
+
+  readonly #stopping = new AbortController();
+
+  #wake = new AbortController();
+
+  #isWoken = false;
+
+  #writtenMs = -Infinity;
+
+  #forgetMs = steadyMs() + FORGET_EVERY_MS;
+
+  constructor(
+    record: LeaderRecord,
+    claimSequence: number,
+    port: PlatformPort,
+    settings: NodeSettings,
+    log: NodeLog,
+    table: WorkTable,
+    config: ConfigWatch,
+  ) {
+    this.#record = record;
+    this.#port = port;
+    this.#settings = settings;
+    this.#log = log;
+    this.#table = table;
+    this.#config = config;
+    this.#writer = new LeaderWriter(port.workLog, log, record.epoch, claimSequence);
+    this.#workerList = new KeyedFollower(port.workerLog, log, {
+      name: 'workers',
+      waitMs: 1_000,
+      gapMs: WORKER_LIST_GAP_MS,
+    });
+    const leaseMs = settings.maxLeaseMs * CLOCK_SLACK + CLOCK_MARGIN_MS;
+    this.#scheduler = new Scheduler(
+      {
+        leaseMs,
+        inheritedLeaseMs: UNCONFIRMED_MS + leaseMs,
+        standstillMs: STANDSTILL_MS,
+        stopAgainMs: STOP_AGAIN_MS,
+      },
+      steadyMs(),
+      (event, fields) => log.emit('info', event, fields),
+    );
+  }
+
+  get token(): number {
+    return this.#record.epoch;
+  }
+
+  /** Schedules until another node has taken over or `stop` is called. */
+  async run(): Promise<void> {
+    this.#log.emit('info', 'term-start', { epoch: this.token, jobs: this.#table.jobs.size });
+    for (const job of this.#table.jobs.values()) this.#takeOn(job);
+    this.#takeQueues();
+    this.#subscriptions.push(
+      this.#table.changes$.subscribe((change) => this.#workChanged(change)),
+      this.#config.changes$.subscribe(() => this.#takeQueues()),
+      this.#workerList.messages$.subscribe((message) => this.#workerMessage(message)),
+    );
+    this.#workerList.run().catch((err) => this.#failed('worker-list', err));
+    while (!this.#stopping.signal.aborted) await this.#round();
+    this.#close();
+  }
+
+  stop(): void {
+    this.#stopping.abort();
+    this.#wake.abort();
+    this.#writer.stop();
+  }
+
+  /** Gives the role up, so that another node need not wait for this one's silence. */
+  async resign(): Promise<void> {
+    this.#stopping.abort();
+    this.#wake.abort();
+    this.#close();
+    const resigned = { ...this.#record, resigned: true };
+    await this.#writer.write([{ key: leaderKey(), value: encodeLeader(resigned) }]);
+    this.#writer.stop();
+    this.#log.emit('info', 'resigned', { epoch: this.token });
+  }
+
+  mayRenew(): boolean {
+    return steadyMs() - this.#writer.confirmedMs < UNCONFIRMED_MS;
+  }
+
+  ackedEnd(worker: string): number {
+    return this.#scheduler.workers.get(worker)?.ackedEnd ?? 0;
+  }
+
+  isBusy(worker: string): boolean {
+    return (this.#scheduler.workers.get(worker)?.runs.size ?? 0) > 0;
+  }
+
+  leaseSent(worker: string, leaseEndMs: number): void {
+    this.#scheduler.leaseSent(worker, leaseEndMs);
+  }
+
+  reported(worker: string, report: WorkerReport, askedMs: number): void {
+    this.#scheduler.report(worker, report, askedMs, steadyMs());
+    this.#wakeUp();
+  }
+
+  answered(order: Order, outcome: OrderOutcome, settledMs: number): void {
+    this.#scheduler.answered(order, outcome, steadyMs(), settledMs);
+    if (outcome !== 'done') this.#wakeUp();
+  }
+
+  gone(worker: string, why: string): void {
+    this.#scheduler.workerGone(worker, steadyMs(), why);
+    this.#unlink(worker);
+    this.#wakeUp();
+  }
+
+  /** A worker has seen a higher token: another node schedules. */
+  fenced(worker: string, reason: string): void {
+    if (this.#stopping.signal.aborted) return;
+    this.#log.emit('warn', 'term-fenced', { epoch: this.token, worker, reason });
+    this.stop();
+  }
+
+  async #round(): Promise<void> {
+    if (!this.#isWoken) await delay(this.#waitMs(), this.#wake.signal);
+    await delay(GATHER_MS, this.#stopping.signal);
+    this.#wake = new AbortController();
+    this.#isWoken = false;
+    if (this.#stopping.signal.aborted) return;
+    this.#unlinkGone();
+    const decisions = this.#scheduler.decide(steadyMs(), Date.now());
+    const writes: KeyedWrite[] = decisions.changed.map((job) => ({
+      key: progressKey(job.spec.id),
+      value: job.encode(),
+    }));
+    writes.push(...this.#forgotten());
+    const isQuiet = steadyMs() - this.#writtenMs >= LEADER_WRITE_MS;
+    if (writes.length === 0 && isQuiet) {
+      writes.push({ key: leaderKey(), value: encodeLeader(this.#record) });
+    }
+    if (writes.length > 0) {
+      const sentMs = steadyMs();
+      if (!(await this.#writer.write(writes))) {
+        this.stop();
+        return;
+      }
+      this.#writtenMs = sentMs;
+    }
+    this.#scheduler.acknowledge(decisions.acks);
+    for (const order of decisions.orders) this.#send(order);
+  }
+
+  #waitMs(): number {
+    const dueMs = this.#scheduler.nextDueMs();
+    if (dueMs === undefined) return ROUND_MS;
+    return Math.max(1, Math.min(ROUND_MS, dueMs - Date.now()));
+  }
+
+  #wakeUp(): void {
+    this.#isWoken = true;
+    this.#wake.abort();
+  }
+
+  #send(order: Order): void {
+    const link = this.#links.get(order.worker);
+    if (link) link.order(order).catch((err) => this.#failed('order', err));
+    else this.#scheduler.answered(order, 'unknown', steadyMs(), steadyMs());
+  }
+
+  #takeOn({ spec, progress, cancelled }: StoredJob): void {
+    const job = progress === undefined ? new JobProgress(spec) : JobProgress.decode(spec, progress);
+    this.#scheduler.addJob(job);
+    if (cancelled) this.#scheduler.cancel(spec.id, Date.now());
+  }
+
+  #workChanged(change: WorkChange): void {
+    switch (change.kind) {
+      case 'leader':
+        if (change.leader.epoch > this.token) this.fenced('', 'newer-leader-record');
+        break;
+      case 'accepted':
+        this.#takeOn(this.#table.jobs.get(change.id)!);
+        break;
+      case 'cancelled':
+        this.#scheduler.cancel(change.id, Date.now());
+        break;
+      default:
+        this.#scheduler.dropJob(change.id);
+    }
+    this.#wakeUp();
+  }
+
+  #takeQueues(): void {
+    const config = this.#config.current;
+    if (!config) return;
+    this.#scheduler.setQueues(config.queues);
+    this.#wakeUp();
+  }
+
+  #workerMessage(message: FollowerMessage): void {
+    if (message.kind === 'record') this.#workerRecord(message.rec);
+    else if (message.kind === 'reset') this.#listedBefore = new Set(this.#links.keys());
+    else if (this.#listedBefore) {
+      // What a fresh list does not name is not listed any more.
+      for (const id of this.#listedBefore) this.#scheduler.unlistWorker(id);
+      this.#listedBefore = undefined;
+    }
+  }
+
+  #listedBefore: Set<string> | undefined;
+
+  #workerRecord(rec: KeyedRecord): void {
+    const id = this.#port.workerIdOf(rec);
+    if (id === undefined) return;
+    this.#listedBefore?.delete(id);
+    if (rec.value === undefined) {
+      this.#log.emit('info', 'worker-unlisted', { worker: id });
+      this.#scheduler.unlistWorker(id);
+      return;
+    }
+    try {
+      const entry = this.#port.decodeWorker(rec);
+      this.#scheduler.listWorker(entry, steadyMs());
+      this.#link(entry.id);
+    } catch (err) {
+      this.#failed('worker-entry', err);
+    }
+  }
+
+  #link(id: string): void {
+    const worker = this.#scheduler.workers.get(id);
+    if (!worker || this.#links.has(id)) return;
+    const { entry } = worker;
+    const link = new WorkerLink(entry, this.#port.workers, this, this.#log, this.#settings.maxLeaseMs);
+    this.#links.set(id, link);
+    link.run().catch((err) => this.#failed('worker-link', err));
+  }
+
+  #unlinkGone(): void {
+    for (const id of [...this.#links.keys()]) {
+      if (!this.#scheduler.workers.has(id)) this.#unlink(id);
+    }
+  }
+
+  #unlink(id: string): void {
+    const link = this.#links.get(id);
+    if (!link) return;
+    link.stop();
+    this.#links.delete(id);
+    this.#port.workers.forget(link.address);
+  }
+
+  /** Deletions of the records of jobs whose state may be forgotten. */
+  #forgotten(): KeyedWrite[] {
+    if (steadyMs() < this.#forgetMs) return [];
+    this.#forgetMs = steadyMs() + FORGET_EVERY_MS;
+    const beforeMs = Date.now() - this.#settings.keepStateMs - FORGET_SLACK_MS;
+    const writes: KeyedWrite[] = [];
+    for (const { spec, state, endedMs } of this.#table.jobs.values()) {
+      if (isFinal(state) && endedMs < beforeMs) {
+        for (const key of [progressKey, cancelKey, jobKey]) {
+          writes.push({ key: key(spec.id), value: undefined });
+        }
+      }
+    }
+    return writes;
+  }
+
+  #failed(part: string, err: unknown): void {
+    const reason = err instanceof Error ? (err.stack ?? err.message) : String(err);
+    this.#log.emit('error', 'part-failed', { part, reason });
+  }
+
+  #close(): void {
+    for (const subscription of this.#subscriptions) subscription.unsubscribe();
+    this.#workerList.stop();
+    for (const id of [...this.#links.keys()]) this.#unlink(id);
+    this.#log.emit('info', 'term-end', { epoch: this.token });
+  }
+}
--- /dev/null
+++ b/packages/runtime/src/internal/leadership.ts
@@ -0,0 +1,167 @@
+import { randomBytes, randomInt } from 'node:crypto';
+import type { NodeLog } from '../node-log.js';
+import type { NodeSettings } from '../node-settings.js';
+import type { PlatformPort } from '../platform-port.js';
+import type { ConfigWatch } from './config-watch.js';
+import { delay, steadyMs } from './delay.js';
+import type { KeyedFollower } from './keyed-follower.js';
+import { LEADER_WRITER } from './leader-writer.js';
+import { LeaderTerm } from './leader-term.js';
+import { CLAIM_SPREAD_MS, LEADER_SILENT_MS } from './timing.js';
+import type { LeaderRecord } from './work-records.js';
+import { encodeLeader, leaderKey } from './work-records.js';
+import type { WorkTable } from './work-table.js';
+
+/** How often a node looks whether the scheduling role is free, in milliseconds. */
+const LOOK_MS = 100;
+
+/** The pause between reads of the scheduling node, in milliseconds: new jobs wait for them. */
+const LEADER_GAP_MS = 8;
+
+/** The same on nodes that only follow: each read costs processor time and a call. */
+export const FOLLOW_GAP_MS = 120;
+
+/** A view this old says nothing about whether the leader is silent, in milliseconds. */
+const MAX_VIEW_AGE_MS = 700;
+
+/** Sequence numbers of claims are drawn below this, so that two claims of one epoch differ. */
+const MAX_FIRST_SEQUENCE = 1_000_000_000;
+
+/** A claim that was sent, until the work log shows who got the role. */
+interface Claim {
+  readonly record: LeaderRecord;
+  readonly sequence: number;
+}
+
+/**
+ * Decides when this node schedules. The store settles it: a claim is an append of a higher epoch,
+ * on the condition that nothing was written since this node looked. From then on it refuses the
+ * earlier leader's appends, and workers refuse that leader's orders once they have seen the new
+ * epoch as a fencing token.
+ */
+export class Leadership {
+  readonly #port: PlatformPort;
+
+  readonly #settings: NodeSettings;
+
+  readonly #log: NodeLog;
+
+  readonly #table: WorkTable;
+
+  readonly #follower: KeyedFollower;
+
+  readonly #config: ConfigWatch;
+
+  readonly #stopping = new AbortController();
+
+  #claim: Claim | undefined;
+
+  #term: LeaderTerm | undefined;
+
+  readonly #startedMs = steadyMs();
+
+  /** A node that was just replaced leaves the next claim to others for a while. */
+  #patienceMs = 0;
+
+  constructor(
+    port: PlatformPort,
+    settings: NodeSettings,
+    log: NodeLog,
+    table: WorkTable,
+    follower: KeyedFollower,
+    config: ConfigWatch,
+  ) {
+    this.#port = port;
+    this.#settings = settings;
+    this.#log = log;
+    this.#table = table;
+    this.#follower = follower;
+    this.#config = config;
+    table.changes$.subscribe((change) => {
+      if (change.kind === 'leader') this.#leaderSeen(change.leader);
+    });
+  }
+
+  get isLeading(): boolean {
+    return this.#term !== undefined;
+  }
+
+  async run(): Promise<void> {
+    while (!this.#stopping.signal.aborted) {
+      await delay(LOOK_MS, this.#stopping.signal);
+      if (this.#isRoleFree()) await this.#claimRole();
+    }
+  }
+
+  async stop(): Promise<void> {
+    this.#stopping.abort();
+    await this.#term?.resign();
+  }
+
+  #isRoleFree(): boolean {
+    if (this.#stopping.signal.aborted || this.#term) return false;
+    const nowMs = steadyMs();
+    if (nowMs - this.#follower.freshMs > MAX_VIEW_AGE_MS) return false;
+    const { leader, leaderSeenMs } = this.#table;
+    if (!leader || leader.resigned) return true;
+    const silentMs = nowMs - Math.max(leaderSeenMs, this.#startedMs);
+    return silentMs > LEADER_SILENT_MS + this.#patienceMs;
+  }
+
+  async #claimRole(): Promise<void> {
+    await delay(randomInt(CLAIM_SPREAD_MS), this.#stopping.signal);
+    const at = this.#follower.next;
+    if (!this.#isRoleFree() || at === undefined) return;
+    const before = this.#table.leader;
+    const record = {
+      epoch: (before?.epoch ?? 0) + 1,
+      node: this.#settings.node,
+      nonce: randomBytes(6).toString('hex'),
+      resigned: false,
+    };
+    const sequence = randomInt(MAX_FIRST_SEQUENCE);
+    this.#claim = { record, sequence };
+    const write = { key: leaderKey(), value: encodeLeader(record) };
+    const stamp = { writer: LEADER_WRITER, epoch: record.epoch, sequence };
+    const result = await this.#port.workLog.append([write], { stamp, at });
+    this.#log.emit('info', 'claim', {
+      epoch: record.epoch,
+      before: before?.node,
+      outcome: result.outcome,
+      reason: result.reason,
+    });
+    // What became of an unanswered claim shows in the log, as does that of every other.
+    this.#follower.hurry();
+  }
+
+  #leaderSeen(leader: LeaderRecord): void {
+    const claim = this.#claim;
+    if (!claim || claim.record.nonce !== leader.nonce || leader.resigned || this.#term) return;
+    this.#claim = undefined;
+    const term = new LeaderTerm(
+      leader,
+      claim.sequence,
+      this.#port,
+      this.#settings,
+      this.#log,
+      this.#table,
+      this.#config,
+    );
+    this.#term = term;
+    this.#follower.setGap(LEADER_GAP_MS);
+    // The term starts after this record has been told to everyone, with the table up to it.
+    setImmediate(() => this.#runTerm(term));
+  }
+
+  async #runTerm(term: LeaderTerm): Promise<void> {
+    try {
+      await term.run();
+    } catch (err) {
+      const reason = err instanceof Error ? (err.stack ?? err.message) : String(err);
+      this.#log.emit('error', 'term-failed', { reason });
+    }
+    this.#term = undefined;
+    this.#follower.setGap(FOLLOW_GAP_MS);
+    this.#patienceMs = CLAIM_SPREAD_MS;
+  }
+}
--- /dev/null
+++ b/packages/runtime/src/internal/work-records.ts
@@ -0,0 +1,54 @@
+import type { JobSpec } from '@redwingcrank/jobs';
+
+/** Which kinds of records the work log holds. Their keys are one letter, a slash and the job. */
+export type WorkRecordKind = 'job' | 'progress' | 'cancel' | 'leader';
+
+const LETTERS: Readonly<Record<string, WorkRecordKind>> = {
+  j: 'job',
+  s: 'progress',
+  c: 'cancel',
+};
+
+const LEADER_KEY = 'leader';
+
+/** Says which node schedules. */
+export interface LeaderRecord {
+  /** The fencing token of its orders, and the epoch of its appends. */
+  readonly epoch: number;
+  readonly node: string;
+  /** Tells two claims of one node apart. */
+  readonly nonce: string;
+  /** The node has given up the role: another may claim it at once. */
+  readonly resigned: boolean;
+}
+
+export const jobKey = (id: string): string => `j/${id}`;
+
+export const progressKey = (id: string): string => `s/${id}`;
+
+export const cancelKey = (id: string): string => `c/${id}`;
+
+export const leaderKey = (): string => LEADER_KEY;
+
+export function parseKey(key: string): { kind: WorkRecordKind; id: string } | undefined {
+  if (key === LEADER_KEY) return { kind: 'leader', id: '' };
+  const kind = LETTERS[key.charAt(0)];
+  if (!kind || key.charAt(1) !== '/') return undefined;
+  return { kind, id: key.slice(2) };
+}
+
+export function encodeJob(spec: JobSpec): string {
+  return JSON.stringify(spec);
+}
+
+export function decodeJob(text: string): JobSpec {
+  return JSON.parse(text) as JobSpec;
+}
+
+export function encodeLeader(rec: LeaderRecord): string {
+  return JSON.stringify(rec);
+}
+
+export function decodeLeader(text: string): LeaderRecord {
+  return JSON.parse(text) as LeaderRecord;
+}
--- /dev/null
+++ b/packages/runtime/src/internal/work-table.ts
@@ -0,0 +1,131 @@
+import { Subject } from 'rxjs';
+import type { JobSpec, JobState } from '@redwingcrank/jobs';
+import { JobProgress, isFinal } from '@redwingcrank/jobs';
+import type { KeyedRecord } from '../keyed-log.js';
+import type { LeaderRecord } from './work-records.js';
+import { decodeJob, decodeLeader, parseKey } from './work-records.js';
+import { steadyMs } from './delay.js';
+
+/** A job as the store has it. */
+export interface StoredJob {
+  readonly spec: JobSpec;
+  state: JobState;
+  /** Time of day at which it reached a final state; 0 before that. */
+  endedMs: number;
+  progress: string | undefined;
+  cancelled: boolean;
+}
+
+export type WorkChange =
+  | { readonly kind: 'accepted' | 'cancelled' | 'deleted'; readonly id: string }
+  | { readonly kind: 'leader'; readonly leader: LeaderRecord };
+
+/**
+ * Everything in the work log, as every node holds it: it answers callers from it, and whoever
+ * takes over scheduling starts from it. Only stored facts stand here.
+ */
+export class WorkTable {
+  readonly #jobs = new Map<string, StoredJob>();
+
+  /** Records that came before their job: pages of a load are in no particular order. */
+  readonly #early = new Map<string, KeyedRecord[]>();
+
+  #leader: LeaderRecord | undefined;
+
+  #leaderSeenMs = -Infinity;
+
+  readonly changes$ = new Subject<WorkChange>();
+
+  get jobs(): ReadonlyMap<string, StoredJob> {
+    return this.#jobs;
+  }
+
+  get leader(): LeaderRecord | undefined {
+    return this.#leader;
+  }
+
+  /** When a record of the scheduling node was last read, on the steady clock. */
+  get leaderSeenMs(): number {
+    return this.#leaderSeenMs;
+  }
+
+  reset(): void {
+    this.#jobs.clear();
+    this.#early.clear();
+  }
+
+  apply(rec: KeyedRecord): void {
+    const key = parseKey(rec.key);
+    if (!key) return;
+    switch (key.kind) {
+      case 'leader':
+        this.#applyLeader(rec.value);
+        break;
+      case 'job':
+        this.#applyJob(key.id, rec);
+        break;
+      default:
+        this.#applyToJob(key.id, key.kind, rec);
+    }
+  }
+
+  /** Jobs of a queue of which no task has been started yet. */
+  pending(queue: string): number {
+    let count = 0;
+    for (const job of this.#jobs.values()) {
+      if (job.spec.queue === queue && job.state === 'queued' && !job.cancelled) count += 1;
+    }
+    return count;
+  }
+
+  #applyLeader(value: string | undefined): void {
+    if (value === undefined) return;
+    const leader = decodeLeader(value);
+    this.#leaderSeenMs = steadyMs();
+    if (this.#leader && leader.epoch < this.#leader.epoch) return;
+    this.#leader = leader;
+    this.changes$.next({ kind: 'leader', leader });
+  }
+
+  #applyJob(id: string, { value }: KeyedRecord): void {
+    if (value === undefined) {
+      if (this.#jobs.delete(id)) this.changes$.next({ kind: 'deleted', id });
+      return;
+    }
+    // A submission that was sent twice is one job: the first stands.
+    if (this.#jobs.has(id)) return;
+    this.#jobs.set(id, {
+      spec: decodeJob(value),
+      state: 'queued',
+      endedMs: 0,
+      progress: undefined,
+      cancelled: false,
+    });
+    const early = this.#early.get(id) ?? [];
+    this.#early.delete(id);
+    for (const rec of early) this.apply(rec);
+    this.changes$.next({ kind: 'accepted', id });
+  }
+
+  #applyToJob(id: string, kind: 'progress' | 'cancel', rec: KeyedRecord): void {
+    if (kind === 'progress') this.#leaderSeenMs = steadyMs();
+    if (rec.value === undefined) return;
+    const job = this.#jobs.get(id);
+    if (!job) {
+      this.#early.set(id, [...(this.#early.get(id) ?? []), rec]);
+      return;
+    }
+    if (kind === 'cancel') {
+      job.cancelled = true;
+      this.changes$.next({ kind: 'cancelled', id });
+      return;
+    }
+    const { state, endedMs } = JobProgress.decodeState(rec.value);
+    Object.assign(job, { state, endedMs, progress: rec.value });
+  }
+}
+
+/** The state that a caller is told. */
+export function shownState(job: StoredJob): JobState {
+  return job.cancelled && !isFinal(job.state) ? 'cancelled' : job.state;
+}
--- /dev/null
+++ b/packages/runtime/src/internal/worker-link.ts
@@ -0,0 +1,186 @@
+import type { Order, OrderOutcome, WorkerEntry, WorkerReport } from '@redwingcrank/jobs';
+import { taskName } from '@redwingcrank/jobs';
+import type { NodeLog } from '../node-log.js';
+import type { RenewResult, TaskWorkers, WorkerAddress } from '../task-workers.js';
+import { delay, steadyMs } from './delay.js';
+import {
+  CLOCK_MARGIN_MS,
+  CLOCK_SLACK,
+  IDLE_RENEW_WAIT_MS,
+  RENEW_RETRY_MS,
+  RENEW_WAIT_MS,
+  START_ATTEMPTS,
+  START_WINDOW_MS,
+  STOP_RENEWING_MS,
+} from './timing.js';
+
+/** What a link tells the scheduling node. */
+export interface LinkListener {
+  readonly token: number;
+  /** Whether leases may still be renewed: the store has confirmed the leader lately. */
+  mayRenew(): boolean;
+  /** Ends up to this number may be forgotten by the worker. */
+  ackedEnd(worker: string): number;
+  /** Whether anything runs on the worker, or may. */
+  isBusy(worker: string): boolean;
+  leaseSent(worker: string, leaseEndMs: number): void;
+  reported(worker: string, report: WorkerReport, askedMs: number): void;
+  answered(order: Order, outcome: OrderOutcome, settledMs: number): void;
+  gone(worker: string, why: string): void;
+  fenced(worker: string, reason: string): void;
+}
+
+interface ClockReading {
+  readonly clockMs: number;
+  readonly atMs: number;
+}
+
+/**
+ * The scheduling node's conversation with one life of a worker: renews its leases without end,
+ * takes its reports, and sends it orders.
+ */
+export class WorkerLink {
+  readonly address: WorkerAddress;
+
+  readonly #workers: TaskWorkers;
+
+  readonly #listener: LinkListener;
+
+  readonly #log: NodeLog;
+
+  readonly #maxLeaseMs: number;
+
+  readonly #stopping = new AbortController();
+
+  #clock: ClockReading | undefined;
+
+  #answeredMs = steadyMs();
+
+  #isLost = false;
+
+  constructor(
+    entry: WorkerEntry,
+    workers: TaskWorkers,
+    listener: LinkListener,
+    log: NodeLog,
+    maxLeaseMs: number,
+  ) {
+    this.address = { id: entry.id, address: entry.address };
+    this.#workers = workers;
+    this.#listener = listener;
+    this.#log = log;
+    this.#maxLeaseMs = maxLeaseMs;
+  }
+
+  get id(): string {
+    return this.address.id;
+  }
+
+  async run(): Promise<void> {
+    while (!this.#stopping.signal.aborted) await this.#renew();
+  }
+
+  stop(): void {
+    this.#stopping.abort();
+  }
+
+  /** Sends an order until it is answered or it is of no more use, and tells what came of it. */
+  async order(order: Order): Promise<void> {
+    let outcome: OrderOutcome = 'unknown';
+    let settledMs = Infinity;
+    for (let attempt = 0; attempt < START_ATTEMPTS && outcome === 'unknown'; attempt += 1) {
+      if (this.#stopping.signal.aborted) return;
+      const sentMs = steadyMs();
+      const deadlineMs = this.#workerTime(sentMs) + START_WINDOW_MS;
+      const windowMs = START_WINDOW_MS * CLOCK_SLACK + CLOCK_MARGIN_MS;
+      if (order.kind === 'start') this.#listener.leaseSent(this.id, sentMs + windowMs);
+      const result = await this.#workers.order(this.address, order, this.#listener.token, deadlineMs);
+      this.#readClock(result.clockMs);
+      outcome = result.outcome;
+      settledMs = outcome === 'unknown' ? sentMs + windowMs : steadyMs();
+      this.#logOrder(order, outcome, result.reason, attempt, sentMs);
+    }
+    if (this.#stopping.signal.aborted) return;
+    if (outcome === 'fenced') this.#listener.fenced(this.id, 'order');
+    else this.#listener.answered(order, outcome, settledMs);
+  }
+
+  #logOrder(order: Order, outcome: OrderOutcome, reason: string, attempt: number, sentMs: number): void {
+    const level = outcome === 'done' ? 'debug' : 'info';
+    this.#log.emit(level, 'order', {
+      kind: order.kind,
+      task: taskName(order.task),
+      run: order.run,
+      worker: this.id,
+      outcome,
+      reason,
+      attempt,
+      tookMs: Math.round(steadyMs() - sentMs),
+    });
+  }
+
+  async #renew(): Promise<void> {
+    const askedMs = steadyMs();
+    const isSilent = askedMs - this.#answeredMs > STOP_RENEWING_MS;
+    const extend = this.#clock !== undefined && !isSilent && this.#listener.mayRenew();
+    const req = {
+      token: this.#listener.token,
+      ackedEnd: this.#listener.ackedEnd(this.id),
+      waitMs: this.#waitMs(),
+      ...(extend && { deadlineMs: this.#workerTime(askedMs) + this.#maxLeaseMs }),
+    };
+    if (extend) {
+      const leaseMs = this.#maxLeaseMs * CLOCK_SLACK + CLOCK_MARGIN_MS;
+      this.#listener.leaseSent(this.id, askedMs + leaseMs);
+    }
+    const result = await this.#workers.renew(this.address, req);
+    if (!this.#stopping.signal.aborted) await this.#renewed(result, askedMs);
+  }
+
+  #waitMs(): number {
+    if (!this.#clock || this.#isLost) return 0;
+    return this.#listener.isBusy(this.id) ? RENEW_WAIT_MS : IDLE_RENEW_WAIT_MS;
+  }
+
+  async #renewed(result: RenewResult, askedMs: number): Promise<void> {
+    if (result.outcome === 'done') {
+      this.#readClock(result.report.clockMs);
+      this.#found();
+      this.#listener.reported(this.id, result.report, askedMs);
+      return;
+    }
+    if (result.outcome === 'fenced') {
+      this.#listener.fenced(this.id, 'renew');
+      return;
+    }
+    if (result.outcome === 'other-life') {
+      this.#listener.gone(this.id, result.reason);
+      return;
+    }
+    this.#missed(result.reason);
+    await delay(RENEW_RETRY_MS, this.#stopping.signal);
+  }
+
+  #found(): void {
+    this.#answeredMs = steadyMs();
+    if (!this.#isLost) return;
+    this.#isLost = false;
+    this.#log.emit('info', 'worker-regained', { worker: this.id });
+  }
+
+  #missed(reason: string): void {
+    if (this.#isLost) return;
+    this.#isLost = true;
+    this.#log.emit('warn', 'worker-lost', { worker: this.id, reason });
+  }
+
+  #readClock(clockMs: number | undefined): void {
+    if (clockMs !== undefined) this.#clock = { clockMs, atMs: steadyMs() };
+  }
+
+  /** The worker's clock now, or a little less: the time since the reading came is not all of it. */
+  #workerTime(nowMs: number): number {
+    if (!this.#clock) return 0;
+    return Math.floor(this.#clock.clockMs + (nowMs - this.#clock.atMs));
+  }
+}
--- /dev/null
+++ b/packages/runtime/src/job-service.ts
@@ -0,0 +1,149 @@
+import type { JobSpec, JobState } from '@redwingcrank/jobs';
+import type { KeyedLog } from './keyed-log.js';
+import type { NodeLog } from './node-log.js';
+import { AppendBatcher } from './internal/append-batcher.js';
+import { cancelKey, encodeJob, jobKey } from './internal/work-records.js';
+import type { WorkTable } from './internal/work-table.js';
+import { shownState } from './internal/work-table.js';
+import { delay, steadyMs } from './internal/delay.js';
+
+/**
+ * What a caller is told.
+ *
+ * - `accepted`: it is stored.
+ * - `not-run`: nothing was stored, and nothing will be.
+ * - `conflict`: the id stands for another job already.
+ * - `unknown`: it may have been stored; the same id may be sent again.
+ */
+export type SubmitOutcome = 'accepted' | 'not-run' | 'conflict' | 'unknown';
+
+/** `unavailable`: this node does not know enough to answer. */
+export type CancelOutcome = 'cancelled' | 'no-such-job' | 'unavailable' | 'unknown';
+
+export type StateAnswer = JobState | 'no-such-job' | 'unavailable';
+
+/**
+ * A view older than this is not enough to deny a job, in milliseconds: well under the time after
+ * which an accepted job must be known everywhere.
+ */
+const MAX_VIEW_AGE_MS = 2_500;
+
+/** The pause before an unanswered append is repeated, in milliseconds. */
+const REPEAT_MS = 50;
+
+/** What the service needs to know of the node's view of the work log. */
+export interface WorkView {
+  readonly table: WorkTable;
+  /** When the view was last known to be complete, on the steady clock. */
+  readonly freshMs: number;
+}
+
+/** The job interface: what callers may ask of any node. */
+export class JobService {
+  readonly #view: WorkView;
+
+  readonly #batcher: AppendBatcher;
+
+  readonly #log: NodeLog;
+
+  /** Stored through this node, and not yet read back. */
+  readonly #justAccepted = new Map<string, JobSpec>();
+
+  constructor(view: WorkView, target: KeyedLog, log: NodeLog) {
+    this.#view = view;
+    this.#batcher = new AppendBatcher(target);
+    this.#log = log;
+    view.table.changes$.subscribe((change) => {
+      if (change.kind === 'accepted') this.#justAccepted.delete(change.id);
+    });
+  }
+
+  /**
+   * Stores a job. Sent again with the same id it stays one job: repeated records of one key are
+   * taken once.
+   */
+  async submit(spec: JobSpec, deadlineMs: number): Promise<SubmitOutcome> {
+    const known = this.#find(spec.id);
+    if (known) return this.#repeated(spec, known);
+    const write = { key: jobKey(spec.id), value: encodeJob(spec) };
+    // Without the store nothing can be accepted; the caller had better try another node now.
+    const outcome = !this.#isFresh() ? 'not-run' : await this.#store(write, deadlineMs);
+    if (outcome === 'stored' && !this.#view.table.jobs.has(spec.id)) {
+      this.#justAccepted.set(spec.id, spec);
+    }
+    this.#log.emit('info', 'submit', {
+      job: spec.id,
+      queue: spec.queue,
+      outcome,
+      steps: spec.steps.length,
+      tasks: spec.steps.reduce((sum, { taskCount }) => sum + taskCount, 0),
+    });
+    if (outcome === 'stored') return 'accepted';
+    return outcome;
+  }
+
+  async cancel(id: string, queue: string, deadlineMs: number): Promise<CancelOutcome> {
+    const known = this.#find(id);
+    if (known?.queue !== queue) {
+      if (known || this.#isFresh()) return 'no-such-job';
+      return 'unavailable';
+    }
+    const outcome = await this.#store({ key: cancelKey(id), value: '1' }, deadlineMs);
+    this.#log.emit('info', 'cancel', { job: id, queue, outcome });
+    if (outcome === 'stored') return 'cancelled';
+    return outcome === 'not-run' ? 'unavailable' : 'unknown';
+  }
+
+  state(id: string, queue: string): StateAnswer {
+    const job = this.#view.table.jobs.get(id);
+    if (job && job.spec.queue === queue) return shownState(job);
+    if (this.#justAccepted.get(id)?.queue === queue) return 'queued';
+    return this.#isFresh() ? 'no-such-job' : 'unavailable';
+  }
+
+  /** How many jobs of a queue have not begun; undefined where the view is too old to tell. */
+  pending(queue: string): number | undefined {
+    return this.#isFresh() ? this.#view.table.pending(queue) : undefined;
+  }
+
+  #find(id: string): JobSpec | undefined {
+    return this.#view.table.jobs.get(id)?.spec ?? this.#justAccepted.get(id);
+  }
+
+  #isFresh(): boolean {
+    return steadyMs() - this.#view.freshMs < MAX_VIEW_AGE_MS;
+  }
+
+  #repeated(spec: JobSpec, known: JobSpec): SubmitOutcome {
+    const isSame =
+      spec.queue === known.queue &&
+      spec.payload === known.payload &&
+      JSON.stringify(spec.steps) === JSON.stringify(known.steps);
+    this.#log.emit('info', 'submit-repeated', { job: spec.id, queue: spec.queue, same: isSame });
+    return isSame ? 'accepted' : 'conflict';
+  }
+
+  /**
+   * Stores one record, again and again until the deadline while no answer comes. `not-run` is
+   * only said when every attempt was refused by the store.
+   */
+  async #store(
+    write: { key: string; value: string },
+    deadlineMs: number,
+  ): Promise<'stored' | 'not-run' | 'unknown'> {
+    let mayBeStored = false;
+    while (steadyMs() < deadlineMs) {
+      const rest = new AbortController();
+      const result = await Promise.race([
+        this.#batcher.append(write),
+        delay(deadlineMs - steadyMs(), rest.signal).then(() => undefined),
+      ]);
+      rest.abort();
+      if (result?.outcome === 'appended') return 'stored';
+      if (result?.outcome === 'refused') return mayBeStored ? 'unknown' : 'not-run';
+      mayBeStored = true;
+      await delay(REPEAT_MS, new AbortController().signal);
+    }
+    return 'unknown';
+  }
+}
--- /dev/null
+++ b/packages/runtime/src/node-log.ts
@@ -0,0 +1,78 @@
+import { write } from 'node:fs';
+import logfmt from 'logfmt';
+import loglevel from 'loglevel';
+
+export type LogFields = Record<string, string | number | boolean | undefined>;
+
+export type LogLevel = 'debug' | 'info' | 'warn' | 'error';
+
+/**
+ * Lines that wait to be written, in bytes. With a reader that has stopped reading this is all the
+ * memory that the log may take; what comes after is dropped and counted.
+ */
+const MAX_WAITING_BYTES = 512 * 1024;
+
+const STDOUT = 1;
+
+/**
+ * The structured log of a process: one line of key=value pairs for each decision. Writing to a
+ * pipe directly would block the process while nobody reads, and with it every lease that it
+ * renews; so lines are queued, written from a worker thread, and dropped beyond a bound.
+ */
+export class NodeLog {
+  readonly #node: string;
+
+  readonly #logger = loglevel.getLogger('redwingcrank');
+
+  #waiting: string[] = [];
+
+  #waitingBytes = 0;
+
+  #isWriting = false;
+
+  #dropped = 0;
+
+  constructor(node: string, level: loglevel.LogLevelDesc = 'info') {
+    this.#node = node;
+    this.#logger.methodFactory = () => (line: string) => this.#enqueue(line);
+    this.#logger.setLevel(level, false);
+  }
+
+  /** How many lines were dropped since the start. */
+  get dropped(): number {
+    return this.#dropped;
+  }
+
+  /** Writes one line for an event, named in kebab-case. */
+  emit(level: LogLevel, event: string, fields: LogFields = {}): void {
+    const at = new Date().toISOString();
+    this.#logger[level](logfmt.stringify({ at, level, node: this.#node, event, ...fields }));
+  }
+
+  #enqueue(line: string): void {
+    if (this.#waitingBytes + line.length > MAX_WAITING_BYTES) {
+      this.#dropped += 1;
+      return;
+    }
+    this.#waiting.push(line);
+    this.#waitingBytes += line.length;
+    if (!this.#isWriting) this.#flush();
+  }
+
+  #flush(): void {
+    this.#isWriting = true;
+    const lines = this.#waiting;
+    this.#waiting = [];
+    this.#waitingBytes = 0;
+    setImmediate(() => this.#write(Buffer.from(`${lines.join('\n')}\n`)));
+  }
+
+  #write(data: Buffer): void {
+    write(STDOUT, data, (err, written) => {
+      if (!err && written < data.length) this.#write(data.subarray(written));
+      else if (this.#waiting.length > 0) this.#flush();
+      // A closed standard output is no reason to end: the work goes on without a log.
+      else this.#isWriting = false;
+    });
+  }
+}
--- /dev/null
+++ b/packages/runtime/src/node-settings.ts
@@ -0,0 +1,13 @@
+/** What a node is told when it starts, whatever form its settings have. */
+export interface NodeSettings {
+  readonly node: string;
+  readonly dataCentre: string;
+  /** The longest lease that a worker grants, in milliseconds. */
+  readonly maxLeaseMs: number;
+  /** How long a stop may take, in milliseconds. */
+  readonly stopTimeoutMs: number;
+  /** How long a job's final state must be known, in milliseconds. */
+  readonly keepStateMs: number;
+  /** After SIGTERM the process is killed when this is over, in milliseconds. */
+  readonly graceMs: number;
+}
--- /dev/null
+++ b/packages/runtime/src/node.ts
@@ -0,0 +1,100 @@
+import { KeyedFollower } from './internal/keyed-follower.js';
+import { FOLLOW_GAP_MS, Leadership } from './internal/leadership.js';
+import { ConfigWatch } from './internal/config-watch.js';
+import { WorkTable } from './internal/work-table.js';
+import type { QueueRoute } from './cluster-config.js';
+import { JobService } from './job-service.js';
+import type { NodeLog } from './node-log.js';
+import type { NodeSettings } from './node-settings.js';
+import type { PlatformPort } from './platform-port.js';
+import { steadyMs } from './internal/delay.js';
+
+/** How long a read of the work log waits at the store, in milliseconds. */
+const READ_WAIT_MS = 400;
+
+/** A node whose view is older than this had better get no new callers, in milliseconds. */
+const READY_VIEW_AGE_MS = 1_500;
+
+/** One node of the system: takes jobs, answers for them, and schedules when the role falls to it. */
+export class Node {
+  readonly #log: NodeLog;
+
+  readonly #table = new WorkTable();
+
+  readonly #config: ConfigWatch;
+
+  readonly #follower: KeyedFollower;
+
+  readonly #leadership: Leadership;
+
+  readonly jobs: JobService;
+
+  #isStopping = false;
+
+  constructor(port: PlatformPort, settings: NodeSettings, log: NodeLog) {
+    this.#log = log;
+    this.#config = new ConfigWatch(port, log);
+    this.#follower = new KeyedFollower(port.workLog, log, {
+      name: 'work',
+      waitMs: READ_WAIT_MS,
+      gapMs: FOLLOW_GAP_MS,
+    });
+    this.#follower.messages$.subscribe((message) => {
+      if (message.kind === 'reset') this.#table.reset();
+      if (message.kind === 'record') this.#table.apply(message.rec);
+    });
+    this.#leadership = new Leadership(
+      port,
+      settings,
+      log,
+      this.#table,
+      this.#follower,
+      this.#config,
+    );
+    const { table, follower } = { table: this.#table, follower: this.#follower };
+    const view = {
+      table,
+      get freshMs() {
+        return follower.freshMs;
+      },
+    };
+    this.jobs = new JobService(view, port.workLog, log);
+  }
+
+  start(): void {
+    this.#run('config', this.#config.follower.run());
+    this.#run('work', this.#follower.run());
+    this.#run('leadership', this.#leadership.run());
+  }
+
+  /** Whether new callers should be sent here. */
+  get isReady(): boolean {
+    const isFresh = steadyMs() - this.#follower.freshMs < READY_VIEW_AGE_MS;
+    return !this.#isStopping && isFresh && this.#config.current !== undefined;
+  }
+
+  get hasConfig(): boolean {
+    return this.#config.current !== undefined;
+  }
+
+  get maxBodyBytes(): number {
+    return this.#config.current?.maxBodyBytes ?? 0;
+  }
+
+  route(host: string, path: string): QueueRoute | undefined {
+    return this.#config.route(host, path);
+  }
+
+  /** Hands the scheduling role on; the node goes on answering callers until the process ends. */
+  async retire(): Promise<void> {
+    this.#isStopping = true;
+    await this.#leadership.stop();
+  }
+
+  #run(part: string, running: Promise<void>): void {
+    running.catch((err) => {
+      const reason = err instanceof Error ? (err.stack ?? err.message) : String(err);
+      this.#log.emit('error', 'part-failed', { part, reason });
+    });
+  }
+}
--- /dev/null
+++ b/packages/runtime/src/platform-port.ts
@@ -0,0 +1,24 @@
+import type { WorkerEntry } from '@redwingcrank/jobs';
+import type { ClusterConfig } from './cluster-config.js';
+import type { KeyedLog, KeyedRecord } from './keyed-log.js';
+import type { TaskWorkers } from './task-workers.js';
+
+/** What the platform gives a node, in this project's words. */
+export interface PlatformPort {
+  /** Jobs, their progress, and who schedules. */
+  readonly workLog: KeyedLog;
+  /** What workers say of themselves. */
+  readonly workerLog: KeyedLog;
+  /** What operators write. */
+  readonly operatorLog: KeyedLog;
+  readonly workers: TaskWorkers;
+
+  /** The id of the worker whose entry this record is; undefined for other records. */
+  workerIdOf(rec: KeyedRecord): string | undefined;
+
+  /** @throws Error that says what is wrong with the record */
+  decodeWorker(rec: KeyedRecord): WorkerEntry;
+
+  /** Undefined for a record that is not the configuration. */
+  decodeConfig(rec: KeyedRecord): ClusterConfig | undefined;
+}
