A renewal waits until the ends it listed may be acknowledged; a refused start may have run

Change: the next renewal waits for the stored acknowledgement; an 'over' answer, and any refusal after an unanswered attempt, is settled by the worker's next lists alone (test fails without it).

--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -383,7 +383,8 @@
     const key = taskName(order.task);
     const run = worker.runs.get(key);
     if (!run || run.run !== order.run) return;
-    if (outcome === 'done' || outcome === 'unknown') {
+    // A run that is over there may have ended well: only the worker's lists can tell.
+    if (outcome === 'done' || outcome === 'unknown' || outcome === 'superseded') {
       run.settledMs = settledMs;
       return;
     }
--- /dev/null
+++ b/packages/jobs/src/test/scheduler-harness.ts
@@ -0,0 +1,122 @@
+import { JobProgress } from '../job-progress.js';
+import type { JobSpec, StepSpec } from '../job.js';
+import type { Order, OrderOutcome } from '../order.js';
+import type { Decisions } from '../scheduler.js';
+import { Scheduler } from '../scheduler.js';
+import { taskName } from '../task-ref.js';
+import type { EndedRow, RunningRow, WorkerEntry } from '../worker.js';
+
+export const JOB_ID = '00000000000000aa';
+
+export const TIMING = {
+  leaseMs: 6_000,
+  inheritedLeaseMs: 16_000,
+  standstillMs: 2_500,
+  stopAgainMs: 1_000,
+};
+
+export function stepSpec(changes: Partial<StepSpec> = {}): StepSpec {
+  return {
+    taskCount: 1,
+    cpuMilli: 1_000,
+    memMb: 1_000,
+    gpus: 0,
+    estimateMs: 1_000,
+    after: [],
+    checkpointing: false,
+    gang: false,
+    rackLocal: false,
+    requiredLabel: '',
+    dataRack: '',
+    maxPerWorker: 0,
+    speculative: false,
+    lasting: false,
+    image: '',
+    targetMs: 0,
+    fills: false,
+    maxUnavailable: 0,
+    ...changes,
+  };
+}
+
+export function jobSpec(steps: readonly StepSpec[], changes: Partial<JobSpec> = {}): JobSpec {
+  return { id: JOB_ID, queue: 'q', payload: 'p', steps, acceptedMs: 0, ...changes };
+}
+
+export function workerEntry(id: string, changes: Partial<WorkerEntry> = {}): WorkerEntry {
+  return {
+    id,
+    address: `${id}.example:1`,
+    pool: 'pool',
+    dataCentre: 'a',
+    draining: false,
+    remainingMs: 0,
+    capacity: { cpuMilli: 8_000, memMb: 16_000, gpus: 0 },
+    labels: [],
+    ...changes,
+  };
+}
+
+/** A scheduler with its inputs at hand, on a clock that the test moves. */
+export class SchedulerHarness {
+  nowMs = 1_000;
+
+  readonly notes: string[] = [];
+
+  readonly scheduler: Scheduler;
+
+  readonly #ends = new Map<string, number>();
+
+  constructor(workers: readonly WorkerEntry[], maxAttempts = 3) {
+    this.scheduler = new Scheduler(TIMING, this.nowMs, (event) => this.notes.push(event));
+    this.scheduler.setQueues([
+      { name: 'q', pool: 'pool', priority: 0, maxAttempts, stretch: 2, targetLatencyMs: 100 },
+    ]);
+    for (const entry of workers) {
+      this.scheduler.listWorker(entry, this.nowMs);
+      this.report(entry.id);
+    }
+  }
+
+  submit(spec: JobSpec): JobProgress {
+    const job = new JobProgress(spec);
+    this.scheduler.addJob(job);
+    return job;
+  }
+
+  decide(): Decisions {
+    return this.scheduler.decide(this.nowMs, this.nowMs);
+  }
+
+  /** Decides, and returns the starts alone. */
+  starts(): (Order & { kind: 'start' })[] {
+    return this.decide().orders.filter((order) => order.kind === 'start');
+  }
+
+  stops(): (Order & { kind: 'stop' })[] {
+    return this.decide().orders.filter((order) => order.kind === 'stop');
+  }
+
+  answer(order: Order, outcome: OrderOutcome, settledMs = this.nowMs): void {
+    this.scheduler.answered(order, outcome, this.nowMs, settledMs);
+  }
+
+  report(worker: string, rows: { running?: RunningRow[]; ended?: EndedRow[] } = {}): void {
+    const { running = [], ended = [] } = rows;
+    const report = { clockMs: this.nowMs, running, ended };
+    this.scheduler.report(worker, report, this.nowMs, this.nowMs);
+  }
+
+  /** The row with which a worker lists an end. */
+  end(order: Order, how: EndedRow['how'], checkpoint = ''): EndedRow {
+    const number = (this.#ends.get(order.worker) ?? 0) + 1;
+    this.#ends.set(order.worker, number);
+    return { number, task: taskName(order.task), run: order.run, how, checkpoint };
+  }
+}
+
+/** The row with which a worker lists that an order's run is there. */
+export function runningRow(order: Order, changes: Partial<RunningRow> = {}): RunningRow {
+  const row = { task: taskName(order.task), run: order.run, checkpoint: '', percent: 1, measure: 0 };
+  return { ...row, ...changes };
+}
--- /dev/null
+++ b/packages/jobs/src/test/start-answers_test.ts
@@ -0,0 +1,33 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { SchedulerHarness, jobSpec, stepSpec, workerEntry } from './scheduler-harness.js';
+
+test('a run that has ended before its start was answered is not started again', () => {
+  // The answer to a start is lost. The run ends well, and its report is still on its way when the
+  // start is sent again; the worker now says that this run is over there. Taking that for "did
+  // not run" would book the task a second time, on another worker.
+  const harness = new SchedulerHarness([workerEntry('w1'), workerEntry('w2')]);
+  const job = harness.submit(jobSpec([stepSpec()]));
+  const [start] = harness.starts();
+  assert.ok(start);
+  harness.answer(start, 'superseded');
+  assert.deepEqual(harness.starts(), []);
+  harness.nowMs += 10;
+  harness.report(start.worker, { ended: [harness.end(start, 'done')] });
+  harness.decide();
+  assert.equal(job.state, 'completed');
+});
+
+test('a run that its worker refused as over, and lists nowhere, is started anew', () => {
+  // The worker has stopped a newer run of the task before, so this one never starts there. The
+  // next report shows neither the run nor its end, and only then is another start safe.
+  const harness = new SchedulerHarness([workerEntry('w1'), workerEntry('w2')]);
+  harness.submit(jobSpec([stepSpec()]));
+  const [start] = harness.starts();
+  assert.ok(start);
+  harness.answer(start, 'superseded');
+  harness.nowMs += 10;
+  harness.report(start.worker);
+  const [again] = harness.starts();
+  assert.equal(again?.run, start.run + 1);
+});
--- a/packages/runtime/src/internal/leader-term.ts
+++ b/packages/runtime/src/internal/leader-term.ts
@@ -205,6 +205,7 @@
       this.#writtenMs = sentMs;
     }
     this.#scheduler.acknowledge(decisions.acks);
+    for (const id of decisions.acks.keys()) this.#links.get(id)?.acknowledged();
     for (const order of decisions.orders) this.#send(order);
   }
 
--- a/packages/runtime/src/internal/leadership.ts
+++ b/packages/runtime/src/internal/leadership.ts
@@ -16,10 +16,10 @@
 const LOOK_MS = 100;
 
 /** The pause between reads of the scheduling node, in milliseconds: new jobs wait for them. */
-const LEADER_GAP_MS = 8;
+const LEADER_GAP_MS = 25;
 
 /** The same on nodes that only follow: each read costs processor time and a call. */
-export const FOLLOW_GAP_MS = 120;
+export const FOLLOW_GAP_MS = 250;
 
 /** A view this old says nothing about whether the leader is silent, in milliseconds. */
 const MAX_VIEW_AGE_MS = 700;
--- a/packages/runtime/src/internal/worker-link.ts
+++ b/packages/runtime/src/internal/worker-link.ts
@@ -30,6 +30,9 @@
   fenced(worker: string, reason: string): void;
 }
 
+/** The longest wait for ends to be stored before the next renewal, in ms: leases must go on. */
+const ACK_WAIT_MS = 400;
+
 interface ClockReading {
   readonly clockMs: number;
   readonly atMs: number;
@@ -58,6 +61,8 @@
 
   #isLost = false;
 
+  #acked = new AbortController();
+
   constructor(
     entry: WorkerEntry,
     workers: TaskWorkers,
@@ -84,10 +89,16 @@
     this.#stopping.abort();
   }
 
+  /** Ends that this worker has listed may be acknowledged now. */
+  acknowledged(): void {
+    this.#acked.abort();
+  }
+
   /** Sends an order until it is answered or it is of no more use, and tells what came of it. */
   async order(order: Order): Promise<void> {
     let outcome: OrderOutcome = 'unknown';
     let settledMs = Infinity;
+    let mayRun = false;
     for (let attempt = 0; attempt < START_ATTEMPTS && outcome === 'unknown'; attempt += 1) {
       if (this.#stopping.signal.aborted) return;
       const sentMs = steadyMs();
@@ -97,11 +108,18 @@
       const result = await this.#workers.order(this.address, order, this.#listener.token, deadlineMs);
       this.#readClock(result.clockMs);
       outcome = result.outcome;
-      settledMs = outcome === 'unknown' ? sentMs + windowMs : steadyMs();
+      if (outcome === 'unknown') {
+        mayRun = true;
+        settledMs = sentMs + windowMs;
+      } else if (!mayRun || outcome === 'done') {
+        settledMs = steadyMs();
+      }
       this.#logOrder(order, outcome, result.reason, attempt, sentMs);
     }
     if (this.#stopping.signal.aborted) return;
     if (outcome === 'fenced') this.#listener.fenced(this.id, 'order');
+    // An earlier attempt without an answer may run, whatever this one met with.
+    else if (mayRun && isRefusal(outcome)) this.#listener.answered(order, 'unknown', settledMs);
     else this.#listener.answered(order, outcome, settledMs);
   }
 
@@ -147,6 +165,7 @@
       this.#readClock(result.report.clockMs);
       this.#found();
       this.#listener.reported(this.id, result.report, askedMs);
+      await this.#untilAcked(result.report);
       return;
     }
     if (result.outcome === 'fenced') {
@@ -161,6 +180,17 @@
     await delay(RENEW_RETRY_MS, this.#stopping.signal);
   }
 
+  /**
+   * Waits until the listed ends may be acknowledged. Until then the worker would list them again
+   * at once, and each of these answers costs both sides their processor time.
+   */
+  async #untilAcked({ ended }: WorkerReport): Promise<void> {
+    const last = ended.at(-1);
+    if (!last || this.#listener.ackedEnd(this.id) >= last.number) return;
+    this.#acked = new AbortController();
+    await delay(ACK_WAIT_MS, AbortSignal.any([this.#acked.signal, this.#stopping.signal]));
+  }
+
   #found(): void {
     this.#answeredMs = steadyMs();
     if (!this.#isLost) return;
@@ -184,3 +214,8 @@
     return Math.floor(this.#clock.clockMs + (nowMs - this.#clock.atMs));
   }
 }
+
+/** Whether the answer says that this attempt did nothing. */
+function isRefusal(outcome: OrderOutcome): boolean {
+  return outcome !== 'done' && outcome !== 'other-life';
+}
