A serving target missed for 0.9 s halts every filling task beside it

Ruled out: late reports (every report of those seconds showed the tail over its target). Change: after 0.9 s over its target all fills beside it are paced to 0, known or not; none is placed beside a serving task that is over its target. Tests fail without either.

--- a/packages/jobs/src/internal/pacing.ts
+++ b/packages/jobs/src/internal/pacing.ts
@@ -16,6 +16,12 @@
 /** Speeding up waits longer: the load swings within seconds. */
 const SPEED_UP_MS = 1_500;
 
+/**
+ * A target missed for so long halts every filling task beside it, in ms: the causes that are
+ * known were slowed down by then and did not suffice, and users notice a few seconds.
+ */
+const HALT_MS = 900;
+
 /** A filling image that adds less than this to the logarithm of a tail is not to blame for it. */
 const BLAME = 0.08;
 
@@ -44,8 +50,14 @@
  * tasks' own users notice.
  */
 export function choosePaces(worker: WorkerState, model: PressModel, nowMs: number): PaceChange[] {
-  const { blamed, isCalm } = judge(worker, model);
   const changes: PaceChange[] = [];
+  if (mustHalt(worker, nowMs)) {
+    for (const run of worker.runs.values()) {
+      if (run.spec.fills && run.pace > 0) changes.push({ run, percent: 0 });
+    }
+    return changes;
+  }
+  const { blamed, isCalm } = judge(worker, model);
   const sinceMs = nowMs - worker.paceChangedMs;
   for (const run of worker.runs.values()) {
     if (run.spec.fills && run.seen) {
@@ -60,6 +72,13 @@
   return changes;
 }
 
+function mustHalt(worker: WorkerState, nowMs: number): boolean {
+  for (const { overSinceMs } of worker.runs.values()) {
+    if (overSinceMs > 0 && nowMs - overSinceMs >= HALT_MS) return true;
+  }
+  return false;
+}
+
 function judge(worker: WorkerState, model: PressModel): { blamed: Set<string>; isCalm: boolean } {
   const parts = fillParts(worker);
   const blamed = new Set<string>();
--- a/packages/jobs/src/internal/placement.ts
+++ b/packages/jobs/src/internal/placement.ts
@@ -96,6 +96,7 @@
   }
 
   #fillScore(spec: StepSpec, worker: WorkerState): number {
+    if (worker.isHarmed()) return -Infinity;
     const { cpuMilli } = worker.entry.capacity;
     const used = worker.cpuMilli - worker.servingMilli * (1 - SERVING_USE);
     const left = cpuMilli - used - worker.fillMilli;
--- a/packages/jobs/src/internal/worker-state.ts
+++ b/packages/jobs/src/internal/worker-state.ts
@@ -22,6 +22,8 @@
   /** When `percent` last rose. */
   movedMs: number;
   measure: number;
+  /** Since when every report had its tail over its target; 0 if the newest had not. */
+  overSinceMs: number;
   /** The share of its speed that the run was last told to work at. */
   pace: number;
 }
@@ -118,6 +120,12 @@
     return this.#gpus + spec.gpus <= capacity.gpus;
   }
 
+  /** Whether a serving task here was over its target in the newest report. */
+  isHarmed(): boolean {
+    for (const { overSinceMs } of this.runs.values()) if (overSinceMs > 0) return true;
+    return false;
+  }
+
   /** How many tasks of a step, of one occurrence, occupy room here. */
   countOf({ jobId, occurrence, step }: TaskRef): number {
     let count = 0;
--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -269,6 +269,8 @@
     run.seen = true;
     run.checkpoint = row.checkpoint;
     run.measure = row.measure;
+    const isOver = run.spec.targetMs > 0 && row.measure > run.spec.targetMs;
+    run.overSinceMs = isOver ? run.overSinceMs || nowMs : 0;
     if (row.percent !== run.percent || row.percent === 100) run.movedMs = nowMs;
     run.percent = row.percent;
     const job = this.#jobs.get(run.ref.jobId);
@@ -641,6 +643,7 @@
     percent: -1,
     movedMs: nowMs,
     measure: 0,
+    overSinceMs: 0,
     pace: 100,
   };
 }
--- /dev/null
+++ b/packages/jobs/src/test/pacing_test.ts
@@ -0,0 +1,81 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { Order } from '../order.js';
+import { SchedulerHarness, jobSpec, runningRow, stepSpec, workerEntry } from './scheduler-harness.js';
+
+const SERVING = stepSpec({ lasting: true, targetMs: 20, image: 'web', cpuMilli: 4_000 });
+const FILLING = stepSpec({ fills: true, image: 'crunch', taskCount: 2, checkpointing: true });
+
+/** One worker with a serving task and two filling ones, all started. */
+function besideEachOther(): { harness: SchedulerHarness; web: Order; fills: Order[] } {
+  const harness = new SchedulerHarness([workerEntry('w1')]);
+  harness.submit(jobSpec([SERVING], { id: '00000000000000a1' }));
+  harness.submit(jobSpec([FILLING], { id: '00000000000000a2' }));
+  const starts = harness.starts();
+  for (const start of starts) harness.answer(start, 'done');
+  const web = starts.find(({ task }) => task.jobId.endsWith('a1'))!;
+  return { harness, web, fills: starts.filter((start) => start !== web) };
+}
+
+test('a target missed for over a second brings all filling tasks beside it to a halt', () => {
+  // The serving task's users wait: its tail is over its target in report after report. Nothing is
+  // known of the images yet, or what is known blames nobody, while the filling tasks beside it go
+  // on. Whatever the cause, within two seconds none of them may be working there.
+  const { harness, web, fills } = besideEachOther();
+  const paces = new Map<string, number>();
+  for (let report = 0; report < 5; report += 1) {
+    harness.nowMs += 500;
+    harness.report('w1', {
+      running: [
+        runningRow(web, { percent: 100, measure: 21 }),
+        ...fills.map((fill, i) => runningRow(fill, { percent: 10 + report, measure: i * 50 })),
+      ],
+    });
+    for (const order of harness.decide().orders) {
+      if (order.kind === 'pace') paces.set(`${order.task.index}`, order.percent);
+    }
+  }
+  assert.deepEqual([...paces.values()], [0, 0]);
+});
+
+test('a target missed for over a second also halts filling tasks that are not to blame', () => {
+  // What is known of the images is wrong: it blames the loud one, which is halted, and the tail
+  // stays too long. The quiet one works on; what was learned does not change within seconds.
+  const harness = new SchedulerHarness([workerEntry('w1')]);
+  for (let i = 0; i < 100; i += 1) {
+    const parts = new Map([['loud', i % 2 ? 0.3 : 0]]);
+    harness.model.learn({ image: 'web', ratio: i % 2 ? 3 : 0.5, parts });
+  }
+  harness.submit(jobSpec([SERVING], { id: '00000000000000a1' }));
+  const fill = stepSpec({ fills: true, image: 'loud', cpuMilli: 200 });
+  harness.submit(jobSpec([fill, { ...fill, image: 'quiet' }], { id: '00000000000000a2' }));
+  const [web, loud, quiet] = harness.starts();
+  assert.ok(web && loud && quiet);
+  for (const start of [web, loud, quiet]) harness.answer(start, 'done');
+  let quietPace = 100;
+  for (let report = 0; report < 4; report += 1) {
+    harness.nowMs += 500;
+    harness.report('w1', {
+      running: [
+        runningRow(web, { percent: 100, measure: 30 }),
+        runningRow(loud, { percent: report + 1, measure: 800 }),
+        runningRow(quiet, { percent: report + 1, measure: 200 }),
+      ],
+    });
+    for (const order of harness.decide().orders) {
+      if (order.kind === 'pace' && order.task.step === 1) quietPace = order.percent;
+    }
+  }
+  assert.equal(quietPace, 0);
+});
+
+test('no filling task is started beside a serving task that is over its target', () => {
+  // A report says that the tail is too long. The next filling job would start at full speed and
+  // make the seconds over the target longer.
+  const { harness, web } = besideEachOther();
+  harness.nowMs += 500;
+  harness.report('w1', { running: [runningRow(web, { percent: 100, measure: 30 })] });
+  harness.submit(jobSpec([FILLING], { id: '00000000000000a3' }));
+  const started = harness.starts().filter(({ task }) => task.jobId.endsWith('a3'));
+  assert.deepEqual(started, []);
+});
--- a/packages/jobs/src/test/scheduler-harness.ts
+++ b/packages/jobs/src/test/scheduler-harness.ts
@@ -3,6 +3,7 @@
 import type { Order, OrderOutcome } from '../order.js';
 import type { Decisions } from '../scheduler.js';
 import { Scheduler } from '../scheduler.js';
+import { PressModel } from '../internal/press-model.js';
 import { taskName } from '../task-ref.js';
 import type { EndedRow, RunningRow, WorkerEntry } from '../worker.js';
 
@@ -63,12 +64,19 @@
 
   readonly notes: string[] = [];
 
+  readonly model = new PressModel();
+
   readonly scheduler: Scheduler;
 
   readonly #ends = new Map<string, number>();
 
   constructor(workers: readonly WorkerEntry[], maxAttempts = 3) {
-    this.scheduler = new Scheduler(TIMING, this.nowMs, (event) => this.notes.push(event));
+    this.scheduler = new Scheduler(
+      TIMING,
+      this.nowMs,
+      (event) => this.notes.push(event),
+      this.model,
+    );
     this.scheduler.setQueues([
       { name: 'q', pool: 'pool', priority: 0, maxAttempts, stretch: 2, targetLatencyMs: 100 },
     ]);
