--- a/packages/cli/src/internal/run-cli.ts
+++ b/packages/cli/src/internal/run-cli.ts
@@ -2,12 +2,7 @@
 import type { Fault } from '@redwingcrank/protocol';
 import { CodedError, InvalidInputError, faultsOf } from '@redwingcrank/protocol';
 import type { SettingOptions } from '@redwingcrank/ports';
-import {
-  YARGS_PARSING,
-  describeSettings,
-  layerSettings,
-  yargsOptions,
-} from '@redwingcrank/ports';
+import { YARGS_PARSING, describeSettings, layerSettings, yargsOptions } from '@redwingcrank/ports';
 import { COMMON_OPTIONS } from './cli-settings.js';
 import type { Command } from './command.js';
 import { Codes } from './commands/codes.js';
--- a/packages/daemon/src/internal/node-process.ts
+++ b/packages/daemon/src/internal/node-process.ts
@@ -5,12 +5,7 @@
 import { HybridClock, MANIFEST_STREAM, controlStream } from '@redwingcrank/protocol';
 import type { NodeState } from '@redwingcrank/decisions';
 import { listedFrom, nodeChart } from '@redwingcrank/decisions';
-import {
-  HttpHostListSource,
-  HttpPlatformLog,
-  JsonListener,
-  SharedKeys,
-} from '@redwingcrank/ports';
+import { HttpHostListSource, HttpPlatformLog, JsonListener, SharedKeys } from '@redwingcrank/ports';
 import type { AdminSource } from './admin-api.js';
 import { AdminApi } from './admin-api.js';
 import { hostViews } from './admin-views.js';
--- a/packages/jobs/src/internal/placement.ts
+++ b/packages/jobs/src/internal/placement.ts
@@ -6,6 +6,9 @@
 /** A worker that has not answered for so long gets nothing new, in ms: two renewals missed. */
 export const SILENT_MS = 1_800;
 
+/** Larger than any difference of scores, so that a place to avoid is the last choice. */
+const AVOID = 1_000_000;
+
 /** What a task is to be placed for. */
 export interface Placing {
   readonly ref: TaskRef;
@@ -37,9 +40,6 @@
   }
 }
 
-/** Larger than any difference of scores, so that a place to avoid is the last choice. */
-const AVOID = 1_000_000;
-
 function mayTake({ ref, spec }: Placing, worker: WorkerState, nowMs: number): boolean {
   if (!isOpen(worker, nowMs)) return false;
   if (!worker.hasRoomFor(spec)) return false;
--- a/packages/jobs/src/internal/press-model.ts
+++ b/packages/jobs/src/internal/press-model.ts
@@ -83,7 +83,8 @@
     for (let row = pivot + 1; row < size; row += 1) {
       const factor = rows[row]![pivot]! / rows[pivot]![pivot]!;
       if (factor !== 0) {
-        for (let col = pivot; col <= size; col += 1) rows[row]![col]! -= factor * rows[pivot]![col]!;
+        for (let col = pivot; col <= size; col += 1)
+          rows[row]![col]! -= factor * rows[pivot]![col]!;
       }
     }
   }
--- /dev/null
+++ b/packages/jobs/src/internal/runs.ts
@@ -0,0 +1,82 @@
+import type { StepSpec } from '../job.js';
+import type { JobProgress, TaskProgress } from '../job-progress.js';
+import type { TaskRef } from '../task-ref.js';
+import type { WorkerEntry } from '../worker.js';
+import type { WorkerRun } from './worker-state.js';
+
+/** The specification of a run whose job is not known any more: it occupies no known room. */
+export const STRAY_SPEC: StepSpec = {
+  taskCount: 1,
+  cpuMilli: 0,
+  memMb: 0,
+  gpus: 0,
+  estimateMs: 0,
+  after: [],
+  checkpointing: false,
+  gang: false,
+  rackLocal: false,
+  requiredLabel: '',
+  dataRack: '',
+  maxPerWorker: 0,
+  speculative: false,
+  lasting: false,
+  image: '',
+  targetMs: 0,
+  fills: false,
+  maxUnavailable: 0,
+};
+
+/** Every task of a job that runs on a worker, or may. */
+export function* boundTasks(job: JobProgress): Generator<[TaskRef, TaskProgress]> {
+  for (const { number, steps } of job.occurrences.values()) {
+    for (const [step, tasks] of steps.entries()) {
+      for (const [index, task] of tasks.entries()) {
+        const ref = { jobId: job.spec.id, occurrence: number, step, index };
+        if (task.phase === 'bound') yield [ref, task];
+      }
+    }
+  }
+}
+
+/** The progress of one task; undefined where its occurrence is over. */
+export function findTask(job: JobProgress, ref: TaskRef): TaskProgress | undefined {
+  return job.occurrences.get(ref.occurrence)?.steps[ref.step]?.[ref.index];
+}
+
+/** A run that is about to be ordered. */
+export function newRun(
+  ref: TaskRef,
+  { run, checkpoint }: Pick<TaskProgress, 'run' | 'checkpoint'>,
+  spec: StepSpec,
+  nowMs: number,
+): WorkerRun {
+  return {
+    ref,
+    run,
+    spec,
+    startedMs: nowMs,
+    settledMs: Infinity,
+    seen: false,
+    stopSentMs: 0,
+    checkpoint,
+    percent: -1,
+    movedMs: nowMs,
+    measure: 0,
+    overSinceMs: 0,
+    pace: 100,
+  };
+}
+
+/** Stands for a worker that records name but the store does not list. */
+export function unlistedEntry(id: string): WorkerEntry {
+  return {
+    id,
+    address: '',
+    pool: '',
+    dataCentre: '',
+    draining: true,
+    remainingMs: 0,
+    capacity: { cpuMilli: 0, memMb: 0, gpus: 0 },
+    labels: [],
+  };
+}
--- a/packages/jobs/src/job-progress.ts
+++ b/packages/jobs/src/job-progress.ts
@@ -123,7 +123,10 @@
     const rec: ProgressRecord = {
       s: this.#state,
       b: this.#nextOccurrence,
-      o: isFinal(this.#state) && !this.hasBound() ? [] : [...this.occurrences.values()].map(encodeOccurrence),
+      o:
+        isFinal(this.#state) && !this.hasBound()
+          ? []
+          : [...this.occurrences.values()].map(encodeOccurrence),
     };
     if (this.#endedMs) rec.e = this.#endedMs;
     return JSON.stringify(rec);
--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -1,7 +1,6 @@
-import type { JobSpec, JobState, QueuePolicy, StepSpec } from './job.js';
+import type { JobState, QueuePolicy, StepSpec } from './job.js';
 import { isFinal } from './job.js';
-import type { Occurrence, TaskProgress } from './job-progress.js';
-import { JobProgress } from './job-progress.js';
+import type { JobProgress, TaskProgress } from './job-progress.js';
 import type { Order, OrderOutcome } from './order.js';
 import type { TaskRef } from './task-ref.js';
 import { parseTaskName, taskName } from './task-ref.js';
@@ -10,6 +9,9 @@
 import { MostLeftOver } from './internal/placement.js';
 import { choosePaces, fillParts } from './internal/pacing.js';
 import { PressModel } from './internal/press-model.js';
+import { STRAY_SPEC, boundTasks, findTask, newRun, unlistedEntry } from './internal/runs.js';
+import type { WaitingStep } from './internal/waiting-steps.js';
+import { byUrgency, waitingStepsOf } from './internal/waiting-steps.js';
 import type { WorkerRun } from './internal/worker-state.js';
 import { WorkerState } from './internal/worker-state.js';
 
@@ -37,27 +39,8 @@
   readonly acks: ReadonlyMap<string, number>;
 }
 
-/** The specification of a run whose job is not known any more: it occupies no known room. */
-const STRAY_SPEC: StepSpec = {
-  taskCount: 1,
-  cpuMilli: 0,
-  memMb: 0,
-  gpus: 0,
-  estimateMs: 0,
-  after: [],
-  checkpointing: false,
-  gang: false,
-  rackLocal: false,
-  requiredLabel: '',
-  dataRack: '',
-  maxPerWorker: 0,
-  speculative: false,
-  lasting: false,
-  image: '',
-  targetMs: 0,
-  fills: false,
-  maxUnavailable: 0,
-};
+/** Where a queue is not known any more, jobs keep the usual number of attempts. */
+const DEFAULT_ATTEMPTS = 3;
 
 /** So many ends at most stand in one report; in a full one others may be missing. */
 const FULL_REPORT = 500;
@@ -215,7 +198,9 @@
     const decisions = {
       changed: [...this.#changed],
       orders: this.#orders,
-      acks: new Map([...this.#endsProcessed].map((worker) => [worker.entry.id, worker.processedEnd])),
+      acks: new Map(
+        [...this.#endsProcessed].map((worker) => [worker.entry.id, worker.processedEnd]),
+      ),
     };
     this.#changed.clear();
     this.#orders = [];
@@ -278,7 +263,12 @@
     if (task?.phase === 'bound' && row.checkpoint) task.checkpoint = row.checkpoint;
     const idleMs = nowMs - run.movedMs;
     if (idleMs > this.#timing.standstillMs && run.pace === 100 && run.stopSentMs === 0) {
-      this.#note('run-stands-still', { task: row.task, run: row.run, worker: worker.entry.id, idleMs });
+      this.#note('run-stands-still', {
+        task: row.task,
+        run: row.run,
+        worker: worker.entry.id,
+        idleMs,
+      });
       worker.health.stoodStill(nowMs);
       this.#stop(worker, run, nowMs);
     }
@@ -307,7 +297,8 @@
     if (row.how === 'failed') worker.health.ended(false, nowMs);
     const job = this.#jobs.get(ref.jobId);
     const task = job && findTask(job, ref);
-    const isBinding = task?.phase === 'bound' && task.run === row.run && task.worker === worker.entry.id;
+    const isBinding =
+      task?.phase === 'bound' && task.run === row.run && task.worker === worker.entry.id;
     this.#note('run-ended', {
       task: row.task,
       run: row.run,
@@ -404,7 +395,8 @@
   /** Releases what runs on workers whose leases are over without a word from them. */
   #expireSilent(nowMs: number): void {
     for (const worker of this.#workers.values()) {
-      const isSilent = nowMs > worker.leaseEndMs && nowMs - worker.answeredMs > this.#timing.leaseMs;
+      const isSilent =
+        nowMs > worker.leaseEndMs && nowMs - worker.answeredMs > this.#timing.leaseMs;
       if (isSilent && (worker.runs.size > 0 || !worker.listed)) {
         this.#note('leases-over', { worker: worker.entry.id, runs: worker.runs.size });
         this.#releaseAll(worker, nowMs);
@@ -474,7 +466,12 @@
     }
   }
 
-  #choose(step: WaitingStep, ref: TaskRef, task: TaskProgress, nowMs: number): WorkerState | undefined {
+  #choose(
+    step: WaitingStep,
+    ref: TaskRef,
+    task: TaskProgress,
+    nowMs: number,
+  ): WorkerState | undefined {
     const placing = { ref, spec: step.spec, avoid: task.worker };
     return this.#placement.choose(placing, this.#poolOf(step.queue.pool), nowMs);
   }
@@ -536,7 +533,6 @@
   }
 
   #stop(worker: WorkerState, run: WorkerRun, nowMs: number): void {
-    // eslint-disable-next-line no-param-reassign -- the run is this class's own record
     run.stopSentMs = nowMs;
     this.#orders.push({ kind: 'stop', worker: worker.entry.id, task: run.ref, run: run.run });
     this.#note('stop', { task: taskName(run.ref), run: run.run, worker: worker.entry.id });
@@ -576,88 +572,3 @@
     }
   }
 }
-
-/** Where a queue is not known any more, jobs keep the usual number of attempts. */
-const DEFAULT_ATTEMPTS = 3;
-
-interface WaitingStep {
-  readonly job: JobProgress;
-  readonly queue: QueuePolicy;
-  readonly spec: StepSpec;
-  readonly ref: TaskRef;
-  readonly tasks: TaskProgress[];
-}
-
-function* waitingStepsOf(
-  job: JobProgress,
-  queue: QueuePolicy | undefined,
-  occurrence: Occurrence,
-): Generator<WaitingStep> {
-  if (!queue) return;
-  for (let step = 0; step < occurrence.steps.length; step += 1) {
-    const tasks = occurrence.steps[step]!;
-    const waits = tasks.some(({ phase }) => phase === 'waiting');
-    if (waits && job.isStepReady(occurrence, step)) {
-      const ref = { jobId: job.spec.id, occurrence: occurrence.number, step, index: 0 };
-      yield { job, queue, spec: job.spec.steps[step]!, ref, tasks };
-    }
-  }
-}
-
-/** Urgent queues first; within one, jobs in the order of their acceptance. */
-function byUrgency(a: WaitingStep, b: WaitingStep): number {
-  if (a.queue.priority !== b.queue.priority) return a.queue.priority - b.queue.priority;
-  return a.job.spec.acceptedMs - b.job.spec.acceptedMs;
-}
-
-function* boundTasks(job: JobProgress): Generator<[TaskRef, TaskProgress]> {
-  for (const { number, steps } of job.occurrences.values()) {
-    for (const [step, tasks] of steps.entries()) {
-      for (const [index, task] of tasks.entries()) {
-        const ref = { jobId: job.spec.id, occurrence: number, step, index };
-        if (task.phase === 'bound') yield [ref, task];
-      }
-    }
-  }
-}
-
-function findTask(job: JobProgress, ref: TaskRef): TaskProgress | undefined {
-  return job.occurrences.get(ref.occurrence)?.steps[ref.step]?.[ref.index];
-}
-
-function newRun(
-  ref: TaskRef,
-  { run, checkpoint }: Pick<TaskProgress, 'run' | 'checkpoint'>,
-  spec: StepSpec,
-  nowMs: number,
-): WorkerRun {
-  return {
-    ref,
-    run,
-    spec,
-    startedMs: nowMs,
-    settledMs: Infinity,
-    seen: false,
-    stopSentMs: 0,
-    checkpoint,
-    percent: -1,
-    movedMs: nowMs,
-    measure: 0,
-    overSinceMs: 0,
-    pace: 100,
-  };
-}
-
-/** Stands for a worker that records name but the store does not list. */
-function unlistedEntry(id: string): WorkerEntry {
-  return {
-    id,
-    address: '',
-    pool: '',
-    dataCentre: '',
-    draining: true,
-    remainingMs: 0,
-    capacity: { cpuMilli: 0, memMb: 0, gpus: 0 },
-    labels: [],
-  };
-}
--- a/packages/jobs/src/test/pacing_test.ts
+++ b/packages/jobs/src/test/pacing_test.ts
@@ -1,7 +1,13 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import type { Order } from '../order.js';
-import { SchedulerHarness, jobSpec, runningRow, stepSpec, workerEntry } from './scheduler-harness.js';
+import {
+  SchedulerHarness,
+  jobSpec,
+  runningRow,
+  stepSpec,
+  workerEntry,
+} from './scheduler-harness.js';
 
 const SERVING = stepSpec({ lasting: true, targetMs: 20, image: 'web', cpuMilli: 4_000 });
 const FILLING = stepSpec({ fills: true, image: 'crunch', taskCount: 2, checkpointing: true });
--- a/packages/jobs/src/test/scheduler-harness.ts
+++ b/packages/jobs/src/test/scheduler-harness.ts
@@ -125,6 +125,12 @@
 
 /** The row with which a worker lists that an order's run is there. */
 export function runningRow(order: Order, changes: Partial<RunningRow> = {}): RunningRow {
-  const row = { task: taskName(order.task), run: order.run, checkpoint: '', percent: 1, measure: 0 };
+  const row = {
+    task: taskName(order.task),
+    run: order.run,
+    checkpoint: '',
+    percent: 1,
+    measure: 0,
+  };
   return { ...row, ...changes };
 }
--- a/packages/runtime/src/internal/config-watch.ts
+++ b/packages/runtime/src/internal/config-watch.ts
@@ -52,7 +52,11 @@
       if (!config || config.version <= (this.#current?.version ?? -Infinity)) return;
       const from = this.#current?.version;
       this.#current = config;
-      this.#log.emit('info', 'config', { from, version: config.version, queues: config.queues.length });
+      this.#log.emit('info', 'config', {
+        from,
+        version: config.version,
+        queues: config.queues.length,
+      });
       this.changes$.next(config);
     } catch (err) {
       const reason = err instanceof Error ? err.message : String(err);
--- a/packages/runtime/src/internal/leader-term.ts
+++ b/packages/runtime/src/internal/leader-term.ts
@@ -35,7 +35,6 @@
 /** How often jobs to forget are looked for, in milliseconds. */
 const FORGET_EVERY_MS = 5_000;
 
-
 /** One term of this node as the one that schedules: from its claim until it is replaced. */
 export class LeaderTerm implements LinkListener {
   readonly #record: LeaderRecord;
@@ -290,7 +289,13 @@
     const worker = this.#scheduler.workers.get(id);
     if (!worker || this.#links.has(id)) return;
     const { entry } = worker;
-    const link = new WorkerLink(entry, this.#port.workers, this, this.#log, this.#settings.maxLeaseMs);
+    const link = new WorkerLink(
+      entry,
+      this.#port.workers,
+      this,
+      this.#log,
+      this.#settings.maxLeaseMs,
+    );
     this.#links.set(id, link);
     link.run().catch((err) => this.#failed('worker-link', err));
   }
--- a/packages/runtime/src/internal/worker-link.ts
+++ b/packages/runtime/src/internal/worker-link.ts
@@ -105,7 +105,12 @@
       const deadlineMs = this.#workerTime(sentMs) + START_WINDOW_MS;
       const windowMs = START_WINDOW_MS * CLOCK_SLACK + CLOCK_MARGIN_MS;
       if (order.kind === 'start') this.#listener.leaseSent(this.id, sentMs + windowMs);
-      const result = await this.#workers.order(this.address, order, this.#listener.token, deadlineMs);
+      const result = await this.#workers.order(
+        this.address,
+        order,
+        this.#listener.token,
+        deadlineMs,
+      );
       this.#readClock(result.clockMs);
       outcome = result.outcome;
       if (outcome === 'unknown') {
@@ -123,7 +128,13 @@
     else this.#listener.answered(order, outcome, settledMs);
   }
 
-  #logOrder(order: Order, outcome: OrderOutcome, reason: string, attempt: number, sentMs: number): void {
+  #logOrder(
+    order: Order,
+    outcome: OrderOutcome,
+    reason: string,
+    attempt: number,
+    sentMs: number,
+  ): void {
     const level = outcome === 'done' ? 'debug' : 'info';
     this.#log.emit(level, 'order', {
       kind: order.kind,
--- a/packages/runtime/src/keyed-log.ts
+++ b/packages/runtime/src/keyed-log.ts
@@ -35,12 +35,7 @@
  * - `unknown`: no answer; it may have been stored, or may yet be.
  */
 export type AppendOutcome =
-  | 'appended'
-  | 'fenced'
-  | 'moved'
-  | 'out-of-sequence'
-  | 'refused'
-  | 'unknown';
+  'appended' | 'fenced' | 'moved' | 'out-of-sequence' | 'refused' | 'unknown';
 
 export interface AppendResult {
   readonly outcome: AppendOutcome;
@@ -75,10 +70,7 @@
 /** A log on the platform's store that keeps the newest record of each key for good. */
 export abstract class KeyedLog {
   /** Appends all records or none, and never throws for what the store may do. */
-  abstract append(
-    records: readonly KeyedWrite[],
-    options?: AppendOptions,
-  ): Promise<AppendResult>;
+  abstract append(records: readonly KeyedWrite[], options?: AppendOptions): Promise<AppendResult>;
 
   /**
    * Reads from an offset, waiting up to `waitMs` for a record.
--- a/packages/runtime/src/task-workers.ts
+++ b/packages/runtime/src/task-workers.ts
@@ -18,7 +18,10 @@
 
 export type RenewResult =
   | { readonly outcome: 'done'; readonly report: WorkerReport }
-  | { readonly outcome: 'fenced' | 'other-life' | 'unhealthy' | 'unknown'; readonly reason: string };
+  | {
+      readonly outcome: 'fenced' | 'other-life' | 'unhealthy' | 'unknown';
+      readonly reason: string;
+    };
 
 export interface OrderResult {
   readonly outcome: OrderOutcome;
