Only a worker itself, or its leases, tell that what ran there is over; draining workers are left in time

Cause 1 (LOST on rolling, both sites): after a change of leaders, lasting tasks of a worker that had left waited 16 s for leases that an earlier leader might renew. Cause 2 (TWICE on worker-cuts, both sites): of two entries with one address, the one read last was taken for the newer life; lists come in no order. Change: a leader renews without the store for 3 s instead of 10, none after it has resigned; once a worker has seen the new token its leases end with the longest; other lives are told by the worker's own answer only; lasting tasks leave a draining worker at once.

--- a/packages/jobs/src/internal/worker-state.ts
+++ b/packages/jobs/src/internal/worker-state.ts
@@ -40,6 +40,9 @@
 
   answeredMs = -Infinity;
 
+  /** The earliest time at which it may leave, while it is draining. */
+  leavesMs = Infinity;
+
   /** After this time every lease it may have been given is over, on its own slow clock too. */
   leaseEndMs: number;
 
--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -7,6 +7,7 @@
 import type { EndedRow, RunningRow, WorkerEntry, WorkerReport } from './worker.js';
 import type { PlacementPolicy } from './internal/placement.js';
 import { MostLeftOver } from './internal/placement.js';
+import { mustLeave } from './internal/evacuation.js';
 import { choosePaces, fillParts } from './internal/pacing.js';
 import { PressModel } from './internal/press-model.js';
 import { STRAY_SPEC, boundTasks, findTask, newRun, unlistedEntry } from './internal/runs.js';
@@ -129,14 +130,10 @@
 
   /** The store lists the worker, or what it says of itself has changed. */
   listWorker(entry: WorkerEntry, nowMs: number): void {
-    for (const other of this.#workers.values()) {
-      const replaced = other.entry.address === entry.address && other.entry.id !== entry.id;
-      // One address serves one life at a time: the earlier life and all it ran are gone.
-      if (replaced && other.listed) this.workerGone(other.entry.id, nowMs, 'replaced');
-    }
     const worker = this.#workers.get(entry.id) ?? this.#addWorker(entry);
     worker.entry = entry;
     worker.listed = true;
+    if (entry.draining) worker.leavesMs = Math.min(worker.leavesMs, nowMs + entry.remainingMs);
   }
 
   /** The store no longer lists the worker. It may still run what it has. */
@@ -165,8 +162,7 @@
     const worker = this.#workers.get(id);
     if (!worker) return;
     worker.answeredMs = nowMs;
-    if (!worker.fenced) this.#note('worker-fenced', { worker: id, running: report.running.length });
-    worker.fenced = true;
+    if (!worker.fenced) this.#fenced(worker, report, nowMs);
     for (const row of report.running) this.#running(worker, row, nowMs);
     for (const row of report.ended) {
       if (row.number > worker.processedEnd) this.#ended(worker, row, nowMs);
@@ -176,6 +172,12 @@
     this.#pace(worker, nowMs);
   }
 
+  /** From now on no earlier node's call takes effect there, so its leases end with the longest. */
+  #fenced(worker: WorkerState, report: WorkerReport, nowMs: number): void {
+    Object.assign(worker, { fenced: true, leaseEndMs: nowMs + this.#timing.leaseMs });
+    this.#note('worker-fenced', { worker: worker.entry.id, running: report.running.length });
+  }
+
   /** What came of an order that `decide` returned. */
   answered(order: Order, outcome: OrderOutcome, nowMs: number, settledMs: number): void {
     const worker = this.#workers.get(order.worker);
@@ -510,7 +512,8 @@
     for (const worker of this.#workers.values()) {
       for (const run of worker.runs.values()) {
         const again = nowMs - run.stopSentMs >= this.#timing.stopAgainMs;
-        if (again && this.#isUnwanted(worker, run)) this.#stop(worker, run, nowMs);
+        const isDue = this.#isUnwanted(worker, run) || mustLeave(worker, run, nowMs);
+        if (again && isDue) this.#stop(worker, run, nowMs);
       }
     }
   }
--- a/packages/runtime/src/internal/leader-term.ts
+++ b/packages/runtime/src/internal/leader-term.ts
@@ -77,6 +77,7 @@
     log: NodeLog,
     table: WorkTable,
     config: ConfigWatch,
+    hasResigned: boolean,
   ) {
     this.#record = record;
     this.#port = port;
@@ -94,7 +95,8 @@
     this.#scheduler = new Scheduler(
       {
         leaseMs,
-        inheritedLeaseMs: UNCONFIRMED_MS + leaseMs,
+        // A leader that has resigned renews no lease after that.
+        inheritedLeaseMs: (hasResigned ? 0 : UNCONFIRMED_MS) + leaseMs,
         standstillMs: STANDSTILL_MS,
         stopAgainMs: STOP_AGAIN_MS,
       },
--- a/packages/runtime/src/internal/leadership.ts
+++ b/packages/runtime/src/internal/leadership.ts
@@ -31,6 +31,8 @@
 interface Claim {
   readonly record: LeaderRecord;
   readonly sequence: number;
+  /** The leader before had given the role up. */
+  readonly hasResigned: boolean;
 }
 
 /**
@@ -120,7 +122,7 @@
       resigned: false,
     };
     const sequence = randomInt(MAX_FIRST_SEQUENCE);
-    this.#claim = { record, sequence };
+    this.#claim = { record, sequence, hasResigned: before?.resigned ?? true };
     const write = { key: leaderKey(), value: encodeLeader(record) };
     const stamp = { writer: LEADER_WRITER, epoch: record.epoch, sequence };
     const result = await this.#port.workLog.append([write], { stamp, at });
@@ -146,6 +148,7 @@
       this.#log,
       this.#table,
       this.#config,
+      claim.hasResigned,
     );
     this.#term = term;
     this.#follower.setGap(LEADER_GAP_MS);
--- a/packages/runtime/src/internal/timing.ts
+++ b/packages/runtime/src/internal/timing.ts
@@ -21,11 +21,12 @@
 export const CLAIM_SPREAD_MS = 400;
 
 /**
- * How long a leader renews leases without a word from the store. Longer than the store's usual
- * outages, so that these end no work. A later leader that cannot reach a worker waits this long
- * before it takes that worker's leases to be running out.
+ * How long a leader renews leases without a word from the store. With the lease that follows, an
+ * outage of nine seconds ends no work. A later leader that cannot reach a worker waits this long
+ * before it takes that worker's leases to be running out: lasting tasks that were there are away
+ * all the while, so longer would be worse.
  */
-export const UNCONFIRMED_MS = 10_000;
+export const UNCONFIRMED_MS = 3_000;
 
 /** A worker that has not answered for so long gets its leases renewed no more. */
 export const STOP_RENEWING_MS = 2_000;
