A fuzz target for the scheduling of jobs

Change: a model of leaders, workers, leases on slow clocks, lost and late orders and a store that goes away, with an oracle on what workers do.

--- a/packages/fuzz/src/targets/index.ts
+++ b/packages/fuzz/src/targets/index.ts
@@ -1,5 +1,6 @@
 import type { FuzzTarget } from '../fuzz-target.js';
 import { ForeignRecords } from './foreign-records.js';
+import { Jobs } from './jobs.js';
 import { ManifestGossip } from './manifest-gossip.js';
 import { ManifestMutation } from './manifest-mutation.js';
 import { ManifestRace } from './manifest-race.js';
@@ -18,4 +19,5 @@
   new Plan(),
   new ManifestMutation(),
   new ForeignRecords(),
+  new Jobs(),
 ];
