--- a/packages/jobs/src/internal/placement.ts
+++ b/packages/jobs/src/internal/placement.ts
@@ -72,7 +72,7 @@
  * What filling tasks may add to the logarithm of a serving task's tail: a third more. Tails alone
  * reach 0.9 of their target at their worst.
  */
-const MAX_PRESS = 0.3;
+const MAX_PRESS = 0.15;
 
 /**
  * Puts each task where the most is left over; serving tasks beside others of their image, so that
--- /dev/null
+++ b/packages/jobs/src/internal/urgency.ts
@@ -0,0 +1,50 @@
+import type { JobSpec, QueuePolicy } from '../job.js';
+
+/** An end later than this many times the objective is worth nothing to the caller. */
+const WORTHLESS = 3;
+
+/**
+ * How much a caller still gets from work on a job now.
+ *
+ * - 0: it can end in time.
+ * - 1: it can only end late.
+ * - 2: it ends too late to be of use, whatever is done.
+ */
+export type Hope = 0 | 1 | 2;
+
+const tailsOf = new WeakMap<JobSpec, readonly number[]>();
+
+/** By step: the estimated time from its start to the job's end along the longest chain. */
+export function chainTails(spec: JobSpec): readonly number[] {
+  const known = tailsOf.get(spec);
+  if (known) return known;
+  const tails = spec.steps.map(({ estimateMs }) => estimateMs);
+  for (let step = spec.steps.length - 1; step >= 0; step -= 1) {
+    for (const earlier of spec.steps[step]!.after) {
+      const through = spec.steps[earlier]!.estimateMs + tails[step]!;
+      tails[earlier] = Math.max(tails[earlier]!, through);
+    }
+  }
+  tailsOf.set(spec, tails);
+  return tails;
+}
+
+/** How long the job may take from its acceptance (or its due time), in milliseconds. */
+export function objectiveMs(spec: JobSpec, { stretch, targetLatencyMs }: QueuePolicy): number {
+  return stretch * Math.max(0, ...chainTails(spec)) + targetLatencyMs;
+}
+
+/** What is left for a job that must still do a step and all that follows it. */
+export function hopeOf(
+  spec: JobSpec,
+  queue: QueuePolicy,
+  step: number,
+  sinceMs: number,
+  timeOfDayMs: number,
+): Hope {
+  if (spec.steps[step]!.lasting) return 0;
+  const endMs = timeOfDayMs + chainTails(spec)[step]!;
+  const objective = objectiveMs(spec, queue);
+  if (endMs <= sinceMs + objective) return 0;
+  return endMs <= sinceMs + WORTHLESS * objective ? 1 : 2;
+}
--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -427,7 +427,7 @@
       if (!isFinal(job.state)) {
         const queue = this.#queues.get(job.spec.queue);
         for (const occurrence of job.occurrences.values()) {
-          yield* waitingStepsOf(job, queue, occurrence);
+          yield* waitingStepsOf(job, queue, occurrence, this.#timeOfDayMs);
         }
       }
     }
--- /dev/null
+++ b/packages/jobs/src/test/urgency_test.ts
@@ -0,0 +1,27 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { chainTails } from '../internal/urgency.js';
+import { SchedulerHarness, jobSpec, stepSpec, workerEntry } from './scheduler-harness.js';
+
+test('the chain of a step runs through the steps that wait for it', () => {
+  const [a, b, c] = [100, 200, 400].map((estimateMs) => stepSpec({ estimateMs }));
+  const steps = [a!, { ...b!, after: [0] }, { ...c!, after: [0] }];
+  assert.deepEqual(chainTails(jobSpec(steps)), [500, 200, 400]);
+});
+
+test('with room for one, a job that can still be in time goes before one that cannot', () => {
+  // A burst has filled the only worker. When room comes free, the oldest waiting job is late for
+  // certain and the next one is not yet: in the order of their arrival both would be late.
+  const harness = new SchedulerHarness([
+    workerEntry('w1', { capacity: { cpuMilli: 1_000, memMb: 16_000, gpus: 0 } }),
+  ]);
+  const step = stepSpec({ estimateMs: 1_000 });
+  harness.nowMs = 10_000;
+  harness.report('w1');
+  harness.submit(jobSpec([step], { id: '00000000000000a1', acceptedMs: 8_000 }));
+  harness.submit(jobSpec([step], { id: '00000000000000a2', acceptedMs: 9_500 }));
+  assert.deepEqual(
+    harness.starts().map(({ task }) => task.jobId),
+    ['00000000000000a2'],
+  );
+});
