A job interface of the project's own, with a checked schema, numbered codes and metrics

Cause: jobs could be handed in over the platform's protocol alone, and nothing was counted. Ruled out: loading the schema and metrics libraries at the start (60 to 107 ms of a desktop's processor time each, unbundled, on machines with a quarter of a core).

--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -6,3 +6,4 @@
 export * from './node-log.js';
 export * from './job-service.js';
 export * from './node.js';
+export * from './job-api.js';
--- /dev/null
+++ b/packages/runtime/src/internal/node-metrics.ts
@@ -0,0 +1,100 @@
+import { Counter, Gauge, Histogram, Registry } from 'prom-client';
+import type { LogFields, NodeLog } from '../node-log.js';
+
+/** Bounds in seconds: an order usually takes a few milliseconds, an answer that is late half a second. */
+const BUCKETS = [0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 2.5];
+
+/** What is read from the node when the metrics are asked for. */
+export interface NodeState {
+  readonly isLeading: boolean;
+  /** How old the view of the work log is, in milliseconds. */
+  readonly viewAgeMs: number;
+  /** Jobs by state. */
+  readonly jobs: ReadonlyMap<string, number>;
+}
+
+/**
+ * Counters and histograms of a node, taken from the events that it logs: what is counted can so be
+ * found in the log, and the other way round.
+ */
+export class NodeMetrics {
+  readonly #registry = new Registry();
+
+  readonly #events: Counter;
+
+  readonly #orders: Histogram;
+
+  readonly #submits: Histogram;
+
+  constructor(log: NodeLog, state: () => NodeState) {
+    const registers = [this.#registry];
+    this.#events = new Counter({
+      name: 'redwingcrank_events_total',
+      help: 'Logged decisions and changes, by event and outcome.',
+      labelNames: ['event', 'outcome'],
+      registers,
+    });
+    this.#orders = new Histogram({
+      name: 'redwingcrank_order_duration_seconds',
+      help: 'Time from sending an order to a worker to its answer.',
+      labelNames: ['kind', 'outcome'],
+      buckets: BUCKETS,
+      registers,
+    });
+    this.#submits = new Histogram({
+      name: 'redwingcrank_submit_duration_seconds',
+      help: 'Time from a submission to its answer.',
+      labelNames: ['outcome'],
+      buckets: BUCKETS,
+      registers,
+    });
+    addGauges(registers, log, state);
+    log.observe((event, fields) => this.#count(event, fields));
+  }
+
+  /** The text that Prometheus reads. */
+  text(): Promise<string> {
+    return this.#registry.metrics();
+  }
+
+  #count(event: string, fields: LogFields): void {
+    const outcome = String(fields.outcome ?? fields.how ?? fields.state ?? '');
+    this.#events.inc({ event, outcome });
+    const seconds = Number(fields.tookMs) / 1_000;
+    if (event === 'order') this.#orders.observe({ kind: String(fields.kind), outcome }, seconds);
+    if (event === 'submit') this.#submits.observe({ outcome }, seconds);
+  }
+}
+
+function addGauges(registers: Registry[], log: NodeLog, state: () => NodeState): void {
+  const gauge = (name: string, help: string, read: () => number): void => {
+    // The constructor registers the gauge; nobody else needs it.
+
+    new Gauge({
+      name,
+      help,
+      registers,
+      collect() {
+        this.set(read());
+      },
+    });
+  };
+  gauge('redwingcrank_leading', 'Whether this node schedules.', () => Number(state().isLeading));
+  gauge(
+    'redwingcrank_view_age_seconds',
+    'Age of the view of the work log.',
+    () => state().viewAgeMs / 1_000,
+  );
+  gauge('redwingcrank_log_lines_dropped', 'Log lines dropped since the start.', () => log.dropped);
+
+  new Gauge({
+    name: 'redwingcrank_jobs',
+    help: 'Known jobs, by state.',
+    labelNames: ['state'],
+    registers,
+    collect() {
+      this.reset();
+      for (const [name, count] of state().jobs) this.set({ state: name }, count);
+    },
+  });
+}
--- /dev/null
+++ b/packages/runtime/src/job-api.ts
@@ -0,0 +1,174 @@
+import http from 'node:http';
+import type { JobService } from './job-service.js';
+import type { NodeLog } from './node-log.js';
+import type { NodeMetrics, NodeState } from './internal/node-metrics.js';
+import { steadyMs } from './internal/delay.js';
+
+/** How long a call over this interface may take, in milliseconds. */
+const CALL_MS = 3_000;
+
+/** A submitted job may be so large, in bytes. */
+const MAX_BODY_BYTES = 256 * 1024;
+
+const ID = /^[0-9a-f]{16}$/;
+
+/** The project's result codes that this interface answers with; docs/CODES.md has them all. */
+export const JOB_CODES = {
+  accepted: { status: 200, code: 600, name: 'accepted' },
+  badJob: { status: 400, code: 601, name: 'bad-job' },
+  noSuchQueue: { status: 404, code: 602, name: 'no-such-queue' },
+  noSuchJob: { status: 410, code: 603, name: 'no-such-job' },
+  idReused: { status: 409, code: 604, name: 'id-reused' },
+  storeUnavailable: { status: 503, code: 605, name: 'store-unavailable' },
+  unknownOutcome: { status: 504, code: 606, name: 'unknown-outcome' },
+  badCall: { status: 400, code: 607, name: 'bad-call' },
+} as const;
+
+const SUBMIT_RESULTS = {
+  accepted: JOB_CODES.accepted,
+  'not-run': JOB_CODES.storeUnavailable,
+  conflict: JOB_CODES.idReused,
+  unknown: JOB_CODES.unknownOutcome,
+} as const;
+
+const CANCEL_RESULTS = {
+  cancelled: JOB_CODES.accepted,
+  'no-such-job': JOB_CODES.noSuchJob,
+  unavailable: JOB_CODES.storeUnavailable,
+  unknown: JOB_CODES.unknownOutcome,
+} as const;
+
+type JobCode = (typeof JOB_CODES)[keyof typeof JOB_CODES];
+
+interface Answer {
+  readonly result: JobCode;
+  readonly fields?: object;
+}
+
+/** What the interface needs of its node. */
+export interface JobApiNode {
+  readonly jobs: JobService;
+  hasQueue(name: string): boolean;
+  readonly state: NodeState;
+}
+
+/**
+ * The project's own interface for jobs and metrics, on the administration address:
+ *
+ * - `POST|GET|DELETE /queues/QUEUE/jobs/ID` submits, shows and cancels a job.
+ * - `GET /queues/QUEUE` tells how many jobs have not begun.
+ * - `GET /metrics`
+ *
+ * The schema and the metrics library are loaded after the node serves its callers: they would
+ * double the time that a restarted node needs to be ready.
+ */
+export class JobApi {
+  readonly #node: JobApiNode;
+
+  readonly #log: NodeLog;
+
+  #metrics: NodeMetrics | undefined;
+
+  readonly #server = http.createServer((req, res) => {
+    this.#serve(req, res).catch((err: unknown) => {
+      this.#log.emit('error', 'call-failed', { reason: String(err) });
+      res.destroy();
+    });
+  });
+
+  constructor(node: JobApiNode, log: NodeLog) {
+    this.#node = node;
+    this.#log = log;
+  }
+
+  async listen(address: string): Promise<void> {
+    const { NodeMetrics: Metrics } = await import('./internal/node-metrics.js');
+    this.#metrics = new Metrics(this.#log, () => this.#node.state);
+    const split = address.lastIndexOf(':');
+    await new Promise<void>((resolve, reject) => {
+      this.#server.once('error', reject);
+      this.#server.listen(Number(address.slice(split + 1)), address.slice(0, split), resolve);
+    });
+  }
+
+  async #serve(req: http.IncomingMessage, res: http.ServerResponse): Promise<void> {
+    const path = new URL(req.url ?? '/', 'http://node').pathname;
+    if (path === '/metrics') {
+      res.end(await this.#metrics?.text());
+      return;
+    }
+    const { result, fields } = await this.#answer(req, path.split('/').slice(1));
+    const body = JSON.stringify({ code: result.code, result: result.name, ...fields });
+    res.writeHead(result.status, { 'Content-Type': 'application/json' });
+    res.end(body);
+  }
+
+  async #answer(req: http.IncomingMessage, path: readonly string[]): Promise<Answer> {
+    const [root, queue = '', jobs, id = ''] = path;
+    if (root !== 'queues' || path.length > 4) return { result: JOB_CODES.badCall };
+    if (!this.#node.hasQueue(queue)) return { result: JOB_CODES.noSuchQueue };
+    if (path.length === 2) return this.#depth(queue);
+    if (jobs !== 'jobs' || !ID.test(id)) {
+      const fault = 'name the job as /queues/QUEUE/jobs/ID with 16 hexadecimal digits';
+      return { result: JOB_CODES.badCall, fields: { fault } };
+    }
+    switch (req.method) {
+      case 'POST':
+        return this.#submit(req, queue, id);
+      case 'GET':
+        return this.#state(queue, id);
+      case 'DELETE':
+        return this.#cancel(queue, id);
+      default:
+        return { result: JOB_CODES.badCall };
+    }
+  }
+
+  #depth(queue: string): Answer {
+    const pending = this.#node.jobs.pending(queue);
+    if (pending === undefined) return { result: JOB_CODES.storeUnavailable };
+    return { result: JOB_CODES.accepted, fields: { pending } };
+  }
+
+  #state(queue: string, id: string): Answer {
+    const state = this.#node.jobs.state(id, queue);
+    if (state === 'no-such-job') return { result: JOB_CODES.noSuchJob };
+    if (state === 'unavailable') return { result: JOB_CODES.storeUnavailable };
+    return { result: JOB_CODES.accepted, fields: { state } };
+  }
+
+  async #submit(req: http.IncomingMessage, queue: string, id: string): Promise<Answer> {
+    const text = await readText(req);
+    if (text === undefined) {
+      return {
+        result: JOB_CODES.badJob,
+        fields: { faults: [`job: over ${MAX_BODY_BYTES} bytes`] },
+      };
+    }
+    const { JobFaultsError, readJob } = await import('./internal/job-schema.js');
+    try {
+      const spec = readJob(id, queue, text, Date.now());
+      const outcome = await this.#node.jobs.submit(spec, steadyMs() + CALL_MS);
+      return { result: SUBMIT_RESULTS[outcome] };
+    } catch (err) {
+      if (!(err instanceof JobFaultsError)) throw err;
+      return { result: JOB_CODES.badJob, fields: { faults: err.faults } };
+    }
+  }
+
+  async #cancel(queue: string, id: string): Promise<Answer> {
+    const outcome = await this.#node.jobs.cancel(id, queue, steadyMs() + CALL_MS);
+    return { result: CANCEL_RESULTS[outcome] };
+  }
+}
+
+async function readText(req: http.IncomingMessage): Promise<string | undefined> {
+  const chunks: Buffer[] = [];
+  let bytes = 0;
+  for await (const chunk of req) {
+    bytes += (chunk as Buffer).length;
+    if (bytes > MAX_BODY_BYTES) return undefined;
+    chunks.push(chunk as Buffer);
+  }
+  return Buffer.concat(chunks).toString('utf8');
+}
--- a/packages/runtime/src/job-service.ts
+++ b/packages/runtime/src/job-service.ts
@@ -63,6 +63,7 @@
    * taken once.
    */
   async submit(spec: JobSpec, deadlineMs: number): Promise<SubmitOutcome> {
+    const arrivedMs = steadyMs();
     const known = this.#find(spec.id);
     if (known) return this.#repeated(spec, known);
     const write = { key: jobKey(spec.id), value: encodeJob(spec) };
@@ -75,6 +76,7 @@
       job: spec.id,
       queue: spec.queue,
       outcome,
+      tookMs: Math.round(steadyMs() - arrivedMs),
       steps: spec.steps.length,
       tasks: spec.steps.reduce((sum, { taskCount }) => sum + taskCount, 0),
     });
--- a/packages/runtime/src/node-log.ts
+++ b/packages/runtime/src/node-log.ts
@@ -14,6 +14,9 @@
 
 const STDOUT = 1;
 
+/** The library's numbers of the levels. */
+const LEVELS: Readonly<Record<LogLevel, number>> = { debug: 1, info: 2, warn: 3, error: 4 };
+
 /**
  * The structured log of a process: one line of key=value pairs for each decision. Writing to a
  * pipe directly would block the process while nobody reads, and with it every lease that it
@@ -32,6 +35,8 @@
 
   #dropped = 0;
 
+  #observer: ((event: string, fields: LogFields) => void) | undefined;
+
   constructor(node: string, level: loglevel.LogLevelDesc = 'info') {
     this.#node = node;
     this.#logger.methodFactory = () => (line: string) => this.#enqueue(line);
@@ -43,8 +48,15 @@
     return this.#dropped;
   }
 
+  /** Tells of every event from now on, also of those below the level that is written. */
+  observe(observer: (event: string, fields: LogFields) => void): void {
+    this.#observer = observer;
+  }
+
   /** Writes one line for an event, named in kebab-case. */
   emit(level: LogLevel, event: string, fields: LogFields = {}): void {
+    this.#observer?.(event, fields);
+    if (LEVELS[level] < this.#logger.getLevel()) return;
     const at = new Date().toISOString();
     this.#logger[level](logfmt.stringify({ at, level, node: this.#node, event, ...fields }));
   }
--- a/packages/runtime/src/node.ts
+++ b/packages/runtime/src/node.ts
@@ -1,7 +1,8 @@
 import { KeyedFollower } from './internal/keyed-follower.js';
 import { FOLLOW_GAP_MS, Leadership } from './internal/leadership.js';
 import { ConfigWatch } from './internal/config-watch.js';
-import { WorkTable } from './internal/work-table.js';
+import type { NodeState } from './internal/node-metrics.js';
+import { WorkTable, shownState } from './internal/work-table.js';
 import type { QueueRoute } from './cluster-config.js';
 import { JobService } from './job-service.js';
 import type { NodeLog } from './node-log.js';
@@ -77,6 +78,22 @@
     return this.#config.current !== undefined;
   }
 
+  /** Whether the operators have configured a queue of this name. */
+  hasQueue(name: string): boolean {
+    return this.#config.current?.queues.some((queue) => queue.name === name) ?? false;
+  }
+
+  /** What operators want to know of the node at a glance. */
+  get state(): NodeState {
+    const jobs = new Map<string, number>();
+    for (const job of this.#table.jobs.values()) {
+      const state = shownState(job);
+      jobs.set(state, (jobs.get(state) ?? 0) + 1);
+    }
+    const viewAgeMs = steadyMs() - this.#follower.freshMs;
+    return { isLeading: this.#leadership.isLeading, viewAgeMs, jobs };
+  }
+
   get maxBodyBytes(): number {
     return this.#config.current?.maxBodyBytes ?? 0;
   }
