--- a/packages/cli/src/internal/run-cli.ts
+++ b/packages/cli/src/internal/run-cli.ts
@@ -7,9 +7,11 @@
 import type { Command } from './command.js';
 import { Codes } from './commands/codes.js';
 import { Hosts, Jobs, Tasks, Teams } from './commands/lists.js';
+import { Cancel, Depth, State, Submit } from './commands/queue-jobs.js';
 import { Publish } from './commands/publish.js';
 import { Status } from './commands/status.js';
 import { Timeline } from './commands/timeline.js';
+import { Trace } from './commands/trace.js';
 import { Validate } from './commands/validate.js';
 import { Why } from './commands/why.js';
 import { Output } from './output.js';
@@ -34,6 +36,11 @@
   new Tasks(),
   new Jobs(),
   new Teams(),
+  new Submit(),
+  new State(),
+  new Cancel(),
+  new Depth(),
+  new Trace(),
   new Why(),
   new Timeline(),
   new Codes(),
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -1,4 +1,10 @@
 import { hideBin } from 'yargs/helpers';
-import { runCli } from './index.js';
+import { EXIT_CODES, runCli } from './index.js';
+
+// A reader that has seen enough, such as `head`, closes the pipe: no fault, and no stack trace.
+process.stdout.on('error', (err: NodeJS.ErrnoException) => {
+  if (err.code !== 'EPIPE') throw err;
+  process.exit(EXIT_CODES.done);
+});
 
 process.exitCode = await runCli(hideBin(process.argv));
--- a/packages/protocol/src/result-codes.ts
+++ b/packages/protocol/src/result-codes.ts
@@ -28,7 +28,7 @@
 
 /**
  * Every numbered result code. Hundreds group them by where they arise: 1xx settings and
- * command line, 2xx manifest, 3xx request path, 4xx platform, 5xx scheduling.
+ * command line, 2xx manifest, 3xx request path, 4xx platform, 5xx scheduling, 6xx the job interface.
  */
 export const RESULT_CODES = {
   badSettings: row(
@@ -220,6 +220,56 @@
     'Every host that is large enough is full.',
     'Wait, or free capacity.',
   ),
+  jobAccepted: row(600, 'accepted', 200, 'What was asked for is stored, or shown.', 'Nothing.'),
+  badJob: row(
+    601,
+    'bad-job',
+    400,
+    'The submitted job is malformed.',
+    'Correct every fault that is listed.',
+  ),
+  noSuchQueue: row(
+    602,
+    'no-such-queue',
+    404,
+    'No queue of this name is configured.',
+    'Check the name against the configuration in force.',
+  ),
+  noSuchJob: row(
+    603,
+    'no-such-job',
+    410,
+    'No job of this id is known, or it is long over.',
+    'Check the id and its queue.',
+  ),
+  idReused: row(
+    604,
+    'id-reused',
+    409,
+    'The id stands for another job already.',
+    'Choose a new id for a new job.',
+  ),
+  storeUnavailable: row(
+    605,
+    'store-unavailable',
+    503,
+    "This node cannot reach the platform's store; nothing was stored.",
+    'Ask another node, or come back in a second.',
+  ),
+  unknownOutcome: row(
+    606,
+    'unknown-outcome',
+    504,
+    'No answer of the store came in time; it may have been stored.',
+    'Send the same id again: it stays one job.',
+  ),
+  badCall: row(
+    607,
+    'bad-call',
+    400,
+    'The path or method of the call is none of this interface.',
+    'Compare the call with docs/OPERATIONS.md.',
+  ),
 } as const satisfies Record<string, ResultCode>;
 
 /** The key of a result code in {@link RESULT_CODES}. */
--- a/packages/runtime/src/job-api.ts
+++ b/packages/runtime/src/job-api.ts
@@ -1,4 +1,6 @@
 import http from 'node:http';
+import type { ResultCode } from '@redwingcrank/protocol/result-codes';
+import { RESULT_CODES } from '@redwingcrank/protocol/result-codes';
 import type { JobService } from './job-service.js';
 import type { NodeLog } from './node-log.js';
 import type { NodeMetrics, NodeState } from './internal/node-metrics.js';
@@ -12,36 +14,22 @@
 
 const ID = /^[0-9a-f]{16}$/;
 
-/** The project's result codes that this interface answers with; docs/CODES.md has them all. */
-export const JOB_CODES = {
-  accepted: { status: 200, code: 600, name: 'accepted' },
-  badJob: { status: 400, code: 601, name: 'bad-job' },
-  noSuchQueue: { status: 404, code: 602, name: 'no-such-queue' },
-  noSuchJob: { status: 410, code: 603, name: 'no-such-job' },
-  idReused: { status: 409, code: 604, name: 'id-reused' },
-  storeUnavailable: { status: 503, code: 605, name: 'store-unavailable' },
-  unknownOutcome: { status: 504, code: 606, name: 'unknown-outcome' },
-  badCall: { status: 400, code: 607, name: 'bad-call' },
-} as const;
-
 const SUBMIT_RESULTS = {
-  accepted: JOB_CODES.accepted,
-  'not-run': JOB_CODES.storeUnavailable,
-  conflict: JOB_CODES.idReused,
-  unknown: JOB_CODES.unknownOutcome,
+  accepted: RESULT_CODES.jobAccepted,
+  'not-run': RESULT_CODES.storeUnavailable,
+  conflict: RESULT_CODES.idReused,
+  unknown: RESULT_CODES.unknownOutcome,
 } as const;
 
 const CANCEL_RESULTS = {
-  cancelled: JOB_CODES.accepted,
-  'no-such-job': JOB_CODES.noSuchJob,
-  unavailable: JOB_CODES.storeUnavailable,
-  unknown: JOB_CODES.unknownOutcome,
+  cancelled: RESULT_CODES.jobAccepted,
+  'no-such-job': RESULT_CODES.noSuchJob,
+  unavailable: RESULT_CODES.storeUnavailable,
+  unknown: RESULT_CODES.unknownOutcome,
 } as const;
 
-type JobCode = (typeof JOB_CODES)[keyof typeof JOB_CODES];
-
 interface Answer {
-  readonly result: JobCode;
+  readonly result: ResultCode;
   readonly fields?: object;
 }
 
@@ -105,12 +93,12 @@
 
   async #answer(req: http.IncomingMessage, path: readonly string[]): Promise<Answer> {
     const [root, queue = '', jobs, id = ''] = path;
-    if (root !== 'queues' || path.length > 4) return { result: JOB_CODES.badCall };
-    if (!this.#node.hasQueue(queue)) return { result: JOB_CODES.noSuchQueue };
+    if (root !== 'queues' || path.length > 4) return { result: RESULT_CODES.badCall };
+    if (!this.#node.hasQueue(queue)) return { result: RESULT_CODES.noSuchQueue };
     if (path.length === 2) return this.#depth(queue);
     if (jobs !== 'jobs' || !ID.test(id)) {
       const fault = 'name the job as /queues/QUEUE/jobs/ID with 16 hexadecimal digits';
-      return { result: JOB_CODES.badCall, fields: { fault } };
+      return { result: RESULT_CODES.badCall, fields: { fault } };
     }
     switch (req.method) {
       case 'POST':
@@ -120,28 +108,28 @@
       case 'DELETE':
         return this.#cancel(queue, id);
       default:
-        return { result: JOB_CODES.badCall };
+        return { result: RESULT_CODES.badCall };
     }
   }
 
   #depth(queue: string): Answer {
     const pending = this.#node.jobs.pending(queue);
-    if (pending === undefined) return { result: JOB_CODES.storeUnavailable };
-    return { result: JOB_CODES.accepted, fields: { pending } };
+    if (pending === undefined) return { result: RESULT_CODES.storeUnavailable };
+    return { result: RESULT_CODES.jobAccepted, fields: { pending } };
   }
 
   #state(queue: string, id: string): Answer {
     const state = this.#node.jobs.state(id, queue);
-    if (state === 'no-such-job') return { result: JOB_CODES.noSuchJob };
-    if (state === 'unavailable') return { result: JOB_CODES.storeUnavailable };
-    return { result: JOB_CODES.accepted, fields: { state } };
+    if (state === 'no-such-job') return { result: RESULT_CODES.noSuchJob };
+    if (state === 'unavailable') return { result: RESULT_CODES.storeUnavailable };
+    return { result: RESULT_CODES.jobAccepted, fields: { state } };
   }
 
   async #submit(req: http.IncomingMessage, queue: string, id: string): Promise<Answer> {
     const text = await readText(req);
     if (text === undefined) {
       return {
-        result: JOB_CODES.badJob,
+        result: RESULT_CODES.badJob,
         fields: { faults: [`job: over ${MAX_BODY_BYTES} bytes`] },
       };
     }
@@ -152,7 +140,7 @@
       return { result: SUBMIT_RESULTS[outcome] };
     } catch (err) {
       if (!(err instanceof JobFaultsError)) throw err;
-      return { result: JOB_CODES.badJob, fields: { faults: err.faults } };
+      return { result: RESULT_CODES.badJob, fields: { faults: err.faults } };
     }
   }
 
--- a/types/logfmt.d.ts
+++ b/types/logfmt.d.ts
@@ -1,4 +1,7 @@
 declare module 'logfmt' {
-  const logfmt: { stringify(fields: Record<string, unknown>): string };
+  const logfmt: {
+    stringify(fields: Record<string, unknown>): string;
+    parse(line: string): Record<string, string>;
+  };
   export default logfmt;
 }
