--- a/packages/runtime/src/internal/leader-term.ts
+++ b/packages/runtime/src/internal/leader-term.ts
@@ -65,6 +65,14 @@
 
   #isWoken = false;
 
+  #isResigning = false;
+
+  #end: () => void = () => {};
+
+  readonly #ended = new Promise<void>((resolve) => {
+    this.#end = resolve;
+  });
+
   #writtenMs = -Infinity;
 
   #forgetMs = steadyMs() + FORGET_EVERY_MS;
@@ -130,15 +138,14 @@
     this.#writer.stop();
   }
 
-  /** Gives the role up, so that another node need not wait for this one's silence. */
+  /**
+   * Gives the role up with the next write, so that another node need not wait for this one's
+   * silence. Until that is stored this node goes on: with a slow store, work would stand still.
+   */
   async resign(): Promise<void> {
-    this.#stopping.abort();
-    this.#wake.abort();
-    this.#close();
-    const resigned = { ...this.#record, resigned: true };
-    await this.#writer.write([{ key: leaderKey(), value: encodeLeader(resigned) }]);
-    this.#writer.stop();
-    this.#log.emit('info', 'resigned', { epoch: this.token });
+    this.#isResigning = true;
+    this.#wakeUp();
+    await this.#ended;
   }
 
   mayRenew(): boolean {
@@ -194,8 +201,10 @@
     }));
     writes.push(...this.#forgotten());
     const isQuiet = steadyMs() - this.#writtenMs >= LEADER_WRITE_MS;
-    if (writes.length === 0 && isQuiet) {
-      writes.push({ key: leaderKey(), value: encodeLeader(this.#record) });
+    const resigns = this.#isResigning;
+    if (resigns || (writes.length === 0 && isQuiet)) {
+      const value = encodeLeader({ ...this.#record, resigned: resigns });
+      writes.push({ key: leaderKey(), value });
     }
     if (writes.length > 0) {
       const sentMs = steadyMs();
@@ -205,6 +214,11 @@
       }
       this.#writtenMs = sentMs;
     }
+    if (resigns) {
+      this.#log.emit('info', 'resigned', { epoch: this.token });
+      this.stop();
+      return;
+    }
     this.#scheduler.acknowledge(decisions.acks);
     for (const id of decisions.acks.keys()) this.#links.get(id)?.acknowledged();
     for (const order of decisions.orders) this.#send(order);
@@ -342,5 +356,6 @@
     this.#workerList.stop();
     for (const id of [...this.#links.keys()]) this.#unlink(id);
     this.#log.emit('info', 'term-end', { epoch: this.token });
+    this.#end();
   }
 }
--- a/packages/runtime/src/internal/leadership.ts
+++ b/packages/runtime/src/internal/leadership.ts
@@ -21,8 +21,11 @@
 /** The same on nodes that only follow: each read costs processor time and a call. */
 export const FOLLOW_GAP_MS = 250;
 
-/** A view this old says nothing about whether the leader is silent, in milliseconds. */
-const MAX_VIEW_AGE_MS = 700;
+/**
+ * A view this old says nothing about whether the leader is silent, in milliseconds. While nothing
+ * is written, two waiting reads and the pause between them make the view 1,050 ms old.
+ */
+const MAX_VIEW_AGE_MS = 1_200;
 
 /** Sequence numbers of claims are drawn below this, so that two claims of one epoch differ. */
 const MAX_FIRST_SEQUENCE = 1_000_000_000;
@@ -36,10 +39,11 @@
 }
 
 /**
- * Decides when this node schedules. The store settles it: a claim is an append of a higher epoch,
- * on the condition that nothing was written since this node looked. From then on it refuses the
- * earlier leader's appends, and workers refuse that leader's orders once they have seen the new
- * epoch as a fencing token.
+ * Decides when this node schedules. The store settles it: a claim is an append of a higher epoch.
+ * Of two claims of one epoch it refuses the second, as their sequence numbers differ. From then on
+ * it refuses the earlier leader's appends, and workers refuse that leader's orders once they have
+ * seen the new epoch as a fencing token. The claim is not bound to the end of the log: while
+ * callers' jobs are appended, a slow store would hardly ever find it where it was.
  */
 export class Leadership {
   readonly #port: PlatformPort;
@@ -56,7 +60,8 @@
 
   readonly #stopping = new AbortController();
 
-  #claim: Claim | undefined;
+  /** Claims that were sent, by their nonce: one without an answer may be stored seconds later. */
+  readonly #claims = new Map<string, Claim>();
 
   #term: LeaderTerm | undefined;
 
@@ -112,8 +117,7 @@
 
   async #claimRole(): Promise<void> {
     await delay(randomInt(CLAIM_SPREAD_MS), this.#stopping.signal);
-    const at = this.#follower.next;
-    if (!this.#isRoleFree() || at === undefined) return;
+    if (!this.#isRoleFree()) return;
     const before = this.#table.leader;
     const record = {
       epoch: (before?.epoch ?? 0) + 1,
@@ -122,10 +126,10 @@
       resigned: false,
     };
     const sequence = randomInt(MAX_FIRST_SEQUENCE);
-    this.#claim = { record, sequence, hasResigned: before?.resigned ?? true };
+    this.#claims.set(record.nonce, { record, sequence, hasResigned: before?.resigned ?? true });
     const write = { key: leaderKey(), value: encodeLeader(record) };
     const stamp = { writer: LEADER_WRITER, epoch: record.epoch, sequence };
-    const result = await this.#port.workLog.append([write], { stamp, at });
+    const result = await this.#port.workLog.append([write], { stamp });
     this.#log.emit('info', 'claim', {
       epoch: record.epoch,
       before: before?.node,
@@ -137,9 +141,9 @@
   }
 
   #leaderSeen(leader: LeaderRecord): void {
-    const claim = this.#claim;
-    if (!claim || claim.record.nonce !== leader.nonce || leader.resigned || this.#term) return;
-    this.#claim = undefined;
+    const claim = this.#claims.get(leader.nonce);
+    if (!claim || leader.resigned || this.#term) return;
+    this.#claims.clear();
     const term = new LeaderTerm(
       leader,
       claim.sequence,
