A log write that is turned away is tried again, and a lost one is counted

Reading the code for it: a write that failed, for a full pipe too, dropped its lines without counting them.

--- a/packages/runtime/src/node-log.ts
+++ b/packages/runtime/src/node-log.ts
@@ -14,6 +14,12 @@
 
 const STDOUT = 1;
 
+/** Bytes in one write at most: some readers take no more than a pipe holds at once. */
+const MAX_WRITE_BYTES = 16 * 1024;
+
+/** A full pipe is tried again after so long, in ms: given up, its lines would be lost unseen. */
+const FULL_PIPE_MS = 10;
+
 /** The library's numbers of the levels. */
 const LEVELS: Readonly<Record<LogLevel, number>> = { debug: 1, info: 2, warn: 3, error: 4 };
 
@@ -80,11 +86,22 @@
   }
 
   #write(data: Buffer): void {
-    write(STDOUT, data, (err, written) => {
-      if (!err && written < data.length) this.#write(data.subarray(written));
-      else if (this.#waiting.length > 0) this.#flush();
-      // A closed standard output is no reason to end: the work goes on without a log.
-      else this.#isWriting = false;
+    write(STDOUT, data, 0, Math.min(data.length, MAX_WRITE_BYTES), (err, written) => {
+      if (err?.code === 'EAGAIN') setTimeout(() => this.#write(data), FULL_PIPE_MS);
+      else if (err) this.#lose(data);
+      else if (written < data.length) this.#write(data.subarray(written));
+      else this.#writeNext();
     });
   }
+
+  /** A closed standard output is no reason to end: the work goes on without a log. */
+  #lose(data: Buffer): void {
+    this.#dropped += data.toString().split('\n').length - 1;
+    this.#writeNext();
+  }
+
+  #writeNext(): void {
+    if (this.#waiting.length > 0) this.#flush();
+    else this.#isWriting = false;
+  }
 }
