--- a/packages/fuzz/src/jobs/model-worker.ts
+++ b/packages/fuzz/src/jobs/model-worker.ts
@@ -6,7 +6,7 @@
   WorkerEntry,
   WorkerReport,
 } from '@redwingcrank/jobs';
-import { taskName } from '@redwingcrank/jobs';
+import { PLAIN_STEP, taskName } from '@redwingcrank/jobs';
 import type { JobsOracle } from './jobs-oracle.js';
 
 /** The worker's clock is so much slower than true time. */
@@ -123,26 +123,7 @@
 
 /** A job of two steps on which every rule can be broken. */
 export function modelJob(id: string, width: number): JobSpec {
-  const step = {
-    taskCount: width,
-    cpuMilli: 1_000,
-    memMb: 1_000,
-    gpus: 0,
-    estimateMs: 0,
-    after: [],
-    checkpointing: false,
-    gang: false,
-    rackLocal: false,
-    requiredLabel: '',
-    dataRack: '',
-    maxPerWorker: 0,
-    speculative: false,
-    lasting: false,
-    image: '',
-    targetMs: 0,
-    fills: false,
-    maxUnavailable: 0,
-  };
+  const step = { ...PLAIN_STEP, taskCount: width, cpuMilli: 1_000, memMb: 1_000 };
   const steps = [step, { ...step, after: [0] }];
   return { id, queue: 'q', payload: 'p', steps, acceptedMs: 0 };
 }
--- /dev/null
+++ b/packages/jobs/src/internal/cluster-state.ts
@@ -0,0 +1,91 @@
+import type { JobState, QueuePolicy } from '../job.js';
+import type { JobProgress, TaskProgress } from '../job-progress.js';
+import type { Order } from '../order.js';
+import { taskName } from '../task-ref.js';
+import type { WorkerEntry } from '../worker.js';
+import { findTask } from './runs.js';
+import type { WorkerRun } from './worker-state.js';
+import { WorkerState } from './worker-state.js';
+
+/** Times and limits of the scheduling decisions, in milliseconds of the node's steady clock. */
+export interface SchedulerTiming {
+  /** After its newest renewal, an unreachable worker's leases are over at the latest. */
+  readonly leaseMs: number;
+  /** At the start of a term: how long leases may last that an earlier node has given. */
+  readonly inheritedLeaseMs: number;
+  /** A run whose progress stands still for so long is stopped. */
+  readonly standstillMs: number;
+  /** A stop that has not ended its run after so long is sent again. */
+  readonly stopAgainMs: number;
+}
+
+/** A decision worth a line in the log. */
+export type Note = (event: string, fields: Record<string, string | number | boolean>) => void;
+
+/** Jobs and workers as the scheduling node knows them, and what has changed since the last round. */
+export class ClusterState {
+  readonly timing: SchedulerTiming;
+
+  readonly note: Note;
+
+  readonly startedMs: number;
+
+  /** As of the newest round; ends of jobs are dated by it. */
+  timeOfDayMs = 0;
+
+  readonly jobs = new Map<string, JobProgress>();
+
+  readonly queues = new Map<string, QueuePolicy>();
+
+  readonly workers = new Map<string, WorkerState>();
+
+  readonly changed = new Set<JobProgress>();
+
+  readonly endsProcessed = new Set<WorkerState>();
+
+  orders: Order[] = [];
+
+  constructor(timing: SchedulerTiming, startedMs: number, note: Note) {
+    this.timing = timing;
+    this.startedMs = startedMs;
+    this.note = note;
+  }
+
+  addWorker(entry: WorkerEntry): WorkerState {
+    const worker = new WorkerState(entry, this.startedMs + this.timing.inheritedLeaseMs);
+    this.workers.set(entry.id, worker);
+    return worker;
+  }
+
+  endJob(job: JobProgress, state: JobState, timeOfDayMs: number): void {
+    job.finish(state, timeOfDayMs);
+    this.changed.add(job);
+    this.note('job-ended', { job: job.spec.id, state });
+  }
+
+  /** The task runs nowhere any more and waits for its next start. */
+  release(job: JobProgress, task: TaskProgress, checkpoint: string): void {
+    task.phase = 'waiting';
+    if (checkpoint) task.checkpoint = checkpoint;
+    this.changed.add(job);
+  }
+
+  releaseAll(worker: WorkerState): void {
+    for (const [key, run] of worker.runs) this.releaseRun(worker, key, run);
+  }
+
+  releaseRun(worker: WorkerState, key: string, run: WorkerRun): void {
+    worker.remove(key);
+    const job = this.jobs.get(run.ref.jobId);
+    const task = job && findTask(job, run.ref);
+    if (!job || task?.phase !== 'bound') return;
+    if (task.run !== run.run || task.worker !== worker.entry.id) return;
+    this.release(job, task, run.checkpoint);
+  }
+
+  stopRun(worker: WorkerState, run: WorkerRun, nowMs: number): void {
+    run.stopSentMs = nowMs;
+    this.orders.push({ kind: 'stop', worker: worker.entry.id, task: run.ref, run: run.run });
+    this.note('stop', { task: taskName(run.ref), run: run.run, worker: worker.entry.id });
+  }
+}
--- /dev/null
+++ b/packages/jobs/src/internal/report-reader.ts
@@ -0,0 +1,183 @@
+import type { StepSpec } from '../job.js';
+import { PLAIN_STEP } from '../job.js';
+import type { JobProgress, TaskProgress } from '../job-progress.js';
+import type { TaskRef } from '../task-ref.js';
+import { parseTaskName, taskName } from '../task-ref.js';
+import type { EndedRow, RunningRow, WorkerReport } from '../worker.js';
+import type { ClusterState } from './cluster-state.js';
+import { choosePaces, fillParts } from './pacing.js';
+import type { PressModel } from './press-model.js';
+import { findTask, newRun } from './runs.js';
+import type { WorkerState } from './worker-state.js';
+
+/** Where a queue is not known any more, jobs keep the usual number of attempts. */
+const DEFAULT_ATTEMPTS = 3;
+
+/** So many ends at most stand in one report; in a full one others may be missing. */
+const FULL_REPORT = 500;
+
+/** Works the reports of workers into the jobs: what runs, what has ended, what never began. */
+export class ReportReader {
+  readonly #state: ClusterState;
+
+  readonly #model: PressModel;
+
+  constructor(state: ClusterState, model: PressModel) {
+    this.#state = state;
+    this.#model = model;
+  }
+
+  /** Takes in one report; it was asked for at `askedMs`. */
+  read(worker: WorkerState, report: WorkerReport, askedMs: number, nowMs: number): void {
+    Object.assign(worker, { answeredMs: nowMs });
+    if (!worker.fenced) this.#fenced(worker, report, nowMs);
+    for (const row of report.running) this.#running(worker, row, nowMs);
+    for (const row of report.ended) {
+      if (row.number > worker.processedEnd) this.#ended(worker, row, nowMs);
+    }
+    if (report.ended.length < FULL_REPORT) this.#releaseAbsent(worker, report, askedMs);
+    this.#learn(worker);
+    this.#pace(worker, nowMs);
+  }
+
+  #running(worker: WorkerState, row: RunningRow, nowMs: number): void {
+    const run = worker.runs.get(row.task);
+    if (!run || run.run !== row.run) {
+      this.#stray(worker, row, nowMs);
+      return;
+    }
+    run.seen = true;
+    run.checkpoint = row.checkpoint;
+    run.measure = row.measure;
+    const isOver = run.spec.targetMs > 0 && row.measure > run.spec.targetMs;
+    run.overSinceMs = isOver ? run.overSinceMs || nowMs : 0;
+    if (row.percent !== run.percent || row.percent === 100) run.movedMs = nowMs;
+    run.percent = row.percent;
+    const job = this.#state.jobs.get(run.ref.jobId);
+    const task = job && findTask(job, run.ref);
+    if (task?.phase === 'bound' && row.checkpoint) task.checkpoint = row.checkpoint;
+    const idleMs = nowMs - run.movedMs;
+    if (idleMs > this.#state.timing.standstillMs && run.pace === 100 && run.stopSentMs === 0) {
+      this.#state.note('run-stands-still', {
+        task: row.task,
+        run: row.run,
+        worker: worker.entry.id,
+        idleMs,
+      });
+      worker.health.stoodStill(nowMs);
+      this.#state.stopRun(worker, run, nowMs);
+    }
+  }
+
+  /** A run that no job asks for: from before a lapse, or of a job that is long over. */
+  #stray(worker: WorkerState, row: RunningRow, nowMs: number): void {
+    const ref = parseTaskName(row.task);
+    if (!ref) return;
+    const spec = this.#state.jobs.get(ref.jobId)?.spec.steps[ref.step] ?? PLAIN_STEP;
+    const run = newRun(ref, { run: row.run, checkpoint: row.checkpoint }, spec, nowMs);
+    if (worker.runs.has(row.task)) return;
+    worker.add(row.task, { ...run, seen: true, settledMs: -Infinity });
+    this.#state.note('stray-run', { task: row.task, run: row.run, worker: worker.entry.id });
+  }
+
+  #ended(worker: WorkerState, row: EndedRow, nowMs: number): void {
+    worker.processedEnd = row.number;
+    this.#state.endsProcessed.add(worker);
+    const ref = parseTaskName(row.task);
+    if (!ref) return;
+    const run = worker.runs.get(row.task);
+    const isCurrent = run?.run === row.run;
+    if (isCurrent) worker.remove(row.task);
+    if (row.how === 'done') worker.health.ended(true, nowMs);
+    if (row.how === 'failed') worker.health.ended(false, nowMs);
+    const job = this.#state.jobs.get(ref.jobId);
+    const task = job && findTask(job, ref);
+    const isBinding =
+      task?.phase === 'bound' && task.run === row.run && task.worker === worker.entry.id;
+    this.#state.note('run-ended', {
+      task: row.task,
+      run: row.run,
+      worker: worker.entry.id,
+      how: row.how,
+      current: isBinding,
+    });
+    if (job && task && isBinding) this.#taskEnded(job, ref, task, row);
+  }
+
+  #taskEnded(job: JobProgress, ref: TaskRef, task: TaskProgress, row: EndedRow): void {
+    const spec = job.spec.steps[ref.step]!;
+    this.#state.changed.add(job);
+    if (row.how === 'done' && !spec.lasting) {
+      this.#done(job, ref, spec);
+      return;
+    }
+    this.#state.release(job, task, row.checkpoint);
+    if (row.how === 'failed' && !spec.lasting) this.#failed(job, ref, task, spec);
+  }
+
+  #done(job: JobProgress, ref: TaskRef, spec: StepSpec): void {
+    const tasks = job.occurrences.get(ref.occurrence)!.steps[ref.step]!;
+    const ended = spec.gang ? tasks : [tasks[ref.index]!];
+    for (const task of ended) task.phase = 'done';
+  }
+
+  #failed(job: JobProgress, ref: TaskRef, task: TaskProgress, spec: StepSpec): void {
+    const tasks = job.occurrences.get(ref.occurrence)?.steps[ref.step] ?? [];
+    const counted = spec.gang ? tasks[0]! : task;
+    counted.failures += 1;
+    const attempts = this.#state.queues.get(job.spec.queue)?.maxAttempts ?? DEFAULT_ATTEMPTS;
+    if (counted.failures < attempts) return;
+    for (const member of spec.gang ? tasks : [task]) member.phase = 'failed';
+    this.#state.endJob(job, 'failed', this.#state.timeOfDayMs);
+  }
+
+  #releaseAbsent(worker: WorkerState, report: WorkerReport, askedMs: number): void {
+    const listed = new Set(report.running.map(({ task, run }) => `${task} ${run}`));
+    for (const [key, run] of worker.runs) {
+      if (!listed.has(`${key} ${run.run}`) && askedMs > run.settledMs) {
+        this.#state.note('run-absent', { task: key, run: run.run, worker: worker.entry.id });
+        this.#state.releaseRun(worker, key, run);
+      }
+    }
+  }
+
+  #learn(worker: WorkerState): void {
+    const parts = fillParts(worker);
+    for (const { spec, seen, percent, measure } of worker.runs.values()) {
+      // A task that starts up has no tail of its own yet.
+      if (spec.targetMs > 0 && seen && percent === 100) {
+        this.#model.learn({ image: spec.image, ratio: measure / spec.targetMs, parts });
+      }
+    }
+  }
+
+  #pace(worker: WorkerState, nowMs: number): void {
+    for (const { run, percent } of choosePaces(worker, this.#model, nowMs)) {
+      this.#state.note('pace', {
+        task: taskName(run.ref),
+        run: run.run,
+        worker: worker.entry.id,
+        from: run.pace,
+        to: percent,
+      });
+      Object.assign(run, { pace: percent, movedMs: nowMs });
+      Object.assign(worker, { paceChangedMs: nowMs });
+      this.#state.orders.push({
+        kind: 'pace',
+        worker: worker.entry.id,
+        task: run.ref,
+        run: run.run,
+        percent,
+      });
+      if (percent === 0 && run.spec.checkpointing && run.stopSentMs === 0) {
+        this.#state.stopRun(worker, run, nowMs);
+      }
+    }
+  }
+
+  /** From now on no earlier node's call takes effect there, so its leases end with the longest. */
+  #fenced(worker: WorkerState, report: WorkerReport, nowMs: number): void {
+    Object.assign(worker, { fenced: true, leaseEndMs: nowMs + this.#state.timing.leaseMs });
+    this.#state.note('worker-fenced', { worker: worker.entry.id, running: report.running.length });
+  }
+}
--- a/packages/jobs/src/internal/runs.ts
+++ b/packages/jobs/src/internal/runs.ts
@@ -4,28 +4,6 @@
 import type { WorkerEntry } from '../worker.js';
 import type { WorkerRun } from './worker-state.js';
 
-/** The specification of a run whose job is not known any more: it occupies no known room. */
-export const STRAY_SPEC: StepSpec = {
-  taskCount: 1,
-  cpuMilli: 0,
-  memMb: 0,
-  gpus: 0,
-  estimateMs: 0,
-  after: [],
-  checkpointing: false,
-  gang: false,
-  rackLocal: false,
-  requiredLabel: '',
-  dataRack: '',
-  maxPerWorker: 0,
-  speculative: false,
-  lasting: false,
-  image: '',
-  targetMs: 0,
-  fills: false,
-  maxUnavailable: 0,
-};
-
 /** Every task of a job that runs on a worker, or may. */
 export function* boundTasks(job: JobProgress): Generator<[TaskRef, TaskProgress]> {
   for (const { number, steps } of job.occurrences.values()) {
--- a/packages/jobs/src/job.ts
+++ b/packages/jobs/src/job.ts
@@ -34,6 +34,28 @@
   readonly maxUnavailable: number;
 }
 
+/** One task that claims nothing and asks for nothing: what every other step adds to. */
+export const PLAIN_STEP: StepSpec = {
+  taskCount: 1,
+  cpuMilli: 0,
+  memMb: 0,
+  gpus: 0,
+  estimateMs: 0,
+  after: [],
+  checkpointing: false,
+  gang: false,
+  rackLocal: false,
+  requiredLabel: '',
+  dataRack: '',
+  maxPerWorker: 0,
+  speculative: false,
+  lasting: false,
+  image: '',
+  targetMs: 0,
+  fills: false,
+  maxUnavailable: 0,
+};
+
 /** When a job with occurrences is due. */
 export interface Schedule {
   readonly count: number;
--- a/packages/jobs/src/test/scheduler-harness.ts
+++ b/packages/jobs/src/test/scheduler-harness.ts
@@ -1,4 +1,5 @@
 import { JobProgress } from '../job-progress.js';
+import { PLAIN_STEP } from '../job.js';
 import type { JobSpec, StepSpec } from '../job.js';
 import type { Order, OrderOutcome } from '../order.js';
 import type { Decisions } from '../scheduler.js';
@@ -18,24 +19,10 @@
 
 export function stepSpec(changes: Partial<StepSpec> = {}): StepSpec {
   return {
-    taskCount: 1,
+    ...PLAIN_STEP,
     cpuMilli: 1_000,
     memMb: 1_000,
-    gpus: 0,
     estimateMs: 1_000,
-    after: [],
-    checkpointing: false,
-    gang: false,
-    rackLocal: false,
-    requiredLabel: '',
-    dataRack: '',
-    maxPerWorker: 0,
-    speculative: false,
-    lasting: false,
-    image: '',
-    targetMs: 0,
-    fills: false,
-    maxUnavailable: 0,
     ...changes,
   };
 }
