Leases of six seconds at most, so that lasting tasks of a vanished worker are back within nine

Every renewal gave the longest lease of the platform, there ten seconds; a worker that vanished kept its lasting tasks for 10.3 s and more before they could be placed again. Ruled out: the store and the change of leader; the traces show `leases-over` ten seconds after the loss. Change: LEASE_MS, six seconds. An outage of the store of nine seconds still ends no work: three unconfirmed and six of lease.

--- a/packages/runtime/src/internal/leader-term.ts
+++ b/packages/runtime/src/internal/leader-term.ts
@@ -14,6 +14,7 @@
   CLOCK_SLACK,
   GATHER_MS,
   LEADER_WRITE_MS,
+  LEASE_MS,
   ROUND_MS,
   STANDSTILL_MS,
   STOP_AGAIN_MS,
@@ -43,6 +44,8 @@
 
   readonly #settings: NodeSettings;
 
+  readonly #leaseMs: number;
+
   readonly #log: NodeLog;
 
   readonly #table: WorkTable;
@@ -99,7 +102,8 @@
       waitMs: 1_000,
       gapMs: WORKER_LIST_GAP_MS,
     });
-    const leaseMs = settings.maxLeaseMs * CLOCK_SLACK + CLOCK_MARGIN_MS;
+    this.#leaseMs = Math.min(LEASE_MS, settings.maxLeaseMs);
+    const leaseMs = this.#leaseMs * CLOCK_SLACK + CLOCK_MARGIN_MS;
     this.#scheduler = new Scheduler(
       {
         leaseMs,
@@ -305,13 +309,7 @@
     const worker = this.#scheduler.workers.get(id);
     if (!worker || this.#links.has(id)) return;
     const { entry } = worker;
-    const link = new WorkerLink(
-      entry,
-      this.#port.workers,
-      this,
-      this.#log,
-      this.#settings.maxLeaseMs,
-    );
+    const link = new WorkerLink(entry, this.#port.workers, this, this.#log, this.#leaseMs);
     this.#links.set(id, link);
     link.run().catch((err) => this.#failed('worker-link', err));
   }
--- a/packages/runtime/src/internal/timing.ts
+++ b/packages/runtime/src/internal/timing.ts
@@ -8,6 +8,13 @@
 /** Between reading a clock and using the reading, generously. */
 export const CLOCK_MARGIN_MS = 100;
 
+/**
+ * No lease is longer, whatever the platform allows. The tasks of a worker that vanished wait until
+ * its leases are over; with ten seconds a signal watch was silent for eleven. Together with
+ * `UNCONFIRMED_MS` it lets work outlast a store that is away for nine seconds.
+ */
+export const LEASE_MS = 6_000;
+
 /** The scheduling node writes at least this often, so that the others see that it lives. */
 export const LEADER_WRITE_MS = 500;
 
--- a/packages/runtime/src/internal/worker-link.ts
+++ b/packages/runtime/src/internal/worker-link.ts
@@ -51,7 +51,7 @@
 
   readonly #log: NodeLog;
 
-  readonly #maxLeaseMs: number;
+  readonly #leaseMs: number;
 
   readonly #stopping = new AbortController();
 
@@ -68,13 +68,13 @@
     workers: TaskWorkers,
     listener: LinkListener,
     log: NodeLog,
-    maxLeaseMs: number,
+    leaseMs: number,
   ) {
     this.address = { id: entry.id, address: entry.address };
     this.#workers = workers;
     this.#listener = listener;
     this.#log = log;
-    this.#maxLeaseMs = maxLeaseMs;
+    this.#leaseMs = leaseMs;
   }
 
   get id(): string {
@@ -156,11 +156,11 @@
       token: this.#listener.token,
       ackedEnd: this.#listener.ackedEnd(this.id),
       waitMs: this.#waitMs(),
-      ...(extend && { deadlineMs: this.#workerTime(askedMs) + this.#maxLeaseMs }),
+      ...(extend && { deadlineMs: this.#workerTime(askedMs) + this.#leaseMs }),
     };
     if (extend) {
-      const leaseMs = this.#maxLeaseMs * CLOCK_SLACK + CLOCK_MARGIN_MS;
-      this.#listener.leaseSent(this.id, askedMs + leaseMs);
+      const endMs = askedMs + this.#leaseMs * CLOCK_SLACK + CLOCK_MARGIN_MS;
+      this.#listener.leaseSent(this.id, endMs);
     }
     const result = await this.#workers.renew(this.address, req);
     if (!this.#stopping.signal.aborted) await this.#renewed(result, askedMs);
