Filling tasks are placed and paced by the slack that tails have now, their own load told apart

Change: PressModel learns slack; ServingLoads follows each lasting step's own load; TailRooms places by the slack expected in a second; paces follow the model in place of steps.

--- /dev/null
+++ b/packages/jobs/src/internal/fill-parts.ts
@@ -0,0 +1,13 @@
+import type { WorkerState } from './worker-state.js';
+
+/** By filling image: the part of the worker's processors that its runs here used lately. */
+export function fillParts(worker: WorkerState): Map<string, number> {
+  const parts = new Map<string, number>();
+  for (const { spec, seen, measure } of worker.runs.values()) {
+    if (spec.fills && seen) {
+      const part = measure / worker.entry.capacity.cpuMilli;
+      parts.set(spec.image, (parts.get(spec.image) ?? 0) + part);
+    }
+  }
+  return parts;
+}
--- a/packages/jobs/src/internal/pacing.ts
+++ b/packages/jobs/src/internal/pacing.ts
@@ -1,23 +1,30 @@
-import type { PressModel } from './press-model.js';
+import type { TailModel } from './tail-model.js';
+import { hasTail } from './tail-model.js';
 import type { WorkerRun, WorkerState } from './worker-state.js';
 
-/** Above this part of a serving task's target, the images to blame are slowed down by one step. */
+/**
+ * Filling tasks work as fast as leaves serving tasks this slack; 1 is a tail at its target. Their
+ * own load takes about half a unit of it within a second at its steepest.
+ */
+const PACING_SLACK = 1.15;
+
+/** Above this part of its target a tail is too long: what presses on it works slower at once. */
 const NEAR_TARGET = 0.9;
 
-/** Below this part, images that press may work faster again. */
-const FAR_BELOW_TARGET = 0.8;
+/** Paces are multiples of this, in percent; a smaller change is not worth a call. */
+const PACE_STEP = 10;
 
-/** The shares of their speed that filling tasks step through, in percent. */
-const PACES = [0, 25, 50, 100] as const;
+/** A task slower than this holds its memory and gets nowhere: it is halted, in percent. */
+const LEAST_PACE = 20;
 
 /** The tail is measured over half a second; a change shows after that and one renewal, in ms. */
 const SETTLE_MS = 700;
 
 /** Images that press wait longer before they speed up: the load swings within seconds. */
-const SPEED_UP_MS = 1_500;
+const SPEED_UP_MS = 1_200;
 
-/** A filling image that adds less than this to the logarithm of a tail is not to blame for it. */
-const BLAME = 0.08;
+/** A filling image that takes less slack than this is not to blame for a tail. */
+const BLAME = 0.1;
 
 /**
  * A target missed for so long halts every filling task beside it, in ms: the causes that are
@@ -31,54 +38,32 @@
   readonly percent: number;
 }
 
-/** By filling image: the part of the worker's processors that its runs here used lately. */
-export function fillParts(worker: WorkerState): Map<string, number> {
-  const parts = new Map<string, number>();
-  for (const { spec, seen, measure } of worker.runs.values()) {
-    if (spec.fills && seen) {
-      const part = measure / worker.entry.capacity.cpuMilli;
-      parts.set(spec.image, (parts.get(spec.image) ?? 0) + part);
-    }
-  }
-  return parts;
-}
-
 /**
  * Which filling tasks must work slower, or may work faster, from the tails of the serving tasks
- * beside them. An image known to lengthen a tail that is too long is halted at once; if that does
- * not help soon, every filling task is: a target missed for seconds on end is what the serving
- * tasks' own users notice. The harmless ones go on as soon as no target is missed.
+ * beside them. Images known to lengthen a tail work at the share of their speed at which the tail
+ * is expected to be in bounds; where no known cause is found or that does not help soon, every
+ * filling task is halted: a target missed for seconds on end is what the serving tasks' own users
+ * notice. The harmless ones go on as soon as no target is missed.
  */
-export function choosePaces(worker: WorkerState, model: PressModel, nowMs: number): PaceChange[] {
-  const halt = mustHalt(worker, nowMs);
-  const tails = [...servingTails(worker)];
-  const worst = Math.max(0, ...tails.map(({ ratio }) => ratio));
-  const blamed = halt ? new Map<string, number>() : blame(worker, tails, model);
+export function choosePaces(worker: WorkerState, model: TailModel, nowMs: number): PaceChange[] {
+  const serving = [...worker.runs.values()].filter(hasTail);
+  const worst = Math.max(0, ...serving.map(ratioOf));
+  const limits = mustHalt(worker, nowMs) ? undefined : limitsOf(worker, serving, model, nowMs);
   const sinceMs = nowMs - worker.paceChangedMs;
   const changes: PaceChange[] = [];
   for (const run of worker.runs.values()) {
     if (run.spec.fills && run.seen) {
-      const ratio = halt ? Infinity : blamed.get(run.spec.image);
-      const percent =
-        ratio === undefined
-          ? fasterPace(run, worker, model, worst, sinceMs)
-          : slowerPace(run, ratio, sinceMs);
+      const limit = limits ? limits.get(run.spec.image) : 0;
+      const percent = nextPace(run.pace, limit, worst, sinceMs);
       if (percent !== run.pace) changes.push({ run, percent });
     }
   }
   return changes;
 }
 
-interface ServingTail {
-  readonly image: string;
-  /** The tail as a part of the target. */
-  readonly ratio: number;
-}
-
-function* servingTails(worker: WorkerState): Generator<ServingTail> {
-  for (const { spec, seen, measure } of worker.runs.values()) {
-    if (spec.targetMs > 0 && seen) yield { image: spec.image, ratio: measure / spec.targetMs };
-  }
+/** The tail as a part of its target. */
+function ratioOf({ measure, spec }: WorkerRun): number {
+  return measure / spec.targetMs;
 }
 
 function mustHalt(worker: WorkerState, nowMs: number): boolean {
@@ -88,45 +73,58 @@
   return false;
 }
 
-/** By image to blame: the worst tail that it lengthens, as a part of its target. */
-function blame(
+/** By filling image that presses on a tail here: the share of its speed that the tail allows. */
+function limitsOf(
   worker: WorkerState,
-  tails: readonly ServingTail[],
-  model: PressModel,
+  serving: readonly WorkerRun[],
+  model: TailModel,
+  nowMs: number,
 ): Map<string, number> {
-  const parts = fillParts(worker);
-  const blamed = new Map<string, number>();
-  for (const { image, ratio } of tails) {
-    if (ratio > NEAR_TARGET) {
-      const known = [...parts].filter(([fill, part]) => model.weight(image, fill) * part > BLAME);
-      // Without a known cause, a tail just over its target may be its own load's doing.
-      const causes = known.length > 0 || ratio < 1 ? known : [...parts];
-      for (const [fill] of causes) blamed.set(fill, Math.max(ratio, blamed.get(fill) ?? 0));
+  const limits = new Map<string, number>();
+  const limit = (fill: string, share: number): void => {
+    limits.set(fill, Math.min(share, limits.get(fill) ?? 1));
+  };
+  for (const run of serving) {
+    const presses = pressesOn(run.spec.image, worker, model);
+    const full = presses.reduce((sum, { press }) => sum + press, 0);
+    const share = (model.ownSlack(run, worker, nowMs) - PACING_SLACK) / full;
+    for (const { fill } of presses) limit(fill, Math.max(0, share));
+    // Without a known cause, a tail just over its target may be its own load's doing.
+    if (presses.length === 0 && ratioOf(run) > 1) {
+      for (const fill of worker.claimedFills().keys()) limit(fill, 0.5);
     }
   }
-  return blamed;
+  return limits;
 }
 
-function slowerPace(run: WorkerRun, ratio: number, sinceMs: number): number {
-  if (ratio === Infinity) return 0;
-  const level = PACES.findIndex((pace) => pace >= run.pace);
-  return sinceMs >= SETTLE_MS ? PACES[Math.max(0, level - 1)]! : run.pace;
+interface Press {
+  readonly fill: string;
+  /** The slack that the image's runs here take when they work at full speed. */
+  readonly press: number;
 }
 
-function fasterPace(
-  run: WorkerRun,
-  worker: WorkerState,
-  model: PressModel,
-  worst: number,
-  sinceMs: number,
-): number {
-  if (run.pace === 100 || worst > 1) return run.pace;
-  const part = run.spec.cpuMilli / worker.entry.capacity.cpuMilli;
-  const presses = [...worker.servingImages.keys()].some(
-    (image) => model.weight(image, run.spec.image) * part > BLAME,
-  );
-  if (!presses) return sinceMs >= SETTLE_MS ? 100 : run.pace;
-  if (worst >= FAR_BELOW_TARGET || sinceMs < SPEED_UP_MS) return run.pace;
-  const level = PACES.findIndex((pace) => pace >= run.pace);
-  return PACES[Math.min(PACES.length - 1, level + 1)]!;
+function pressesOn(image: string, worker: WorkerState, model: TailModel): Press[] {
+  const { cpuMilli } = worker.entry.capacity;
+  return [...worker.claimedFills()]
+    .map(([fill, claimed]) => ({
+      fill,
+      press: (model.press.weight(image, fill) * claimed) / cpuMilli,
+    }))
+    .filter(({ press }) => press > BLAME);
+}
+
+function nextPace(pace: number, limit: number | undefined, worst: number, sinceMs: number): number {
+  const wanted = roundPace(limit);
+  if (wanted === 0) return 0;
+  if (wanted < pace) {
+    const isUrgent = worst > NEAR_TARGET;
+    return isUrgent || sinceMs >= SETTLE_MS ? wanted : pace;
+  }
+  if (worst > 1) return pace;
+  return sinceMs >= (limit === undefined ? SETTLE_MS : SPEED_UP_MS) ? wanted : pace;
+}
+
+function roundPace(limit = 1): number {
+  const percent = Math.floor((limit * 100) / PACE_STEP) * PACE_STEP;
+  return percent < LEAST_PACE ? 0 : Math.min(100, percent);
 }
--- a/packages/jobs/src/internal/placement.ts
+++ b/packages/jobs/src/internal/placement.ts
@@ -1,6 +1,7 @@
 import type { StepSpec } from '../job.js';
 import type { TaskRef } from '../task-ref.js';
-import type { PressModel } from './press-model.js';
+import type { TailModel } from './tail-model.js';
+import { TailRooms } from './tail-room.js';
 import type { WorkerState } from './worker-state.js';
 
 /** A worker that has not answered for so long gets nothing new, in ms: two renewals missed. */
@@ -20,7 +21,7 @@
 /** Chooses workers for tasks. */
 export abstract class PlacementPolicy {
   /** How good a place is, larger is better; -Infinity where it must not go. */
-  protected abstract score(placing: Placing, worker: WorkerState): number;
+  protected abstract score(placing: Placing, worker: WorkerState, nowMs: number): number;
 
   /** The best of the workers that may take the task now. */
   choose(placing: Placing, workers: Iterable<WorkerState>, nowMs: number): WorkerState | undefined {
@@ -28,7 +29,7 @@
     let bestScore = -Infinity;
     for (const worker of workers) {
       if (mayTake(placing, worker, nowMs)) {
-        let score = this.score(placing, worker);
+        let score = this.score(placing, worker, nowMs);
         if (worker.entry.id === placing.avoid) score -= AVOID;
         if (score > bestScore) {
           best = worker;
@@ -68,53 +69,39 @@
 /** What company of each other image costs it. */
 const OTHER_IMAGE_COST = 3_000;
 
-/**
- * What filling tasks may add to the logarithm of a serving task's tail: a third more. Tails alone
- * reach 0.9 of their target at their worst.
- */
-const MAX_PRESS = 0.15;
+/** What room beside serving tasks is worth: one unit of slack is worth a whole empty worker. */
+const TAIL_ROOM_WEIGHT = 1;
 
 /**
  * Puts each task where the most is left over; serving tasks beside others of their image, so that
- * few workers are closed to any one filling image; and filling tasks only where they lengthen no
- * serving task's tail by much.
+ * few workers are closed to any one filling image; and filling tasks only where the tails of the
+ * serving tasks leave room for them.
  */
 export class MostLeftOver extends PlacementPolicy {
-  readonly #model: PressModel;
+  readonly #rooms: TailRooms;
 
-  constructor(model: PressModel) {
+  constructor(model: TailModel) {
     super();
-    this.#model = model;
+    this.#rooms = new TailRooms(model);
   }
 
-  protected score({ spec }: Placing, worker: WorkerState): number {
+  protected score({ spec }: Placing, worker: WorkerState, nowMs: number): number {
     const near = spec.dataRack && worker.entry.labels.includes(spec.dataRack) ? RACK_BONUS : 0;
-    if (spec.fills) return near + this.#fillScore(spec, worker);
+    if (spec.fills) return near + this.#fillScore(spec, worker, nowMs);
     const free = worker.entry.capacity.cpuMilli - worker.cpuMilli;
     if (spec.targetMs > 0) return near + free / 2 + companyScore(spec, worker);
     return near + free - worker.fillMilli / 4;
   }
 
-  #fillScore(spec: StepSpec, worker: WorkerState): number {
+  #fillScore(spec: StepSpec, worker: WorkerState, nowMs: number): number {
     if (worker.isHarmed()) return -Infinity;
     const { cpuMilli } = worker.entry.capacity;
     const used = worker.cpuMilli - worker.servingMilli * (1 - SERVING_USE);
     const left = cpuMilli - used - worker.fillMilli;
     if (left < spec.cpuMilli) return -Infinity;
-    const press = this.#worstPress(spec, worker);
-    if (press > MAX_PRESS) return -Infinity;
-    return left - (press / MAX_PRESS) * cpuMilli;
-  }
-
-  /** How much the worst-off serving task here would be pressed with one more task of the step. */
-  #worstPress(spec: StepSpec, worker: WorkerState): number {
-    const parts = new Map(worker.claimedFills());
-    parts.set(spec.image, (parts.get(spec.image) ?? 0) + spec.cpuMilli);
-    let worst = 0;
-    for (const image of worker.servingImages.keys()) {
-      worst = Math.max(worst, this.#model.press(image, parts));
-    }
-    return worst / worker.entry.capacity.cpuMilli;
+    const room = this.#rooms.roomBeside(spec, worker, nowMs);
+    if (room < 0) return -Infinity;
+    return left + Math.min(1, room) * TAIL_ROOM_WEIGHT * cpuMilli;
   }
 }
 
--- a/packages/jobs/src/internal/press-model.ts
+++ b/packages/jobs/src/internal/press-model.ts
@@ -1,11 +1,18 @@
-/** What one sample keeps of its weight when the next of its image comes: disturbance shifts. */
-const FADE = 0.998;
+/**
+ * What one sample keeps of its weight when the next of its image comes: disturbance shifts. About
+ * 2,000 samples count, some twenty seconds of today's clusters; with a quarter of them the weights
+ * of images that run on few workers were mostly noise.
+ */
+const FADE = 0.9995;
 
 /** Pulls what was hardly seen towards no disturbance; in squares of a host's part. */
 const RIDGE = 0.05;
 
-/** Tails above the target by more than this factor say no more than that they are far above. */
-const MAX_RATIO = 4.5;
+/** Less slack than this, five times the target, says no more than that a tail is far over it. */
+const MIN_SLACK = 0.2;
+
+/** More slack than a task without any load has; such figures come from too few requests. */
+const MAX_SLACK = 5;
 
 /** Samples of an image after which its weights are worked out again. */
 const SOLVE_EVERY = 8;
@@ -16,15 +23,15 @@
 /** One measured tail and what filled the same worker at that time. */
 export interface TailSample {
   readonly image: string;
-  /** The tail latency as a part of the target. */
-  readonly ratio: number;
+  /** The slack of the tail, or how far it is from what the task's own load explains. */
+  readonly slack: number;
   /** By filling image: the part of the worker's processors that it used. */
   readonly parts: ReadonlyMap<string, number>;
 }
 
 /** Least squares for one serving image, kept as sums so that no samples need to be. */
 class ImageFit {
-  /** Filling images by the index of their weight; index 0 is the tail without any. */
+  /** Filling images by the index of their weight; index 0 is the slack without any. */
   readonly #indexes = new Map<string, number>();
 
   #products: number[][] = [[RIDGE]];
@@ -98,30 +105,38 @@
 }
 
 /**
- * Learns how much each filling image lengthens the tails of each serving image. The logarithm of
- * a tail is taken as a sum: what the image has by itself, and for each filling image a weight
- * times the part of the worker that it uses. Measured tails of 45 pairs of images fitted this
- * with weights near 0 for most pairs and near 4 for one in four, so a few hundred samples tell
- * them apart.
+ * The slack of a tail: the target as a multiple of it. A tail grows as the reciprocal of what is
+ * left of its server, so the slack falls in proportion to what loads it; at 1 the tail is at its
+ * target.
+ */
+export function slackOf(ratio: number): number {
+  return Math.min(MAX_SLACK, Math.max(1 / ratio, MIN_SLACK));
+}
+
+/**
+ * Learns how much slack each filling image takes from each serving image. The slack is taken as a
+ * sum: what the image has by itself, less, for each filling image, a weight times the part of the
+ * worker that it uses. Of 45 pairs of images measured so, most had weights near 0 and one in three
+ * between 3 and 12.
  */
 export class PressModel {
   readonly #fits = new Map<string, ImageFit>();
 
-  learn({ image, ratio, parts }: TailSample): void {
+  learn({ image, slack, parts }: TailSample): void {
     let fit = this.#fits.get(image);
     if (!fit) {
       fit = new ImageFit();
       this.#fits.set(image, fit);
     }
-    fit.add(parts, Math.log(Math.min(MAX_RATIO, Math.max(ratio, 1 / MAX_RATIO))));
+    fit.add(parts, -slack);
   }
 
-  /** What a whole host of the filling image would add to the logarithm of the tail. */
+  /** The slack that a whole host of the filling image would take. */
   weight(serving: string, filling: string): number {
     return this.#fits.get(serving)?.weightOf(filling) ?? 0;
   }
 
-  /** What these parts add to the logarithm of the tail. */
+  /** The slack that these parts of a host take. */
   press(serving: string, parts: ReadonlyMap<string, number>): number {
     let sum = 0;
     for (const [filling, part] of parts) sum += this.weight(serving, filling) * part;
--- a/packages/jobs/src/internal/report-reader.ts
+++ b/packages/jobs/src/internal/report-reader.ts
@@ -5,8 +5,8 @@
 import { parseTaskName, taskName } from '../task-ref.js';
 import type { EndedRow, RunningRow, WorkerReport } from '../worker.js';
 import type { ClusterState } from './cluster-state.js';
-import { choosePaces, fillParts } from './pacing.js';
-import type { PressModel } from './press-model.js';
+import { choosePaces } from './pacing.js';
+import type { TailModel } from './tail-model.js';
 import { findTask, newRun } from './runs.js';
 import type { WorkerState } from './worker-state.js';
 
@@ -20,9 +20,9 @@
 export class ReportReader {
   readonly #state: ClusterState;
 
-  readonly #model: PressModel;
+  readonly #model: TailModel;
 
-  constructor(state: ClusterState, model: PressModel) {
+  constructor(state: ClusterState, model: TailModel) {
     this.#state = state;
     this.#model = model;
   }
@@ -36,7 +36,8 @@
       if (row.number > worker.processedEnd) this.#ended(worker, row, nowMs);
     }
     if (report.ended.length < FULL_REPORT) this.#releaseAbsent(worker, report, askedMs);
-    this.#learn(worker);
+    Object.assign(worker, { version: worker.version + 1 });
+    this.#model.learn(worker, nowMs);
     this.#pace(worker, nowMs);
   }
 
@@ -141,16 +142,6 @@
     }
   }
 
-  #learn(worker: WorkerState): void {
-    const parts = fillParts(worker);
-    for (const { spec, seen, percent, measure } of worker.runs.values()) {
-      // A task that starts up has no tail of its own yet.
-      if (spec.targetMs > 0 && seen && percent === 100) {
-        this.#model.learn({ image: spec.image, ratio: measure / spec.targetMs, parts });
-      }
-    }
-  }
-
   #pace(worker: WorkerState, nowMs: number): void {
     for (const { run, percent } of choosePaces(worker, this.#model, nowMs)) {
       this.#state.note('pace', {
--- /dev/null
+++ b/packages/jobs/src/internal/tail-model.ts
@@ -0,0 +1,48 @@
+import { fillParts } from './fill-parts.js';
+import { PressModel, slackOf } from './press-model.js';
+import { ServingLoads } from './serving-loads.js';
+import type { WorkerRun, WorkerState } from './worker-state.js';
+
+/**
+ * The slack of a serving task is taken to be this while nothing was measured: three in four had
+ * more when alone.
+ */
+const UNMEASURED_SLACK = 1.7;
+
+/** What is known of the tails of serving tasks: their own load, and what presses on them. */
+export class TailModel {
+  readonly press = new PressModel();
+
+  readonly loads = new ServingLoads();
+
+  /** Takes in what a worker has just reported of its runs. */
+  learn(worker: WorkerState, nowMs: number): void {
+    const parts = fillParts(worker);
+    for (const run of worker.runs.values()) {
+      if (hasTail(run)) {
+        const { image } = run.spec;
+        const slack = measuredSlack(run);
+        this.loads.observe(run.ref, slack + this.press.press(image, parts), nowMs);
+        const ownSlack = this.loads.now(run.ref, nowMs)!;
+        this.press.learn({ image, slack: slack - ownSlack, parts });
+      }
+    }
+  }
+
+  /** The slack that a serving run is about to have with nothing beside it. */
+  ownSlack(run: WorkerRun, worker: WorkerState, nowMs: number): number {
+    const soon = this.loads.soon(run.ref, nowMs);
+    if (soon !== undefined) return soon;
+    if (!hasTail(run)) return UNMEASURED_SLACK;
+    return measuredSlack(run) + this.press.press(run.spec.image, fillParts(worker));
+  }
+}
+
+/** Whether the run has a tail to go by: one that starts up has none of its own yet. */
+export function hasTail({ spec, seen, percent, measure }: WorkerRun): boolean {
+  return spec.targetMs > 0 && seen && percent === 100 && measure > 0;
+}
+
+function measuredSlack({ measure, spec }: WorkerRun): number {
+  return slackOf(measure / spec.targetMs);
+}
--- /dev/null
+++ b/packages/jobs/src/internal/tail-room.ts
@@ -0,0 +1,77 @@
+import type { StepSpec } from '../job.js';
+import type { TailModel } from './tail-model.js';
+import type { WorkerState } from './worker-state.js';
+
+/**
+ * The slack that serving tasks keep when filling tasks are placed beside them; 1 is a tail at its
+ * target. Their own load was seen to take 0.4 to 0.6 of it within a second, and a second passes
+ * until that is reported and what was started there works slower.
+ */
+export const PLACING_SLACK = 1.2;
+
+/** Taking less slack than this is not worth a thought. */
+const NEGLIGIBLE_PRESS = 0.05;
+
+interface KnownRooms {
+  readonly version: number;
+  /** By serving image: the least room of its tasks on the worker. */
+  readonly rooms: ReadonlyMap<string, number>;
+}
+
+/**
+ * How much more slack filling tasks may take from the serving tasks of a worker. It goes by the
+ * tails as they are now, not by their usual value: an image that presses hard fits beside serving
+ * tasks that have little to do for a while, and nowhere else.
+ */
+export class TailRooms {
+  readonly #model: TailModel;
+
+  readonly #known = new WeakMap<WorkerState, KnownRooms>();
+
+  constructor(model: TailModel) {
+    this.#model = model;
+  }
+
+  /** What is left after a task of the step is started there; Infinity if it presses on nobody. */
+  roomBeside(spec: StepSpec, worker: WorkerState, nowMs: number): number {
+    const part = spec.cpuMilli / worker.entry.capacity.cpuMilli;
+    let least = Infinity;
+    for (const [image, room] of this.#roomsOf(worker, nowMs)) {
+      const press = this.#model.press.weight(image, spec.image) * part;
+      if (press > NEGLIGIBLE_PRESS) least = Math.min(least, room - press);
+    }
+    return least;
+  }
+
+  #roomsOf(worker: WorkerState, nowMs: number): ReadonlyMap<string, number> {
+    const known = this.#known.get(worker);
+    if (known?.version === worker.version) return known.rooms;
+    const rooms = this.#roomsNow(worker, nowMs);
+    this.#known.set(worker, { version: worker.version, rooms });
+    return rooms;
+  }
+
+  #roomsNow(worker: WorkerState, nowMs: number): Map<string, number> {
+    const rooms = new Map<string, number>();
+    for (const run of worker.runs.values()) {
+      if (run.spec.targetMs > 0) {
+        const { image } = run.spec;
+        const room = this.#model.ownSlack(run, worker, nowMs) - PLACING_SLACK;
+        rooms.set(image, Math.min(room, rooms.get(image) ?? Infinity));
+      }
+    }
+    const claimed = claimedParts(worker);
+    for (const [image, room] of rooms) {
+      rooms.set(image, room - this.#model.press.press(image, claimed));
+    }
+    return rooms;
+  }
+}
+
+/** By filling image: the part of the worker's processors that its runs here may use. */
+function claimedParts(worker: WorkerState): Map<string, number> {
+  const { cpuMilli } = worker.entry.capacity;
+  const parts = new Map<string, number>();
+  for (const [image, claimed] of worker.claimedFills()) parts.set(image, claimed / cpuMilli);
+  return parts;
+}
--- a/packages/jobs/src/internal/worker-state.ts
+++ b/packages/jobs/src/internal/worker-state.ts
@@ -58,6 +58,9 @@
   /** When any run here was last told to work slower or faster. */
   paceChangedMs = 0;
 
+  /** Rises with every change of what runs here or of what was measured of it. */
+  version = 0;
+
   readonly health = new WorkerHealth();
 
   readonly runs = new Map<string, WorkerRun>();
@@ -139,6 +142,7 @@
   }
 
   #count(spec: StepSpec, sign: 1 | -1): void {
+    this.version += 1;
     if (spec.fills) {
       this.#fillMilli += sign * spec.cpuMilli;
       addTo(this.#claimedFills, spec.image, sign * spec.cpuMilli);
--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -10,9 +10,9 @@
 import { mustLeave } from './internal/evacuation.js';
 import type { PlacementPolicy } from './internal/placement.js';
 import { MostLeftOver } from './internal/placement.js';
-import { PressModel } from './internal/press-model.js';
 import { ReportReader } from './internal/report-reader.js';
 import { boundTasks, findTask, newRun, unlistedEntry } from './internal/runs.js';
+import { TailModel } from './internal/tail-model.js';
 import { TaskPlacer } from './internal/task-placer.js';
 import type { WorkerRun, WorkerState } from './internal/worker-state.js';
 
@@ -49,7 +49,7 @@
     timing: SchedulerTiming,
     nowMs: number,
     note: Note,
-    model = new PressModel(),
+    model = new TailModel(),
     placement: PlacementPolicy = new MostLeftOver(model),
   ) {
     this.#state = new ClusterState(timing, nowMs, note);
--- a/packages/jobs/src/test/scheduler-harness.ts
+++ b/packages/jobs/src/test/scheduler-harness.ts
@@ -4,7 +4,7 @@
 import type { Order, OrderOutcome } from '../order.js';
 import type { Decisions } from '../scheduler.js';
 import { Scheduler } from '../scheduler.js';
-import { PressModel } from '../internal/press-model.js';
+import { TailModel } from '../internal/tail-model.js';
 import { taskName } from '../task-ref.js';
 import type { EndedRow, RunningRow, WorkerEntry } from '../worker.js';
 
@@ -51,7 +51,7 @@
 
   readonly notes: string[] = [];
 
-  readonly model = new PressModel();
+  readonly model = new TailModel();
 
   readonly scheduler: Scheduler;
 
