--- a/packages/jobs/src/index.ts
+++ b/packages/jobs/src/index.ts
@@ -5,3 +5,4 @@
 export * from './order.js';
 export * from './scheduler.js';
 export type { PlacementPolicy } from './internal/placement.js';
+export type { PressWeights } from './internal/press-model.js';
--- a/packages/jobs/src/internal/press-model.ts
+++ b/packages/jobs/src/internal/press-model.ts
@@ -20,6 +20,15 @@
 /** A filling image that used less than this part of a host tells nothing. */
 const NOTICEABLE = 0.005;
 
+/**
+ * How much weights that an earlier scheduling node learned count here, in squares of a host's
+ * part: as much as twenty samples of an image that used a fourteenth of a host.
+ */
+const KNOWN_BEFORE = 0.1;
+
+/** By serving image, the weights of filling images. */
+export type PressWeights = Readonly<Record<string, Readonly<Record<string, number>>>>;
+
 /** One measured tail and what filled the same worker at that time. */
 export interface TailSample {
   readonly image: string;
@@ -63,6 +72,19 @@
     return Math.max(0, this.#weights[index] ?? 0);
   }
 
+  /** Takes a weight for known until there are enough samples of it. */
+  assume(image: string, weight: number): void {
+    const index = this.#indexOf(image);
+    this.#products[index]![index]! += KNOWN_BEFORE;
+    this.#targets[index]! += KNOWN_BEFORE * weight;
+    this.#unsolved = SOLVE_EVERY;
+  }
+
+  weights(): Record<string, number> {
+    const rounded = (image: string): number => Math.round(this.weightOf(image) * 10) / 10;
+    return Object.fromEntries([...this.#indexes.keys()].map((image) => [image, rounded(image)]));
+  }
+
   #indexOf(image: string): number {
     const known = this.#indexes.get(image);
     if (known !== undefined) return known;
@@ -123,12 +145,20 @@
   readonly #fits = new Map<string, ImageFit>();
 
   learn({ image, slack, parts }: TailSample): void {
-    let fit = this.#fits.get(image);
-    if (!fit) {
-      fit = new ImageFit();
-      this.#fits.set(image, fit);
+    this.#fitOf(image).add(parts, -slack);
+  }
+
+  /** Starts from what an earlier scheduling node has learned. */
+  assume(weights: PressWeights): void {
+    for (const [serving, byFill] of Object.entries(weights)) {
+      for (const [fill, weight] of Object.entries(byFill))
+        this.#fitOf(serving).assume(fill, weight);
     }
-    fit.add(parts, -slack);
+  }
+
+  /** What has been learned so far, for a later scheduling node. */
+  weights(): PressWeights {
+    return Object.fromEntries([...this.#fits].map(([image, fit]) => [image, fit.weights()]));
   }
 
   /** The slack that a whole host of the filling image would take. */
@@ -142,4 +172,12 @@
     for (const [filling, part] of parts) sum += this.weight(serving, filling) * part;
     return sum;
   }
+
+  #fitOf(image: string): ImageFit {
+    const known = this.#fits.get(image);
+    if (known) return known;
+    const fit = new ImageFit();
+    this.#fits.set(image, fit);
+    return fit;
+  }
 }
--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -10,6 +10,7 @@
 import { mustLeave } from './internal/evacuation.js';
 import type { PlacementPolicy } from './internal/placement.js';
 import { MostLeftOver } from './internal/placement.js';
+import type { PressWeights } from './internal/press-model.js';
 import { ReportReader } from './internal/report-reader.js';
 import { boundTasks, findTask, newRun, unlistedEntry } from './internal/runs.js';
 import { TailModel } from './internal/tail-model.js';
@@ -45,6 +46,8 @@
 
   readonly #placer: TaskPlacer;
 
+  readonly #model: TailModel;
+
   constructor(
     timing: SchedulerTiming,
     nowMs: number,
@@ -53,6 +56,7 @@
     placement: PlacementPolicy = new MostLeftOver(model),
   ) {
     this.#state = new ClusterState(timing, nowMs, note);
+    this.#model = model;
     this.#reader = new ReportReader(this.#state, model);
     this.#placer = new TaskPlacer(this.#state, placement);
   }
@@ -65,6 +69,16 @@
     return this.#state.workers;
   }
 
+  /** What was learned of how images press on each other, for a later scheduling node. */
+  get learned(): PressWeights {
+    return this.#model.press.weights();
+  }
+
+  /** Starts from what an earlier scheduling node has learned. */
+  assume(learned: PressWeights): void {
+    this.#model.press.assume(learned);
+  }
+
   setQueues(queues: Iterable<QueuePolicy>): void {
     for (const queue of queues) this.#state.queues.set(queue.name, queue);
   }
--- a/packages/jobs/src/test/tail-model_test.ts
+++ b/packages/jobs/src/test/tail-model_test.ts
@@ -103,3 +103,15 @@
   }
   assert.ok(harness.model.press.weight('web', 'quiet') < 1.5);
 });
+
+test('a later scheduling node starts from what the one before has learned', () => {
+  // The scheduling node dies. The next one knows nothing of the images: it would put the loud one
+  // beside serving tasks with little slack, whose users wait until it has learned once more.
+  const before = twoServing();
+  learnPress(before.harness);
+  const { harness, webs } = twoServing();
+  harness.scheduler.assume(before.harness.scheduler.learned);
+  for (let report = 0; report < 4; report += 1) reportSlack(harness, webs, 1.3);
+  harness.submit(jobSpec([LOUD], { id: '00000000000000a2' }));
+  assert.deepEqual(harness.starts(), []);
+});
--- a/packages/runtime/src/internal/leader-term.ts
+++ b/packages/runtime/src/internal/leader-term.ts
@@ -24,7 +24,15 @@
 import type { LinkListener } from './worker-link.js';
 import { WorkerLink } from './worker-link.js';
 import type { LeaderRecord } from './work-records.js';
-import { cancelKey, encodeLeader, jobKey, leaderKey, progressKey } from './work-records.js';
+import {
+  cancelKey,
+  encodeLeader,
+  encodeLearned,
+  jobKey,
+  leaderKey,
+  learnedKey,
+  progressKey,
+} from './work-records.js';
 import type { StoredJob, WorkChange, WorkTable } from './work-table.js';
 
 /** How often the entries of workers are read, in milliseconds. */
@@ -36,6 +44,9 @@
 /** How often jobs to forget are looked for, in milliseconds. */
 const FORGET_EVERY_MS = 5_000;
 
+/** How often what was learned of images is stored, in milliseconds: it changes over many seconds. */
+const LEARNED_EVERY_MS = 3_000;
+
 /** One term of this node as the one that schedules: from its claim until it is replaced. */
 export class LeaderTerm implements LinkListener {
   readonly #record: LeaderRecord;
@@ -78,6 +89,8 @@
 
   #writtenMs = -Infinity;
 
+  #learnedMs = steadyMs() + LEARNED_EVERY_MS;
+
   #forgetMs = steadyMs() + FORGET_EVERY_MS;
 
   constructor(
@@ -126,6 +139,7 @@
     this.#log.emit('info', 'term-start', { epoch: this.token, jobs: this.#table.jobs.size });
     for (const job of this.#table.jobs.values()) this.#takeOn(job);
     this.#takeQueues();
+    this.#scheduler.assume(this.#table.learned);
     this.#subscriptions.push(
       this.#table.changes$.subscribe((change) => this.#workChanged(change)),
       this.#config.changes$.subscribe(() => this.#takeQueues()),
@@ -203,7 +217,7 @@
       key: progressKey(job.spec.id),
       value: job.encode(),
     }));
-    writes.push(...this.#forgotten());
+    writes.push(...this.#forgotten(), ...this.#learned());
     const isQuiet = steadyMs() - this.#writtenMs >= LEADER_WRITE_MS;
     const resigns = this.#isResigning;
     if (resigns || (writes.length === 0 && isQuiet)) {
@@ -328,6 +342,12 @@
     this.#port.workers.forget(link.address);
   }
 
+  #learned(): KeyedWrite[] {
+    if (steadyMs() < this.#learnedMs) return [];
+    this.#learnedMs = steadyMs() + LEARNED_EVERY_MS;
+    return [{ key: learnedKey(), value: encodeLearned(this.#scheduler.learned) }];
+  }
+
   /** Deletions of the records of jobs whose state may be forgotten. */
   #forgotten(): KeyedWrite[] {
     if (steadyMs() < this.#forgetMs) return [];
--- a/packages/runtime/src/internal/work-records.ts
+++ b/packages/runtime/src/internal/work-records.ts
@@ -1,7 +1,7 @@
-import type { JobSpec } from '@redwingcrank/jobs';
+import type { JobSpec, PressWeights } from '@redwingcrank/jobs';
 
 /** Which kinds of records the work log holds. Their keys are one letter, a slash and the job. */
-export type WorkRecordKind = 'job' | 'progress' | 'cancel' | 'leader';
+export type WorkRecordKind = 'job' | 'progress' | 'cancel' | 'leader' | 'learned';
 
 const LETTERS: Readonly<Record<string, WorkRecordKind>> = {
   j: 'job',
@@ -11,6 +11,8 @@
 
 const LEADER_KEY = 'leader';
 
+const LEARNED_KEY = 'learned';
+
 /** Says which node schedules. */
 export interface LeaderRecord {
   /** The fencing token of its orders, and the epoch of its appends. */
@@ -30,8 +32,11 @@
 
 export const leaderKey = (): string => LEADER_KEY;
 
+export const learnedKey = (): string => LEARNED_KEY;
+
 export function parseKey(key: string): { kind: WorkRecordKind; id: string } | undefined {
   if (key === LEADER_KEY) return { kind: 'leader', id: '' };
+  if (key === LEARNED_KEY) return { kind: 'learned', id: '' };
   const kind = LETTERS[key.charAt(0)];
   if (!kind || key.charAt(1) !== '/') return undefined;
   return { kind, id: key.slice(2) };
@@ -52,3 +57,11 @@
 export function decodeLeader(text: string): LeaderRecord {
   return JSON.parse(text) as LeaderRecord;
 }
+
+export function encodeLearned(weights: PressWeights): string {
+  return JSON.stringify(weights);
+}
+
+export function decodeLearned(text: string): PressWeights {
+  return JSON.parse(text) as PressWeights;
+}
--- a/packages/runtime/src/internal/work-table.ts
+++ b/packages/runtime/src/internal/work-table.ts
@@ -1,9 +1,9 @@
 import { Subject } from 'rxjs';
-import type { JobSpec, JobState } from '@redwingcrank/jobs';
+import type { JobSpec, JobState, PressWeights } from '@redwingcrank/jobs';
 import { JobProgress, isFinal } from '@redwingcrank/jobs';
 import type { KeyedRecord } from '../keyed-log.js';
 import type { LeaderRecord } from './work-records.js';
-import { decodeJob, decodeLeader, parseKey } from './work-records.js';
+import { decodeJob, decodeLeader, decodeLearned, parseKey } from './work-records.js';
 import { steadyMs } from './delay.js';
 
 /** A job as the store has it. */
@@ -34,6 +34,8 @@
 
   #leaderSeenMs = -Infinity;
 
+  #learned: PressWeights = {};
+
   readonly changes$ = new Subject<WorkChange>();
 
   get jobs(): ReadonlyMap<string, StoredJob> {
@@ -49,6 +51,11 @@
     return this.#leaderSeenMs;
   }
 
+  /** What scheduling nodes have learned of how images press on each other. */
+  get learned(): PressWeights {
+    return this.#learned;
+  }
+
   reset(): void {
     this.#jobs.clear();
     this.#early.clear();
@@ -61,6 +68,9 @@
       case 'leader':
         this.#applyLeader(rec.value);
         break;
+      case 'learned':
+        if (rec.value !== undefined) this.#learned = decodeLearned(rec.value);
+        break;
       case 'job':
         this.#applyJob(key.id, rec);
         break;
