A scheduling node that was restarted claims its role back at once

Cause: after all nodes lost power nothing was scheduled for 2.1 s more: every node, also the one that had scheduled, waited until the leader on record had been silent for 1.7 s. Change: a node that finds an earlier life of itself on record knows that it is over, and claims without waiting. The store settles the claim as before. What is left after a loss of power is the start of the processes and the workers' first answers.

--- a/packages/runtime/src/internal/leadership.ts
+++ b/packages/runtime/src/internal/leadership.ts
@@ -110,13 +110,23 @@
     const nowMs = steadyMs();
     if (nowMs - this.#follower.freshMs > MAX_VIEW_AGE_MS) return false;
     const { leader, leaderSeenMs } = this.#table;
-    if (!leader || leader.resigned) return true;
+    if (!leader || leader.resigned || this.#wasLeader(leader)) return true;
     const silentMs = nowMs - Math.max(leaderSeenMs, this.#startedMs);
     return silentMs > LEADER_SILENT_MS + this.#patienceMs;
   }
 
+  /**
+   * The leader on record is an earlier life of this node, so it is certainly over. After all nodes
+   * have lost power at once every other one waits for that leader in vain.
+   */
+  #wasLeader({ node }: LeaderRecord): boolean {
+    return node === this.#settings.node;
+  }
+
   async #claimRole(): Promise<void> {
-    await delay(randomInt(CLAIM_SPREAD_MS), this.#stopping.signal);
+    const { leader } = this.#table;
+    const spreadMs = leader && this.#wasLeader(leader) ? 0 : randomInt(CLAIM_SPREAD_MS);
+    await delay(spreadMs, this.#stopping.signal);
     if (!this.#isRoleFree()) return;
     const before = this.#table.leader;
     const record = {
