--- a/packages/runtime/src/internal/keyed-follower.ts
+++ b/packages/runtime/src/internal/keyed-follower.ts
@@ -46,6 +46,9 @@
 
   readonly messages$ = new Subject<FollowerMessage>();
 
+  /** Tells when reads begin to fail. */
+  readonly lost$ = new Subject<void>();
+
   constructor(source: KeyedLog, log: NodeLog, settings: FollowerSettings) {
     this.#source = source;
     this.#log = log;
@@ -58,6 +61,11 @@
     return this.#freshMs;
   }
 
+  /** Whether the newest read has failed. */
+  get isLost(): boolean {
+    return this.#isLost;
+  }
+
   /** Where the view ends in the log; undefined before it is loaded. */
   get next(): number | undefined {
     return this.#next;
@@ -137,6 +145,7 @@
     this.#isLost = true;
     const reason = err instanceof Error ? err.message : String(err);
     this.#log.emit('warn', 'log-lost', { log: this.#settings.name, reason });
+    this.lost$.next();
   }
 
   #regained(): void {
--- a/packages/runtime/src/job-service.ts
+++ b/packages/runtime/src/job-service.ts
@@ -1,3 +1,5 @@
+import type { Observable } from 'rxjs';
+import { firstValueFrom, from, merge, race, timer } from 'rxjs';
 import type { JobSpec, JobState } from '@redwingcrank/jobs';
 import type { KeyedLog } from './keyed-log.js';
 import type { NodeLog } from './node-log.js';
@@ -36,6 +38,10 @@
   readonly table: WorkTable;
   /** When the view was last known to be complete, on the steady clock. */
   readonly freshMs: number;
+  /** Whether the store cannot be read now. */
+  readonly isLost: boolean;
+  /** Tells when the store can no longer be read. */
+  readonly lost$: Observable<void>;
 }
 
 /** The job interface: what callers may ask of any node. */
@@ -67,8 +73,7 @@
     const known = this.#find(spec.id);
     if (known) return this.#repeated(spec, known);
     const write = { key: jobKey(spec.id), value: encodeJob(spec) };
-    // Without the store nothing can be accepted; the caller had better try another node now.
-    const outcome = !this.#isFresh() ? 'not-run' : await this.#store(write, deadlineMs);
+    const outcome = this.#canStore() ? await this.#store(write, deadlineMs) : 'not-run';
     if (outcome === 'stored' && !this.#view.table.jobs.has(spec.id)) {
       this.#justAccepted.set(spec.id, spec);
     }
@@ -112,6 +117,15 @@
     return this.#view.table.jobs.get(id)?.spec ?? this.#justAccepted.get(id);
   }
 
+  /**
+   * Without the store nothing can be accepted, and the caller had better try another node now. A
+   * record that was sent in vain may still be stored, so its caller could not be told that the job
+   * has not run: nothing is sent from the first failed read until one succeeds.
+   */
+  #canStore(): boolean {
+    return !this.#view.isLost && this.#isFresh();
+  }
+
   #isFresh(): boolean {
     return steadyMs() - this.#view.freshMs < MAX_VIEW_AGE_MS;
   }
@@ -135,14 +149,13 @@
   ): Promise<'stored' | 'not-run' | 'unknown'> {
     let mayBeStored = false;
     while (steadyMs() < deadlineMs) {
-      const rest = new AbortController();
-      const result = await Promise.race([
-        this.#batcher.append(write),
-        delay(deadlineMs - steadyMs(), rest.signal).then(() => undefined),
-      ]);
-      rest.abort();
-      if (result?.outcome === 'appended') return 'stored';
-      if (result?.outcome === 'refused') return mayBeStored ? 'unknown' : 'not-run';
+      // Once the store is lost, waiting on would only keep the caller from asking another node.
+      const givenUp = merge(this.#view.lost$, timer(deadlineMs - steadyMs()));
+      const result = await firstValueFrom(race(from(this.#batcher.append(write)), givenUp));
+      if (typeof result !== 'object') return 'unknown';
+      if (result.outcome === 'appended') return 'stored';
+      if (result.outcome === 'refused') return mayBeStored ? 'unknown' : 'not-run';
+      if (this.#view.isLost) return 'unknown';
       mayBeStored = true;
       await delay(REPEAT_MS, new AbortController().signal);
     }
--- a/packages/runtime/src/node.ts
+++ b/packages/runtime/src/node.ts
@@ -58,6 +58,10 @@
       get freshMs() {
         return follower.freshMs;
       },
+      get isLost() {
+        return follower.isLost;
+      },
+      lost$: follower.lost$,
     };
     this.jobs = new JobService(view, port.workLog, log);
   }
