A completed job ends with a line in the log

Cause: jobs that failed or were cancelled ended with job-ended, completed ones with nothing, so that a late one could not be told from its lines alone. Change: the same event. Measured: tests of jobs pass; no decision changes.

--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -155,8 +155,7 @@
     this.#openDue(timeOfDayMs);
     this.#placer.placeAll(nowMs);
     this.#stopUnwanted(nowMs);
-    for (const job of this.#state.changed)
-      if (!isFinal(job.state)) job.closeOccurrences(timeOfDayMs);
+    this.#closeCompleted(timeOfDayMs);
     const decisions = {
       changed: [...this.#state.changed],
       orders: this.#state.orders,
@@ -234,6 +233,17 @@
     }
   }
 
+  #closeCompleted(timeOfDayMs: number): void {
+    for (const job of this.#state.changed) {
+      if (!isFinal(job.state)) {
+        job.closeOccurrences(timeOfDayMs);
+        if (isFinal(job.state)) {
+          this.#state.note('job-ended', { job: job.spec.id, state: job.state });
+        }
+      }
+    }
+  }
+
   #openDue(timeOfDayMs: number): void {
     for (const job of this.#state.jobs.values()) {
       const isOpen = !isFinal(job.state) && job.nextOccurrence < job.occurrenceCount;
