A node that starts keeps callers for a moment instead of sending them away

Change: calls wait, half a second at most, until configuration and jobs are read once. An empty read now counts as fresh until the end of its wait.

--- a/packages/runtime/src/internal/keyed-follower.ts
+++ b/packages/runtime/src/internal/keyed-follower.ts
@@ -61,6 +61,11 @@
     return this.#freshMs;
   }
 
+  /** Whether the log has been read to its end at least once. */
+  get isLoaded(): boolean {
+    return this.#freshMs > -Infinity;
+  }
+
   /** Whether the newest read has failed. */
   get isLost(): boolean {
     return this.#isLost;
@@ -131,7 +136,9 @@
     this.#tell(records);
     this.#next = next;
     if (next >= end) {
-      this.#freshMs = Math.max(this.#freshMs, askedMs);
+      // An empty answer comes after the whole wait, and says that nothing came until then.
+      const knownMs = records.length > 0 ? askedMs : askedMs + this.#settings.waitMs;
+      this.#freshMs = Math.max(this.#freshMs, Math.min(knownMs, steadyMs()));
       this.messages$.next({ kind: 'caught-up' });
     }
   }
--- a/packages/runtime/src/node.ts
+++ b/packages/runtime/src/node.ts
@@ -8,7 +8,7 @@
 import type { NodeLog } from './node-log.js';
 import type { NodeSettings } from './node-settings.js';
 import type { PlatformPort } from './platform-port.js';
-import { steadyMs } from './internal/delay.js';
+import { delay, steadyMs } from './internal/delay.js';
 
 /** How long a read of the work log waits at the store, in milliseconds. */
 const READ_WAIT_MS = 400;
@@ -16,6 +16,11 @@
 /** A node whose view is older than this had better get no new callers, in milliseconds. */
 const READY_VIEW_AGE_MS = 1_500;
 
+/** A starting node keeps callers waiting for so long at most, in milliseconds. */
+const LOAD_WAIT_MS = 500;
+
+const LOAD_LOOK_MS = 10;
+
 /** One node of the system: takes jobs, answers for them, and schedules when the role falls to it. */
 export class Node {
   readonly #log: NodeLog;
@@ -78,6 +83,18 @@
     return !this.#isStopping && isFresh && this.#config.current !== undefined;
   }
 
+  /**
+   * Waits, for a moment at most, until the node has read what it needs to answer callers. A caller
+   * who comes while it starts would else be sent away for a second, for want of some milliseconds.
+   */
+  async whenLoaded(): Promise<void> {
+    const { follower } = this.#config;
+    const endMs = steadyMs() + LOAD_WAIT_MS;
+    while (steadyMs() < endMs && !(this.#follower.isLoaded && follower.isLoaded)) {
+      await delay(LOAD_LOOK_MS, new AbortController().signal);
+    }
+  }
+
   get hasConfig(): boolean {
     return this.#config.current !== undefined;
   }
