Leases of an earlier scheduling node are waited for from its last record on

Cause: a new scheduling node that cannot ask a worker waited for nine seconds from its own start, though the one before had written nothing for over a second then. And after two changes in a row, the second one by a resignation, it waited too short for leases that the first may still have renewed. Change: each node keeps until when earlier scheduling nodes may have renewed, from the time at which their newest records were read; leases end that much and one lease later. The case of two changes has no test: found by reading.

--- a/packages/runtime/src/internal/leader-term.ts
+++ b/packages/runtime/src/internal/leader-term.ts
@@ -101,7 +101,6 @@
     log: NodeLog,
     table: WorkTable,
     config: ConfigWatch,
-    hasResigned: boolean,
   ) {
     this.#record = record;
     this.#port = port;
@@ -120,8 +119,7 @@
     this.#scheduler = new Scheduler(
       {
         leaseMs,
-        // A leader that has resigned renews no lease after that.
-        inheritedLeaseMs: (hasResigned ? 0 : UNCONFIRMED_MS) + leaseMs,
+        inheritedLeaseMs: Math.max(0, table.formerRenewalsEndMs + leaseMs - steadyMs()),
         standstillMs: STANDSTILL_MS,
         stopAgainMs: STOP_AGAIN_MS,
       },
--- a/packages/runtime/src/internal/leadership.ts
+++ b/packages/runtime/src/internal/leadership.ts
@@ -42,8 +42,6 @@
 interface Claim {
   readonly record: LeaderRecord;
   readonly sequence: number;
-  /** The leader before had given the role up. */
-  readonly hasResigned: boolean;
 }
 
 /**
@@ -149,7 +147,7 @@
       resigned: false,
     };
     const sequence = randomInt(MAX_FIRST_SEQUENCE);
-    this.#claims.set(record.nonce, { record, sequence, hasResigned: before?.resigned ?? true });
+    this.#claims.set(record.nonce, { record, sequence });
     const write = { key: leaderKey(), value: encodeLeader(record) };
     const stamp = { writer: LEADER_WRITER, epoch: record.epoch, sequence };
     const result = await this.#port.workLog.append([write], { stamp });
@@ -175,7 +173,6 @@
       this.#log,
       this.#table,
       this.#config,
-      claim.hasResigned,
     );
     this.#term = term;
     this.#follower.setGap(LEADER_GAP_MS);
--- a/packages/runtime/src/internal/work-table.ts
+++ b/packages/runtime/src/internal/work-table.ts
@@ -5,6 +5,7 @@
 import type { LeaderRecord } from './work-records.js';
 import { decodeJob, decodeLeader, decodeLearned, parseKey } from './work-records.js';
 import { steadyMs } from './delay.js';
+import { UNCONFIRMED_MS } from './timing.js';
 
 /** A job as the store has it. */
 export interface StoredJob {
@@ -37,6 +38,8 @@
 
   #leaderSeenMs = -Infinity;
 
+  #formerRenewalsEndMs = -Infinity;
+
   #leaderGapMs = 0;
 
   #learned: PressWeights = {};
@@ -56,6 +59,15 @@
     return this.#leaderSeenMs;
   }
 
+  /**
+   * Until when, on the steady clock, the scheduling nodes before the present one may have renewed
+   * leases. Each renews none later than `UNCONFIRMED_MS` after it sent its newest record, and none
+   * after it has resigned; that record was read later than it was sent.
+   */
+  get formerRenewalsEndMs(): number {
+    return this.#formerRenewalsEndMs;
+  }
+
   /** How far apart the scheduling node's records were lately, at most, in milliseconds. */
   get leaderGapMs(): number {
     return this.#leaderGapMs;
@@ -103,12 +115,22 @@
     const leader = decodeLeader(value);
     // The silence before a new leader's first record says nothing about the store.
     if (leader.epoch === this.#leader?.epoch) this.#sawLeader();
-    else this.#leaderSeenMs = steadyMs();
+    else this.#leaderChanged();
     if (this.#leader && leader.epoch < this.#leader.epoch) return;
     this.#leader = leader;
     this.changes$.next({ kind: 'leader', leader });
   }
 
+  #leaderChanged(): void {
+    const nowMs = steadyMs();
+    const hasResigned = this.#leader?.resigned ?? false;
+    // Of leaders before the first one that was read nothing is known, but that they are replaced.
+    const seenMs = this.#leader ? this.#leaderSeenMs : nowMs;
+    const endMs = seenMs + (hasResigned ? 0 : UNCONFIRMED_MS);
+    this.#formerRenewalsEndMs = Math.max(this.#formerRenewalsEndMs, endMs);
+    this.#leaderSeenMs = nowMs;
+  }
+
   #sawLeader(): void {
     const nowMs = steadyMs();
     const gapMs = this.#leaderSeenMs > 0 ? nowMs - this.#leaderSeenMs : 0;
