A node that cannot read the store is not ready at once; stops of tasks have an event of their own

Cause: a node that the store turns away refuses every job and was still named ready for 1.5 s. In the log a stop of a task and the stop of the process were both "stop".

--- a/packages/jobs/src/internal/cluster-state.ts
+++ b/packages/jobs/src/internal/cluster-state.ts
@@ -86,6 +86,6 @@
   stopRun(worker: WorkerState, run: WorkerRun, nowMs: number): void {
     run.stopSentMs = nowMs;
     this.orders.push({ kind: 'stop', worker: worker.entry.id, task: run.ref, run: run.run });
-    this.note('stop', { task: taskName(run.ref), run: run.run, worker: worker.entry.id });
+    this.note('task-stop', { task: taskName(run.ref), run: run.run, worker: worker.entry.id });
   }
 }
--- a/packages/runtime/src/node.ts
+++ b/packages/runtime/src/node.ts
@@ -79,8 +79,10 @@
 
   /** Whether new callers should be sent here. */
   get isReady(): boolean {
-    const isFresh = steadyMs() - this.#follower.freshMs < READY_VIEW_AGE_MS;
-    return !this.#isStopping && isFresh && this.#config.current !== undefined;
+    if (this.#isStopping || this.#config.current === undefined) return false;
+    // It takes no job until a read succeeds again, so new callers had better go elsewhere.
+    if (this.#follower.isLost) return false;
+    return steadyMs() - this.#follower.freshMs < READY_VIEW_AGE_MS;
   }
 
   /**
