A node that was replaced before it read its own claim schedules nothing

Cause, found by reading: a node frozen after its claim may read it together with the claim that replaced it; its term then began after that news had passed, and it renewed leases for three seconds from then, while the later leader counts them from the older record. Change: a term looks at the newest leader when it begins; a claim counts as confirmed from when it was sent. Measured: leader-term_test, first case fails without the look (a leader's record is written), second states the reckoning; tests of runtime and platform pass.

--- a/packages/runtime/src/internal/leader-term.ts
+++ b/packages/runtime/src/internal/leader-term.ts
@@ -8,6 +8,7 @@
 import { delay, steadyMs } from './delay.js';
 import type { FollowerMessage } from './keyed-follower.js';
 import { KeyedFollower } from './keyed-follower.js';
+import type { StoredClaim } from './leader-writer.js';
 import { LeaderWriter } from './leader-writer.js';
 import {
   CLOCK_MARGIN_MS,
@@ -95,7 +96,7 @@
 
   constructor(
     record: LeaderRecord,
-    claimSequence: number,
+    claim: StoredClaim,
     port: PlatformPort,
     settings: NodeSettings,
     log: NodeLog,
@@ -108,7 +109,7 @@
     this.#log = log;
     this.#table = table;
     this.#config = config;
-    this.#writer = new LeaderWriter(port.workLog, log, record.epoch, claimSequence);
+    this.#writer = new LeaderWriter(port.workLog, log, claim);
     this.#workerList = new KeyedFollower(port.workerLog, log, {
       name: 'workers',
       waitMs: 1_000,
@@ -134,6 +135,9 @@
 
   /** Schedules until another node has taken over or `stop` is called. */
   async run(): Promise<void> {
+    // A node that was frozen may read its own claim together with the one that has replaced it.
+    const { leader } = this.#table;
+    if (leader && leader.epoch > this.token) this.fenced('', 'replaced-before-start');
     this.#log.emit('info', 'term-start', { epoch: this.token, jobs: this.#table.jobs.size });
     for (const job of this.#table.jobs.values()) this.#takeOn(job);
     this.#takeQueues();
--- a/packages/runtime/src/internal/leader-writer.ts
+++ b/packages/runtime/src/internal/leader-writer.ts
@@ -11,6 +11,14 @@
 /** Bytes in one append at most, well under what the store takes in one call. */
 const MAX_BYTES = 512 * 1024;
 
+/** The append with which the scheduling node has taken its role. */
+export interface StoredClaim {
+  readonly epoch: number;
+  readonly sequence: number;
+  /** When it was sent, on the steady clock: it may have been stored, and read, much later. */
+  readonly sentMs: number;
+}
+
 /**
  * Appends as the scheduling node of one epoch. An append without an answer is repeated with its
  * own sequence number until the store says what became of it, so none is stored twice and none is
@@ -29,12 +37,12 @@
 
   readonly #stopping = new AbortController();
 
-  constructor(target: KeyedLog, log: NodeLog, epoch: number, claimSequence: number) {
+  constructor(target: KeyedLog, log: NodeLog, { epoch, sequence, sentMs }: StoredClaim) {
     this.#target = target;
     this.#log = log;
     this.#epoch = epoch;
-    this.#sequence = claimSequence;
-    this.#confirmedMs = steadyMs();
+    this.#sequence = sequence;
+    this.#confirmedMs = sentMs;
   }
 
   /** When the newest append was sent that the store has confirmed, on the steady clock. */
--- a/packages/runtime/src/internal/leadership.ts
+++ b/packages/runtime/src/internal/leadership.ts
@@ -5,6 +5,7 @@
 import type { ConfigWatch } from './config-watch.js';
 import { delay, steadyMs } from './delay.js';
 import type { KeyedFollower } from './keyed-follower.js';
+import type { StoredClaim } from './leader-writer.js';
 import { LEADER_WRITER } from './leader-writer.js';
 import { LeaderTerm } from './leader-term.js';
 import { CLAIM_SPREAD_MS, LEADER_SILENT_MS, SLOW_LEADER_SILENT_MS } from './timing.js';
@@ -39,9 +40,8 @@
 const MAX_FIRST_SEQUENCE = 1_000_000_000;
 
 /** A claim that was sent, until the work log shows who got the role. */
-interface Claim {
+interface Claim extends StoredClaim {
   readonly record: LeaderRecord;
-  readonly sequence: number;
 }
 
 /**
@@ -147,7 +147,7 @@
       resigned: false,
     };
     const sequence = randomInt(MAX_FIRST_SEQUENCE);
-    this.#claims.set(record.nonce, { record, sequence });
+    this.#claims.set(record.nonce, { record, epoch: record.epoch, sequence, sentMs: steadyMs() });
     const write = { key: leaderKey(), value: encodeLeader(record) };
     const stamp = { writer: LEADER_WRITER, epoch: record.epoch, sequence };
     const result = await this.#port.workLog.append([write], { stamp });
@@ -167,7 +167,7 @@
     this.#claims.clear();
     const term = new LeaderTerm(
       leader,
-      claim.sequence,
+      claim,
       this.#port,
       this.#settings,
       this.#log,
--- /dev/null
+++ b/packages/runtime/src/test/leader-term_test.ts
@@ -0,0 +1,98 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { AppendResult, KeyedWrite, NewestPage, ReadResult } from '../keyed-log.js';
+import { KeyedLog } from '../keyed-log.js';
+import { NodeLog } from '../node-log.js';
+import type { PlatformPort } from '../platform-port.js';
+import type { OrderResult, RenewResult } from '../task-workers.js';
+import { TaskWorkers } from '../task-workers.js';
+import { ConfigWatch } from '../internal/config-watch.js';
+import { LeaderTerm } from '../internal/leader-term.js';
+import { LeaderWriter } from '../internal/leader-writer.js';
+import { steadyMs } from '../internal/delay.js';
+import type { LeaderRecord } from '../internal/work-records.js';
+import { encodeLeader, leaderKey } from '../internal/work-records.js';
+import { WorkTable } from '../internal/work-table.js';
+
+/** A log that takes every append and has nothing to read. */
+class EmptyLog extends KeyedLog {
+  readonly writes: KeyedWrite[] = [];
+
+  override async append(records: readonly KeyedWrite[]): Promise<AppendResult> {
+    this.writes.push(...records);
+    return { outcome: 'appended', reason: '' };
+  }
+
+  override read(): Promise<ReadResult> {
+    return new Promise(() => {});
+  }
+
+  override async newest(): Promise<NewestPage> {
+    return { records: [], hasMore: false, end: 0 };
+  }
+}
+
+class NoWorkers extends TaskWorkers {
+  override async renew(): Promise<RenewResult> {
+    return { outcome: 'unknown', reason: 'no workers here' };
+  }
+
+  override async order(): Promise<OrderResult> {
+    return { outcome: 'unknown', reason: 'no workers here' };
+  }
+
+  override forget(): void {}
+}
+
+const SETTINGS = {
+  node: 'n1',
+  dataCentre: 'a',
+  maxLeaseMs: 6_000,
+  stopTimeoutMs: 500,
+  keepStateMs: 120_000,
+  graceMs: 6_000,
+};
+
+const LOG = new NodeLog('n1', 'silent');
+
+function leaderRecord(epoch: number, node: string): LeaderRecord {
+  return { epoch, node, nonce: `${epoch}`, resigned: false };
+}
+
+test('a node that reads its claim together with the one that replaced it schedules nothing', async () => {
+  // The node was frozen just after its claim was stored. When it goes on, it reads its own claim
+  // and that of the node which has replaced it in one answer. Scheduling for a moment would renew
+  // leases that the other one, which counts them from an earlier time, takes to be over soon.
+  const workLog = new EmptyLog();
+  const port: PlatformPort = {
+    workLog,
+    workerLog: new EmptyLog(),
+    operatorLog: new EmptyLog(),
+    workers: new NoWorkers(),
+    workerIdOf: () => undefined,
+    decodeWorker: () => {
+      throw new Error('no workers here');
+    },
+    decodeConfig: () => undefined,
+  };
+  const table = new WorkTable();
+  const own = leaderRecord(1, 'n1');
+  for (const leader of [own, leaderRecord(2, 'n2')]) {
+    table.apply({ key: leaderKey(), value: encodeLeader(leader) });
+  }
+  const claim = { epoch: 1, sequence: 7, sentMs: steadyMs() };
+  const config = new ConfigWatch(port, LOG);
+  const term = new LeaderTerm(own, claim, port, SETTINGS, LOG, table, config);
+  const late = setTimeout(() => term.stop(), 1_000);
+  await term.run();
+  clearTimeout(late);
+  assert.deepEqual(workLog.writes, []);
+});
+
+test('a claim counts as confirmed from when it was sent', () => {
+  // The store carried the claim out seconds after it was sent. Counted from when it was read, the
+  // node would renew leases for longer than a later one, which counts from the record, waits.
+  const sentMs = steadyMs() - 5_000;
+  const writer = new LeaderWriter(new EmptyLog(), LOG, { epoch: 1, sequence: 7, sentMs });
+  assert.equal(writer.confirmedMs, sentMs);
+});
