Press of filling images reckoned once, and the share for unknown causes named

Cause, read once more: placing and pacing each worked out how much the filling images of a worker claim; a half speed stood in the code without a name or a reason; a weight of one weighed nothing. Change: claimedParts beside fillParts for both; UNKNOWN_CAUSE_SHARE; the weight is gone. No decision changes.

--- a/packages/jobs/src/internal/fill-parts.ts
+++ b/packages/jobs/src/internal/fill-parts.ts
@@ -11,3 +11,11 @@
   }
   return parts;
 }
+
+/** By filling image: the part of the worker's processors that its runs here may use. */
+export function claimedParts(worker: WorkerState): Map<string, number> {
+  const { cpuMilli } = worker.entry.capacity;
+  const parts = new Map<string, number>();
+  for (const [image, claimed] of worker.claimedFills()) parts.set(image, claimed / cpuMilli);
+  return parts;
+}
--- a/packages/jobs/src/internal/pacing.ts
+++ b/packages/jobs/src/internal/pacing.ts
@@ -1,3 +1,4 @@
+import { claimedParts } from './fill-parts.js';
 import type { TailModel } from './tail-model.js';
 import { hasTail } from './tail-model.js';
 import type { WorkerRun, WorkerState } from './worker-state.js';
@@ -27,6 +28,13 @@
 /** A filling image that takes less slack than this is not to blame for a tail. */
 const BLAME = 0.1;
 
+/**
+ * The share of their speed that filling tasks keep beside a missed target with no known cause. It
+ * may be the serving task's own load, and then a halt would help nobody; where it is not, the halt
+ * after `HALT_MS` follows.
+ */
+const UNKNOWN_CAUSE_SHARE = 0.5;
+
 /**
  * A target missed for so long halts every filling task beside it, in ms: the causes that are
  * known were halted before and did not suffice, and users notice a few seconds.
@@ -90,9 +98,8 @@
     const full = presses.reduce((sum, { press }) => sum + press, 0);
     const share = (model.ownSlack(run, worker, nowMs) - PACING_SLACK) / full;
     for (const { fill } of presses) limit(fill, Math.max(0, share));
-    // Without a known cause, a tail just over its target may be its own load's doing.
     if (presses.length === 0 && ratioOf(run) > 1) {
-      for (const fill of worker.claimedFills().keys()) limit(fill, 0.5);
+      for (const fill of worker.claimedFills().keys()) limit(fill, UNKNOWN_CAUSE_SHARE);
     }
   }
   return limits;
@@ -105,12 +112,8 @@
 }
 
 function pressesOn(image: string, worker: WorkerState, model: TailModel): Press[] {
-  const { cpuMilli } = worker.entry.capacity;
-  return [...worker.claimedFills()]
-    .map(([fill, claimed]) => ({
-      fill,
-      press: (model.press.weight(image, fill) * claimed) / cpuMilli,
-    }))
+  return [...claimedParts(worker)]
+    .map(([fill, part]) => ({ fill, press: model.press.weight(image, fill) * part }))
     .filter(({ press }) => press > BLAME);
 }
 
--- a/packages/jobs/src/internal/placement.ts
+++ b/packages/jobs/src/internal/placement.ts
@@ -69,9 +69,6 @@
 /** What company of each other image costs it. */
 const OTHER_IMAGE_COST = 3_000;
 
-/** What room beside serving tasks is worth: one unit of slack is worth a whole empty worker. */
-const TAIL_ROOM_WEIGHT = 1;
-
 /**
  * Puts each task where the most is left over; serving tasks beside others of their image, so that
  * few workers are closed to any one filling image; and filling tasks only where the tails of the
@@ -101,7 +98,8 @@
     if (left < spec.cpuMilli) return -Infinity;
     const room = this.#rooms.roomBeside(spec, worker, nowMs);
     if (room < 0) return -Infinity;
-    return left + Math.min(1, room) * TAIL_ROOM_WEIGHT * cpuMilli;
+    // One unit of slack to spare is worth as much as a whole empty worker, and more is no use.
+    return left + Math.min(1, room) * cpuMilli;
   }
 }
 
--- a/packages/jobs/src/internal/tail-room.ts
+++ b/packages/jobs/src/internal/tail-room.ts
@@ -1,4 +1,5 @@
 import type { StepSpec } from '../job.js';
+import { claimedParts } from './fill-parts.js';
 import type { TailModel } from './tail-model.js';
 import type { WorkerState } from './worker-state.js';
 
@@ -68,11 +69,3 @@
     return rooms;
   }
 }
-
-/** By filling image: the part of the worker's processors that its runs here may use. */
-function claimedParts(worker: WorkerState): Map<string, number> {
-  const { cpuMilli } = worker.entry.capacity;
-  const parts = new Map<string, number>();
-  for (const [image, claimed] of worker.claimedFills()) parts.set(image, claimed / cpuMilli);
-  return parts;
-}
