A task whose start was answered leaves a draining worker without waiting for the worker's next list

Cause: only runs that a list had named were stopped on a worker that leaves. The list after a start may be two seconds away, as long as a worker says ahead that it leaves; what was started in that time stayed there. Change: an answered start counts as seen. Measured: the new case of leaving-workers_test fails before and passes after.

--- a/packages/jobs/src/internal/worker-state.ts
+++ b/packages/jobs/src/internal/worker-state.ts
@@ -14,6 +14,7 @@
    * Infinite while the start is on its way.
    */
   settledMs: number;
+  /** The worker has said that the run is there, or was. */
   seen: boolean;
   /** When the newest stop was sent; 0 before the first. */
   stopSentMs: number;
--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -210,6 +210,8 @@
     const key = taskName(order.task);
     const run = worker.runs.get(key);
     if (!run || run.run !== order.run) return;
+    // Its next list may be two seconds away, and it may say before that it leaves.
+    if (outcome === 'done') run.seen = true;
     // A run that is over there may have ended well: only the worker's lists can tell.
     if (outcome === 'done' || outcome === 'unknown' || outcome === 'superseded') {
       run.settledMs = settledMs;
--- a/packages/jobs/src/test/leaving-workers_test.ts
+++ b/packages/jobs/src/test/leaving-workers_test.ts
@@ -43,6 +43,18 @@
   assert.equal(harness.starts()[0]?.worker, 'w2');
 });
 
+test('a lasting task leaves a draining worker also where no list has named it yet', () => {
+  // A task has just been started; its worker's next list may be two seconds away. Before that the
+  // worker says that it drains. Waiting for the list would leave the task there until it is gone.
+  const harness = new SchedulerHarness([workerEntry('w1')]);
+  harness.submit(jobSpec([LASTING]));
+  const [start] = harness.starts();
+  harness.answer(start!, 'done');
+  const entry = workerEntry('w1', { draining: true, remainingMs: 2_000 });
+  harness.scheduler.listWorker(entry, harness.nowMs);
+  assert.equal(harness.stops()[0]?.run, start!.run);
+});
+
 test('a worker that is not listed and cannot be reached keeps its tasks until its leases are over', () => {
   // A cut may refuse connections and let the worker's entry lapse while its tasks run on: what
   // looks like a worker that has left is none. Only its leases end them for certain.
