Stops and changes of pace are sent at once, not after the append of their round

Cause: every order waited for the append of the round that had decided it. With a store that loses answers a round takes 0.7 s or more, and nothing is decided meanwhile: a worker that says two seconds ahead that it leaves was gone before its lasting tasks were told to stop, and they were away until its leases were surely over. Change: stops and paces, which need nothing stored, are sent before the append; while it is under way those that fall due are looked for every 100 ms.

--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -24,7 +24,7 @@
 
 /** What a round of decisions came to. */
 export interface Decisions {
-  /** Jobs whose progress must be stored before any of the orders is sent. */
+  /** Jobs whose progress must be stored before any of the starts is sent. */
   readonly changed: readonly JobProgress[];
   readonly orders: readonly Order[];
   /** By worker: ends that may be acknowledged once the changes are stored. */
@@ -148,7 +148,22 @@
     if (order.kind === 'start') this.#startAnswered(worker, order, outcome, nowMs, settledMs);
   }
 
-  /** Everything that follows from what was handed in since the last call. */
+  /**
+   * Stops, and changes of pace, that are due. They need nothing stored: the binding stays on record
+   * until the worker lists the end. A caller sends them at once, also while an append is under way:
+   * left to wait for its answer, they come too late for a worker that leaves.
+   */
+  decideStops(nowMs: number): Order[] {
+    this.#stopUnwanted(nowMs);
+    const { orders } = this.#state;
+    this.#state.orders = [];
+    return orders;
+  }
+
+  /**
+   * Everything that follows from what was handed in since the last call. The stops among the orders
+   * need not wait for the changes to be stored.
+   */
   decide(nowMs: number, timeOfDayMs: number): Decisions {
     this.#state.timeOfDayMs = timeOfDayMs;
     this.#expireSilent(nowMs);
--- a/packages/runtime/src/internal/leader-term.ts
+++ b/packages/runtime/src/internal/leader-term.ts
@@ -19,6 +19,7 @@
   ROUND_MS,
   STANDSTILL_MS,
   STOP_AGAIN_MS,
+  STOP_LOOK_MS,
   UNCONFIRMED_MS,
 } from './timing.js';
 import type { ConfigWatch } from './config-watch.js';
@@ -226,9 +227,10 @@
       const value = encodeLeader({ ...this.#record, resigned: resigns });
       writes.push({ key: leaderKey(), value });
     }
+    const starts = this.#sendStops(decisions.orders);
     if (writes.length > 0) {
       const sentMs = steadyMs();
-      if (!(await this.#writer.write(writes))) {
+      if (!(await this.#write(writes))) {
         this.stop();
         return;
       }
@@ -241,7 +243,40 @@
     }
     this.#scheduler.acknowledge(decisions.acks);
     for (const id of decisions.acks.keys()) this.#links.get(id)?.acknowledged();
-    for (const order of decisions.orders) this.#send(order);
+    for (const order of starts) this.#send(order);
+  }
+
+  /**
+   * Stores the records; stops that fall due meanwhile are sent. With a store that loses answers an
+   * append takes seconds, and a worker that has said that it leaves is gone by then, together with
+   * the lasting tasks that nobody stopped there.
+   */
+  async #write(writes: readonly KeyedWrite[]): Promise<boolean> {
+    const over = new AbortController();
+    const looking = this.#sendStopsUntil(AbortSignal.any([over.signal, this.#stopping.signal]));
+    try {
+      return await this.#writer.write(writes);
+    } finally {
+      over.abort();
+      await looking;
+    }
+  }
+
+  async #sendStopsUntil(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      await delay(STOP_LOOK_MS, signal);
+      if (!signal.aborted) this.#sendStops(this.#scheduler.decideStops(steadyMs()));
+    }
+  }
+
+  /** Sends all orders but the starts, and returns those: they wait for what is stored first. */
+  #sendStops(orders: readonly Order[]): Order[] {
+    const starts: Order[] = [];
+    for (const order of orders) {
+      if (order.kind === 'start') starts.push(order);
+      else this.#send(order);
+    }
+    return starts;
   }
 
   #waitMs(): number {
--- a/packages/runtime/src/internal/timing.ts
+++ b/packages/runtime/src/internal/timing.ts
@@ -66,6 +66,12 @@
 /** A stop whose run is still listed after so long is sent again. */
 export const STOP_AGAIN_MS = 1_200;
 
+/**
+ * While an append is under way, stops that fall due are looked for so often. An append usually takes
+ * 10 ms, so this costs nothing but where its answer is late or lost.
+ */
+export const STOP_LOOK_MS = 100;
+
 /** The latest that the scheduling node looks at everything again without being told to. */
 export const ROUND_MS = 250;
 
