A worker that did not answer is asked again without a lease

Cause: for two seconds after a worker's last answer every renewal offered it a new lease, also those that were refused within milliseconds. A lease that is offered counts as given, so what ran on a worker that was gone waited up to two seconds longer than any lease there could last. Change: the renewal after an unanswered one only looks; the one after an answer offers a lease again. Measured: worker-link_test fails before and passes after.

--- a/packages/runtime/src/internal/timing.ts
+++ b/packages/runtime/src/internal/timing.ts
@@ -42,9 +42,6 @@
  */
 export const UNCONFIRMED_MS = 3_000;
 
-/** A worker that has not answered for so long gets its leases renewed no more. */
-export const STOP_RENEWING_MS = 2_000;
-
 /** A start that has not reached its worker within this time takes no effect there any more. */
 export const START_WINDOW_MS = 1_500;
 
--- a/packages/runtime/src/internal/worker-link.ts
+++ b/packages/runtime/src/internal/worker-link.ts
@@ -11,7 +11,6 @@
   RENEW_WAIT_MS,
   START_ATTEMPTS,
   START_WINDOW_MS,
-  STOP_RENEWING_MS,
 } from './timing.js';
 
 /** What a link tells the scheduling node. */
@@ -57,8 +56,6 @@
 
   #clock: ClockReading | undefined;
 
-  #answeredMs = steadyMs();
-
   #isLost = false;
 
   #acked = new AbortController();
@@ -150,8 +147,9 @@
 
   async #renew(): Promise<void> {
     const askedMs = steadyMs();
-    const isSilent = askedMs - this.#answeredMs > STOP_RENEWING_MS;
-    const extend = this.#clock !== undefined && !isSilent && this.#listener.mayRenew();
+    // A lease that is offered counts as given. Offered again and again to a worker that is gone, it
+    // would hold back for seconds what ran there; one look without a lease tells whether it lives.
+    const extend = this.#clock !== undefined && !this.#isLost && this.#listener.mayRenew();
     const req = {
       token: this.#listener.token,
       ackedEnd: this.#listener.ackedEnd(this.id),
@@ -203,7 +201,6 @@
   }
 
   #found(): void {
-    this.#answeredMs = steadyMs();
     if (!this.#isLost) return;
     this.#isLost = false;
     this.#log.emit('info', 'worker-regained', { worker: this.id });
--- /dev/null
+++ b/packages/runtime/src/test/worker-link_test.ts
@@ -0,0 +1,81 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { WorkerEntry } from '@redwingcrank/jobs';
+import { NodeLog } from '../node-log.js';
+import type { OrderResult, RenewRequest, RenewResult } from '../task-workers.js';
+import { TaskWorkers } from '../task-workers.js';
+import { delay } from '../internal/delay.js';
+import type { LinkListener } from '../internal/worker-link.js';
+import { WorkerLink } from '../internal/worker-link.js';
+
+const LEASE_MS = 6_000;
+
+const ENTRY: WorkerEntry = {
+  id: 'w1',
+  address: 'w1.example:1',
+  pool: 'pool',
+  dataCentre: 'a',
+  draining: false,
+  remainingMs: 0,
+  capacity: { cpuMilli: 8_000, memMb: 16_000, gpus: 0 },
+  labels: [],
+};
+
+/** A worker that answers at once, until it is gone. */
+class OneWorker extends TaskWorkers {
+  isGone = false;
+
+  readonly renewals: RenewRequest[] = [];
+
+  override async renew(_worker: unknown, req: RenewRequest): Promise<RenewResult> {
+    this.renewals.push(req);
+    await delay(10, new AbortController().signal);
+    if (this.isGone) return { outcome: 'unknown', reason: 'ECONNREFUSED' };
+    return { outcome: 'done', report: { clockMs: performance.now(), running: [], ended: [] } };
+  }
+
+  override async order(): Promise<OrderResult> {
+    return { outcome: 'unknown', reason: '' };
+  }
+
+  override forget(): void {}
+}
+
+function listener(leases: number[]): LinkListener {
+  return {
+    token: 1,
+    mayRenew: () => true,
+    ackedEnd: () => 0,
+    isBusy: () => true,
+    leaseSent: (_worker, leaseEndMs) => leases.push(leaseEndMs),
+    reported: () => {},
+    answered: () => {},
+    gone: () => {},
+    fenced: () => {},
+  };
+}
+
+test('a worker that does not answer is asked again without a lease', async () => {
+  // A worker's process is gone and its host refuses connections, so a renewal fails within
+  // milliseconds and is repeated. Each one that offers a lease counts as given, as it may have
+  // arrived: the tasks that ran there would wait two seconds longer for leases that nobody holds.
+  const workers = new OneWorker();
+  const leases: number[] = [];
+  const link = new WorkerLink(
+    ENTRY,
+    workers,
+    listener(leases),
+    new NodeLog('n1', 'silent'),
+    LEASE_MS,
+  );
+  const running = link.run();
+  await delay(100, new AbortController().signal);
+  workers.isGone = true;
+  const before = workers.renewals.length;
+  await delay(1_000, new AbortController().signal);
+  link.stop();
+  await running;
+  const offered = workers.renewals.slice(before + 1).filter((req) => req.deadlineMs !== undefined);
+  assert.ok(workers.renewals.length > before + 3);
+  assert.deepEqual(offered, []);
+});
