Records of the scheduling node say how long its leases last, and which workers it does not reach

Cause: a node that takes the scheduling role over cannot ask a worker that is gone, and waited for every lease that the node before might have renewed: three seconds and a lease from that node's last record, although that one may have lost the worker long before, or never reached it. Each change of the role began the wait anew. Change: no lease ends later than 7.6 s after the newest append that the store has confirmed (4 s after a claim, until the term's first record). The leader's record says so, names the workers that do not answer with the time their leases have left, and gives these none until a record without them is stored. FormerLeases works out from the records when leases of earlier terms are over; TermLeases allows no more than that. A node that has sent its resignation renews nothing; starts, too, need a lease that may be given; a record of what was learned counts as a word of the leader. Of an earlier life of the same node nothing is waited for but what it gave before its end. Weighed: shorter leases alone (a cut of five seconds would end work on sound workers); a proof by the worker's entry (entries lapse behind cuts as well); asking the earlier node (its host may be gone).

--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -79,6 +79,14 @@
     this.#model.press.assume(learned);
   }
 
+  /** By worker, when leases that earlier nodes have given are over, where more than the rule is known. */
+  inheritLeases(endMs: ReadonlyMap<string, number>): void {
+    for (const [id, leaseEndMs] of endMs) {
+      const worker = this.#state.workers.get(id);
+      if (worker && !worker.fenced) worker.leaseEndMs = leaseEndMs;
+    }
+  }
+
   setQueues(queues: Iterable<QueuePolicy>): void {
     for (const queue of queues) this.#state.queues.set(queue.name, queue);
   }
--- a/packages/runtime/src/internal/leader-term.ts
+++ b/packages/runtime/src/internal/leader-term.ts
@@ -1,5 +1,5 @@
 import type { Subscription } from 'rxjs';
-import type { Order, OrderOutcome, WorkerReport } from '@redwingcrank/jobs';
+import type { Order, OrderOutcome, WorkerReport, WorkerState } from '@redwingcrank/jobs';
 import { JobProgress, Scheduler, isFinal } from '@redwingcrank/jobs';
 import type { KeyedRecord, KeyedWrite } from '../keyed-log.js';
 import type { NodeLog } from '../node-log.js';
@@ -10,17 +10,17 @@
 import { KeyedFollower } from './keyed-follower.js';
 import type { StoredClaim } from './leader-writer.js';
 import { LeaderWriter } from './leader-writer.js';
+import { TermLeases } from './term-leases.js';
 import {
-  CLOCK_MARGIN_MS,
-  CLOCK_SLACK,
   GATHER_MS,
   LEADER_WRITE_MS,
   LEASE_MS,
   ROUND_MS,
   STANDSTILL_MS,
   STOP_AGAIN_MS,
+  SILENT_WORKER_MS,
   STOP_LOOK_MS,
-  UNCONFIRMED_MS,
+  surelyOverMs,
 } from './timing.js';
 import type { ConfigWatch } from './config-watch.js';
 import type { LinkListener } from './worker-link.js';
@@ -67,6 +67,8 @@
 
   readonly #writer: LeaderWriter;
 
+  readonly #leases: TermLeases;
+
   readonly #scheduler: Scheduler;
 
   readonly #workerList: KeyedFollower;
@@ -117,11 +119,17 @@
       gapMs: WORKER_LIST_GAP_MS,
     });
     this.#leaseMs = Math.min(LEASE_MS, settings.maxLeaseMs);
-    const leaseMs = this.#leaseMs * CLOCK_SLACK + CLOCK_MARGIN_MS;
+    this.#leases = new TermLeases(
+      record,
+      this.#leaseMs,
+      this.#writer,
+      table.formerLeases,
+      steadyMs(),
+    );
     this.#scheduler = new Scheduler(
       {
-        leaseMs,
-        inheritedLeaseMs: Math.max(0, table.formerRenewalsEndMs + leaseMs - steadyMs()),
+        leaseMs: surelyOverMs(this.#leaseMs),
+        inheritedLeaseMs: Math.max(0, table.formerLeases.generalEndMs - steadyMs()),
         standstillMs: STANDSTILL_MS,
         stopAgainMs: STOP_AGAIN_MS,
       },
@@ -139,8 +147,15 @@
     // A node that was frozen may read its own claim together with the one that has replaced it.
     const { leader } = this.#table;
     if (leader && leader.epoch > this.token) this.fenced('', 'replaced-before-start');
-    this.#log.emit('info', 'term-start', { epoch: this.token, jobs: this.#table.jobs.size });
+    const { generalEndMs, namedEndMs } = this.#table.formerLeases;
+    this.#log.emit('info', 'term-start', {
+      epoch: this.token,
+      jobs: this.#table.jobs.size,
+      formerLeasesMs: Math.max(0, Math.round(generalEndMs - steadyMs())),
+      silentWorkers: namedEndMs.size,
+    });
     for (const job of this.#table.jobs.values()) this.#takeOn(job);
+    this.#scheduler.inheritLeases(namedEndMs);
     this.#takeQueues();
     this.#scheduler.assume(this.#table.learned);
     this.#subscriptions.push(
@@ -169,8 +184,8 @@
     await this.#ended;
   }
 
-  mayRenew(): boolean {
-    return steadyMs() - this.#writer.confirmedMs < UNCONFIRMED_MS;
+  leaseLimitMs(worker: string): number {
+    return this.#leases.limitMs(worker, steadyMs());
   }
 
   ackedEnd(worker: string): number {
@@ -223,8 +238,10 @@
     writes.push(...this.#forgotten(), ...this.#learned());
     const isQuiet = steadyMs() - this.#writtenMs >= LEADER_WRITE_MS;
     const resigns = this.#isResigning;
-    if (resigns || (writes.length === 0 && isQuiet)) {
-      const value = encodeLeader({ ...this.#record, resigned: resigns });
+    const isNews = this.#leases.hasNews(this.#silentWorkers(), steadyMs());
+    const tells = resigns || isNews || (writes.length === 0 && isQuiet);
+    if (tells) {
+      const value = encodeLeader(this.#leases.record(resigns, steadyMs()));
       writes.push({ key: leaderKey(), value });
     }
     const starts = this.#sendStops(decisions.orders);
@@ -235,6 +252,7 @@
         return;
       }
       this.#writtenMs = sentMs;
+      if (tells) this.#leases.recordStored();
     }
     if (resigns) {
       this.#log.emit('info', 'resigned', { epoch: this.token });
@@ -279,6 +297,16 @@
     return starts;
   }
 
+  /** Workers on which something runs and that do not answer this node, or never did. */
+  *#silentWorkers(): Generator<WorkerState> {
+    const nowMs = steadyMs();
+    for (const worker of this.#scheduler.workers.values()) {
+      const isLost = this.#links.get(worker.entry.id)?.isLost ?? true;
+      const isSilent = isLost && nowMs - worker.answeredMs > SILENT_WORKER_MS;
+      if (worker.runs.size > 0 && (isSilent || !worker.fenced)) yield worker;
+    }
+  }
+
   #waitMs(): number {
     const dueMs = this.#scheduler.nextDueMs();
     if (dueMs === undefined) return ROUND_MS;
--- a/packages/runtime/src/internal/leadership.ts
+++ b/packages/runtime/src/internal/leadership.ts
@@ -8,7 +8,14 @@
 import type { StoredClaim } from './leader-writer.js';
 import { LEADER_WRITER } from './leader-writer.js';
 import { LeaderTerm } from './leader-term.js';
-import { CLAIM_SPREAD_MS, LEADER_SILENT_MS, SLOW_LEADER_SILENT_MS } from './timing.js';
+import {
+  CLAIM_LEASE_MS,
+  CLAIM_SPREAD_MS,
+  CONFIRMED_LEASE_MS,
+  LEADER_SILENT_MS,
+  SLOW_LEADER_SILENT_MS,
+  surelyOverMs,
+} from './timing.js';
 import type { LeaderRecord } from './work-records.js';
 import { encodeLeader, leaderKey } from './work-records.js';
 import type { WorkTable } from './work-table.js';
@@ -145,7 +152,11 @@
       node: this.#settings.node,
       nonce: randomBytes(6).toString('hex'),
       resigned: false,
+      leasesMs: CLAIM_LEASE_MS,
+      formerMs: this.#formerMs(before),
+      silent: {},
     };
+    this.#table.formerLeases.claiming(record.nonce);
     const sequence = randomInt(MAX_FIRST_SEQUENCE);
     this.#claims.set(record.nonce, { record, epoch: record.epoch, sequence, sentMs: steadyMs() });
     const write = { key: leaderKey(), value: encodeLeader(record) };
@@ -161,6 +172,15 @@
     this.#follower.hurry();
   }
 
+  /**
+   * How long leases may last after the claim is stored, seconds after it was sent maybe: as long as
+   * if the present scheduling node had renewed them until then.
+   */
+  #formerMs(present: LeaderRecord | undefined): number {
+    const presentMs = surelyOverMs(Math.max(present?.leasesMs ?? 0, CONFIRMED_LEASE_MS));
+    return Math.max(presentMs, this.#table.formerLeases.allEndMs - steadyMs());
+  }
+
   #leaderSeen(leader: LeaderRecord): void {
     const claim = this.#claims.get(leader.nonce);
     if (!claim || leader.resigned || this.#term) return;
--- /dev/null
+++ b/packages/runtime/src/internal/term-leases.ts
@@ -0,0 +1,114 @@
+import type { WorkerEntry, WorkerState } from '@redwingcrank/jobs';
+import type { FormerLeases } from './former-leases.js';
+import type { LeaderWriter } from './leader-writer.js';
+import { CONFIRMED_LEASE_MS, MAX_SILENT_NAMED } from './timing.js';
+import type { LeaderRecord } from './work-records.js';
+
+/** A worker that does not answer, and when all leases there are over. */
+export type SilentWorker = Pick<WorkerState, 'leaseEndMs'> & {
+  readonly entry: Pick<WorkerEntry, 'id'>;
+};
+
+/** Workers that live have answered a new scheduling node by then, in milliseconds. */
+const FIRST_ANSWERS_MS = 300;
+
+/**
+ * How long leases may last that this term gives, and what its records say of it to later nodes.
+ * What is allowed here never ends later than those take it to: a worker is named as silent before
+ * they count on it, and gets its next lease only after a record without its name is stored.
+ */
+export class TermLeases {
+  readonly #claim: LeaderRecord;
+
+  readonly #leaseMs: number;
+
+  readonly #writer: Pick<LeaderWriter, 'confirmedMs'>;
+
+  readonly #former: FormerLeases;
+
+  readonly #startedMs: number;
+
+  /** How long leases may last by the newest record that is stored. */
+  #storedMs: number;
+
+  /** The same by the one that was written last. */
+  #writtenMs: number;
+
+  /** Until then the term's records say no more than its claim. */
+  #mayTell = false;
+
+  /** Workers that are named in the record to be written next, by when their leases are over. */
+  #silent: ReadonlyMap<string, number> = new Map();
+
+  /** Workers that a record names which is stored, or may be. */
+  #named: ReadonlySet<string> = new Set();
+
+  #written: ReadonlySet<string> = new Set();
+
+  #hasResigned = false;
+
+  constructor(
+    claim: LeaderRecord,
+    leaseMs: number,
+    writer: Pick<LeaderWriter, 'confirmedMs'>,
+    former: FormerLeases,
+    startedMs: number,
+  ) {
+    this.#startedMs = startedMs;
+    this.#claim = claim;
+    this.#leaseMs = leaseMs;
+    this.#writer = writer;
+    this.#former = former;
+    this.#storedMs = claim.leasesMs;
+    this.#writtenMs = claim.leasesMs;
+  }
+
+  /** How long from now a lease on the worker may last, in milliseconds; 0 or less: none. */
+  limitMs(worker: string, nowMs: number): number {
+    if (this.#hasResigned || this.#named.has(worker)) return 0;
+    return this.#writer.confirmedMs + this.#storedMs - nowMs;
+  }
+
+  /**
+   * Whether later nodes should be told now: where other workers are silent than before, and for the
+   * first time when all have answered on which something runs, or have had the time for it.
+   * `workers` are those on which something runs and that are silent now.
+   */
+  hasNews(workers: Iterable<SilentWorker>, nowMs: number): boolean {
+    const silent = new Map<string, number>();
+    for (const { entry, leaseEndMs } of workers) {
+      if (silent.size < MAX_SILENT_NAMED) silent.set(entry.id, leaseEndMs);
+    }
+    const isFirstDue = silent.size === 0 || nowMs - this.#startedMs >= FIRST_ANSWERS_MS;
+    if (!this.#mayTell && !isFirstDue) return false;
+    this.#silent = silent;
+    const isFirst = !this.#mayTell;
+    this.#mayTell = true;
+    const hasOther = [...silent.keys()].some((worker) => !this.#written.has(worker));
+    return isFirst || hasOther || silent.size !== this.#written.size;
+  }
+
+  /** The record of this node; with it, `resigns` gives the role up, and nothing is renewed more. */
+  record(resigns: boolean, nowMs: number): LeaderRecord {
+    const silent = Object.fromEntries(
+      [...this.#silent].map(([worker, endMs]) => [worker, Math.max(0, Math.ceil(endMs - nowMs))]),
+    );
+    this.#written = new Set(this.#silent.keys());
+    this.#named = new Set([...this.#named, ...this.#written]);
+    this.#hasResigned ||= resigns;
+    if (this.#mayTell) this.#writtenMs = CONFIRMED_LEASE_MS;
+    return {
+      ...this.#claim,
+      resigned: resigns,
+      leasesMs: resigns ? this.#leaseMs : this.#writtenMs,
+      formerMs: Math.max(0, Math.ceil(this.#former.allEndMs - nowMs)),
+      silent,
+    };
+  }
+
+  /** The newest record is stored: workers that it does not name may get leases again. */
+  recordStored(): void {
+    this.#named = this.#written;
+    this.#storedMs = this.#writtenMs;
+  }
+}
--- a/packages/runtime/src/internal/timing.ts
+++ b/packages/runtime/src/internal/timing.ts
@@ -10,11 +10,44 @@
 
 /**
  * No lease is longer, whatever the platform allows. The tasks of a worker that vanished wait until
- * its leases are over; with ten seconds a signal watch was silent for eleven. Together with
- * `UNCONFIRMED_MS` it lets work outlast a store that is away for nine seconds.
+ * its leases are over; with ten seconds a signal watch was silent for eleven.
  */
 export const LEASE_MS = 6_000;
 
+/**
+ * No lease ends later than this after the scheduling node sent the newest append that the store has
+ * confirmed. So an outage of the store that is shorter ends no work; and a later node that cannot
+ * ask a worker waits no longer, counted from the newest record of the one before. Users take a
+ * lasting task that is away for nine seconds for lost, and reading that record, the next round and
+ * the start may take a second together.
+ */
+export const CONFIRMED_LEASE_MS = 7_600;
+
+/**
+ * The same for a claim of the role: the time in which the first append of the term is confirmed,
+ * also by a store that takes two seconds. Until then the new node may renew leases. A node that is
+ * replaced before that holds up what it could not reach for no longer.
+ */
+export const CLAIM_LEASE_MS = 4_000;
+
+/** Nodes whose records do not say how long their leases last gave them for so long at most. */
+export const UNTOLD_LEASE_MS = 9_000;
+
+/** A lease of this length is over after so long, on the slowest clock of a worker too. */
+export function surelyOverMs(leaseMs: number): number {
+  return leaseMs * CLOCK_SLACK + CLOCK_MARGIN_MS;
+}
+
+/**
+ * A worker that missed a renewal and has not answered for so long is named in the record of the
+ * scheduling node, and gets no lease until a record without it is stored. Where something runs a
+ * worker answers each second, and one whose connection was reset within the next 150 ms.
+ */
+export const SILENT_WORKER_MS = 1_200;
+
+/** So many silent workers are named at most: some 50 KB, a fifth of the largest record. */
+export const MAX_SILENT_NAMED = 2_000;
+
 /** The scheduling node writes at least this often, so that the others see that it lives. */
 export const LEADER_WRITE_MS = 250;
 
@@ -34,14 +67,6 @@
 /** Claims of several nodes are spread over this time, so that the first one is seen by the rest. */
 export const CLAIM_SPREAD_MS = 400;
 
-/**
- * How long a leader renews leases without a word from the store. With the lease that follows, an
- * outage of nine seconds ends no work. A later leader that cannot reach a worker waits this long
- * before it takes that worker's leases to be running out: lasting tasks that were there are away
- * all the while, so longer would be worse.
- */
-export const UNCONFIRMED_MS = 3_000;
-
 /** A start that has not reached its worker within this time takes no effect there any more. */
 export const START_WINDOW_MS = 1_500;
 
--- a/packages/runtime/src/internal/work-records.ts
+++ b/packages/runtime/src/internal/work-records.ts
@@ -1,4 +1,5 @@
 import type { JobSpec, PressWeights } from '@redwingcrank/jobs';
+import { UNTOLD_LEASE_MS, surelyOverMs } from './timing.js';
 
 /** Which kinds of records the work log holds. Their keys are one letter, a slash and the job. */
 export type WorkRecordKind = 'job' | 'progress' | 'cancel' | 'leader' | 'learned';
@@ -22,8 +23,27 @@
   readonly nonce: string;
   /** The node has given up the role: another may claim it at once. */
   readonly resigned: boolean;
+  /**
+   * No lease of this term ends later than this after the sending of its newest record of any kind,
+   * in milliseconds of a worker's clock; but for those of `silent` workers.
+   */
+  readonly leasesMs: number;
+  /** All leases of the terms before are over so long after the sending of this record, in ms. */
+  readonly formerMs: number;
+  /**
+   * Workers that do not answer, and after how many milliseconds all leases there are over. They get
+   * no lease until a later record is stored that does not name them.
+   */
+  readonly silent: Readonly<Record<string, number>>;
 }
 
+/** For records of nodes that do not tell of their leases yet. */
+const UNTOLD = {
+  leasesMs: UNTOLD_LEASE_MS,
+  formerMs: surelyOverMs(UNTOLD_LEASE_MS),
+  silent: {},
+} as const;
+
 export const jobKey = (id: string): string => `j/${id}`;
 
 export const progressKey = (id: string): string => `s/${id}`;
@@ -55,7 +75,7 @@
 }
 
 export function decodeLeader(text: string): LeaderRecord {
-  return JSON.parse(text) as LeaderRecord;
+  return { ...UNTOLD, ...(JSON.parse(text) as Partial<LeaderRecord>) } as LeaderRecord;
 }
 
 export function encodeLearned(weights: PressWeights): string {
--- a/packages/runtime/src/internal/work-table.ts
+++ b/packages/runtime/src/internal/work-table.ts
@@ -5,7 +5,7 @@
 import type { LeaderRecord } from './work-records.js';
 import { decodeJob, decodeLeader, decodeLearned, parseKey } from './work-records.js';
 import { steadyMs } from './delay.js';
-import { UNCONFIRMED_MS } from './timing.js';
+import { FormerLeases } from './former-leases.js';
 
 /** A job as the store has it. */
 export interface StoredJob {
@@ -38,14 +38,17 @@
 
   #leaderSeenMs = -Infinity;
 
-  #formerRenewalsEndMs = -Infinity;
-
   #leaderGapMs = 0;
 
   #learned: PressWeights = {};
 
   readonly changes$ = new Subject<WorkChange>();
 
+  /** The table of the node of this name. */
+  constructor(node: string) {
+    this.formerLeases = new FormerLeases(node, steadyMs());
+  }
+
   get jobs(): ReadonlyMap<string, StoredJob> {
     return this.#jobs;
   }
@@ -59,14 +62,8 @@
     return this.#leaderSeenMs;
   }
 
-  /**
-   * Until when, on the steady clock, the scheduling nodes before the present one may have renewed
-   * leases. Each renews none later than `UNCONFIRMED_MS` after it sent its newest record, and none
-   * after it has resigned; that record was read later than it was sent.
-   */
-  get formerRenewalsEndMs(): number {
-    return this.#formerRenewalsEndMs;
-  }
+  /** Until when workers may hold leases that earlier scheduling nodes have given. */
+  readonly formerLeases: FormerLeases;
 
   /** How far apart the scheduling node's records were lately, at most, in milliseconds. */
   get leaderGapMs(): number {
@@ -91,6 +88,7 @@
         this.#applyLeader(rec.value);
         break;
       case 'learned':
+        this.#sawLeader();
         if (rec.value !== undefined) this.#learned = decodeLearned(rec.value);
         break;
       case 'job':
@@ -115,28 +113,20 @@
     const leader = decodeLeader(value);
     // The silence before a new leader's first record says nothing about the store.
     if (leader.epoch === this.#leader?.epoch) this.#sawLeader();
-    else this.#leaderChanged();
+    else this.#leaderSeenMs = steadyMs();
     if (this.#leader && leader.epoch < this.#leader.epoch) return;
+    this.formerLeases.recordRead(leader, steadyMs());
     this.#leader = leader;
     this.changes$.next({ kind: 'leader', leader });
   }
 
-  #leaderChanged(): void {
-    const nowMs = steadyMs();
-    const hasResigned = this.#leader?.resigned ?? false;
-    // Of leaders before the first one that was read nothing is known, but that they are replaced.
-    const seenMs = this.#leader ? this.#leaderSeenMs : nowMs;
-    const endMs = seenMs + (hasResigned ? 0 : UNCONFIRMED_MS);
-    this.#formerRenewalsEndMs = Math.max(this.#formerRenewalsEndMs, endMs);
-    this.#leaderSeenMs = nowMs;
-  }
-
   #sawLeader(): void {
     const nowMs = steadyMs();
     const gapMs = this.#leaderSeenMs > 0 ? nowMs - this.#leaderSeenMs : 0;
     const fading = this.#leaderGapMs * Math.exp(-gapMs / GAP_FADE_MS);
     this.#leaderGapMs = Math.max(fading, gapMs);
     this.#leaderSeenMs = nowMs;
+    this.formerLeases.wordRead(nowMs);
   }
 
   #applyJob(id: string, { value }: KeyedRecord): void {
--- a/packages/runtime/src/internal/worker-link.ts
+++ b/packages/runtime/src/internal/worker-link.ts
@@ -4,20 +4,22 @@
 import type { RenewResult, TaskWorkers, WorkerAddress } from '../task-workers.js';
 import { delay, steadyMs } from './delay.js';
 import {
-  CLOCK_MARGIN_MS,
-  CLOCK_SLACK,
   IDLE_RENEW_WAIT_MS,
   RENEW_RETRY_MS,
   RENEW_WAIT_MS,
   START_ATTEMPTS,
   START_WINDOW_MS,
+  surelyOverMs,
 } from './timing.js';
 
 /** What a link tells the scheduling node. */
 export interface LinkListener {
   readonly token: number;
-  /** Whether leases may still be renewed: the store has confirmed the leader lately. */
-  mayRenew(): boolean;
+  /**
+   * How long from now a lease on the worker may last at most, in milliseconds; 0 or less where none
+   * may be given. Later nodes rely on it.
+   */
+  leaseLimitMs(worker: string): number;
   /** Ends up to this number may be forgotten by the worker. */
   ackedEnd(worker: string): number;
   /** Whether anything runs on the worker, or may. */
@@ -78,6 +80,11 @@
     return this.address.id;
   }
 
+  /** Whether the newest renewal was not answered. */
+  get isLost(): boolean {
+    return this.#isLost;
+  }
+
   async run(): Promise<void> {
     while (!this.#stopping.signal.aborted) await this.#renew();
   }
@@ -99,8 +106,14 @@
     for (let attempt = 0; attempt < START_ATTEMPTS && outcome === 'unknown'; attempt += 1) {
       if (this.#stopping.signal.aborted) return;
       const sentMs = steadyMs();
+      if (order.kind === 'start' && this.#listener.leaseLimitMs(this.id) < START_WINDOW_MS) {
+        // A node that was frozen and replaced would start here what the next one starts elsewhere.
+        if (!mayRun) outcome = 'too-late';
+        this.#logOrder(order, outcome, 'no lease may be given', attempt, sentMs);
+        break;
+      }
       const deadlineMs = this.#workerTime(sentMs) + START_WINDOW_MS;
-      const windowMs = START_WINDOW_MS * CLOCK_SLACK + CLOCK_MARGIN_MS;
+      const windowMs = surelyOverMs(START_WINDOW_MS);
       if (order.kind === 'start') this.#listener.leaseSent(this.id, sentMs + windowMs);
       const result = await this.#workers.order(
         this.address,
@@ -149,16 +162,16 @@
     const askedMs = steadyMs();
     // A lease that is offered counts as given. Offered again and again to a worker that is gone, it
     // would hold back for seconds what ran there; one look without a lease tells whether it lives.
-    const extend = this.#clock !== undefined && !this.#isLost && this.#listener.mayRenew();
+    const leaseMs = Math.floor(Math.min(this.#leaseMs, this.#listener.leaseLimitMs(this.id)));
+    const extend = this.#clock !== undefined && !this.#isLost && leaseMs > 0;
     const req = {
       token: this.#listener.token,
       ackedEnd: this.#listener.ackedEnd(this.id),
       waitMs: this.#waitMs(),
-      ...(extend && { deadlineMs: this.#workerTime(askedMs) + this.#leaseMs }),
+      ...(extend && { deadlineMs: this.#workerTime(askedMs) + leaseMs }),
     };
     if (extend) {
-      const endMs = askedMs + this.#leaseMs * CLOCK_SLACK + CLOCK_MARGIN_MS;
-      this.#listener.leaseSent(this.id, endMs);
+      this.#listener.leaseSent(this.id, askedMs + surelyOverMs(leaseMs));
     }
     const result = await this.#workers.renew(this.address, req);
     if (!this.#stopping.signal.aborted) await this.#renewed(result, askedMs);
--- a/packages/runtime/src/node.ts
+++ b/packages/runtime/src/node.ts
@@ -25,7 +25,7 @@
 export class Node {
   readonly #log: NodeLog;
 
-  readonly #table = new WorkTable();
+  readonly #table: WorkTable;
 
   readonly #config: ConfigWatch;
 
@@ -39,6 +39,7 @@
 
   constructor(port: PlatformPort, settings: NodeSettings, log: NodeLog) {
     this.#log = log;
+    this.#table = new WorkTable(settings.node);
     this.#config = new ConfigWatch(port, log);
     this.#follower = new KeyedFollower(port.workLog, log, {
       name: 'work',
--- a/packages/runtime/src/test/leader-term_test.ts
+++ b/packages/runtime/src/test/leader-term_test.ts
@@ -56,7 +56,15 @@
 const LOG = new NodeLog('n1', 'silent');
 
 function leaderRecord(epoch: number, node: string): LeaderRecord {
-  return { epoch, node, nonce: `${epoch}`, resigned: false };
+  return {
+    epoch,
+    node,
+    nonce: `${epoch}`,
+    resigned: false,
+    leasesMs: 4_000,
+    formerMs: 0,
+    silent: {},
+  };
 }
 
 test('a node that reads its claim together with the one that replaced it schedules nothing', async () => {
@@ -75,7 +83,7 @@
     },
     decodeConfig: () => undefined,
   };
-  const table = new WorkTable();
+  const table = new WorkTable('n1');
   const own = leaderRecord(1, 'n1');
   for (const leader of [own, leaderRecord(2, 'n2')]) {
     table.apply({ key: leaderKey(), value: encodeLeader(leader) });
--- a/packages/runtime/src/test/worker-link_test.ts
+++ b/packages/runtime/src/test/worker-link_test.ts
@@ -44,7 +44,7 @@
 function listener(leases: number[]): LinkListener {
   return {
     token: 1,
-    mayRenew: () => true,
+    leaseLimitMs: () => LEASE_MS,
     ackedEnd: () => 0,
     isBusy: () => true,
     leaseSent: (_worker, leaseEndMs) => leases.push(leaseEndMs),
