An append that was repeated counts as confirmed from its first attempt

Cause: the time of the attempt that was answered counted. The first one may have been carried out, and read by the others, seconds earlier; leases given after the repeat outlasted what a later node waits for. Change: the time of the first attempt counts. Measured: the new case of leader-term_test fails before and passes after.

--- a/packages/runtime/src/internal/leader-writer.ts
+++ b/packages/runtime/src/internal/leader-writer.ts
@@ -45,7 +45,7 @@
     this.#confirmedMs = sentMs;
   }
 
-  /** When the newest append was sent that the store has confirmed, on the steady clock. */
+  /** When the newest append that the store has confirmed was first sent, on the steady clock. */
   get confirmedMs(): number {
     return this.#confirmedMs;
   }
@@ -66,8 +66,9 @@
     this.#sequence += 1;
     const stamp = { writer: LEADER_WRITER, epoch: this.#epoch, sequence: this.#sequence };
     let failures = 0;
+    // Others may have read the first attempt, although its answer was lost.
+    const sentMs = steadyMs();
     while (!this.#stopping.signal.aborted) {
-      const sentMs = steadyMs();
       const result = await this.#target.append(records, { stamp });
       if (result.outcome === 'appended') {
         this.#confirmedMs = sentMs;
--- a/packages/runtime/src/test/leader-term_test.ts
+++ b/packages/runtime/src/test/leader-term_test.ts
@@ -9,7 +9,7 @@
 import { ConfigWatch } from '../internal/config-watch.js';
 import { LeaderTerm } from '../internal/leader-term.js';
 import { LeaderWriter } from '../internal/leader-writer.js';
-import { steadyMs } from '../internal/delay.js';
+import { delay, steadyMs } from '../internal/delay.js';
 import type { LeaderRecord } from '../internal/work-records.js';
 import { encodeLeader, leaderKey } from '../internal/work-records.js';
 import { WorkTable } from '../internal/work-table.js';
@@ -104,3 +104,26 @@
   const writer = new LeaderWriter(new EmptyLog(), LOG, { epoch: 1, sequence: 7, sentMs });
   assert.equal(writer.confirmedMs, sentMs);
 });
+
+/** Carries appends out; the answer to the first one comes late and is given up. */
+class FirstAnswerLost extends EmptyLog {
+  #isFirst = true;
+
+  override async append(records: readonly KeyedWrite[]): Promise<AppendResult> {
+    if (!this.#isFirst) return super.append(records);
+    this.#isFirst = false;
+    await delay(300, new AbortController().signal);
+    return { outcome: 'unknown', reason: 'timeout' };
+  }
+}
+
+test('an append whose answer was lost counts as confirmed from when it was sent first', async () => {
+  // The store carries an append out, the others read it, and its answer is lost; the repeat is
+  // answered. Counted from the repeat, the node would give leases that last longer than the others,
+  // who count from what they read, wait before they start its tasks elsewhere.
+  const claim = { epoch: 1, sequence: 7, sentMs: steadyMs() };
+  const writer = new LeaderWriter(new FirstAnswerLost(), LOG, claim);
+  const sentMs = steadyMs();
+  assert.ok(await writer.write([{ key: leaderKey(), value: 'x' }]));
+  assert.ok(writer.confirmedMs - sentMs < 100, `${writer.confirmedMs - sentMs} ms`);
+});
