Before a claim the store is asked once more whether the scheduling node has written nothing

Cause: a read that waits at the store as that falls silent may still be answered, with nothing. Change: one read without a wait before a claim; unanswered, or with a record of the leader, there is no claim.

--- a/packages/runtime/src/internal/leadership.ts
+++ b/packages/runtime/src/internal/leadership.ts
@@ -17,7 +17,7 @@
   surelyOverMs,
 } from './timing.js';
 import type { LeaderRecord } from './work-records.js';
-import { encodeLeader, leaderKey } from './work-records.js';
+import { encodeLeader, isLeaderKey, leaderKey } from './work-records.js';
 import type { WorkTable } from './work-table.js';
 
 /** How often a node looks whether the scheduling role is free, in milliseconds. */
@@ -145,7 +145,7 @@
     const { leader } = this.#table;
     const spreadMs = leader && this.#wasLeader(leader) ? 0 : randomInt(CLAIM_SPREAD_MS);
     await delay(spreadMs, this.#stopping.signal);
-    if (!this.#isRoleFree()) return;
+    if (!this.#isRoleFree() || !(await this.#isSureOfSilence())) return;
     const before = this.#table.leader;
     const record = {
       epoch: (before?.epoch ?? 0) + 1,
@@ -172,6 +172,26 @@
     this.#follower.hurry();
   }
 
+  /**
+   * Asks the store once more whether the leader has written nothing. The view may be fresh from a
+   * read that was answered as the store fell silent: then it is the store that the leader has lost,
+   * and a claim, stored when it is back, would replace a node that goes on working. A store that
+   * answers now would have taken the leader's records.
+   */
+  async #isSureOfSilence(): Promise<boolean> {
+    const { leader } = this.#table;
+    const { next } = this.#follower;
+    if (!leader || leader.resigned || this.#wasLeader(leader) || next === undefined) return true;
+    try {
+      const { records } = await this.#port.workLog.read(next, 0);
+      return this.#isRoleFree() && !records.some(({ key }) => isLeaderKey(key));
+    } catch (err) {
+      const reason = err instanceof Error ? err.message : String(err);
+      this.#log.emit('info', 'claim-put-off', { reason });
+      return false;
+    }
+  }
+
   /**
    * How long leases may last after the claim is stored, seconds after it was sent maybe: as long as
    * if the present scheduling node had renewed them until then.
--- a/packages/runtime/src/internal/work-records.ts
+++ b/packages/runtime/src/internal/work-records.ts
@@ -62,6 +62,12 @@
   return { kind, id: key.slice(2) };
 }
 
+/** Whether only the scheduling node writes records of this key. */
+export function isLeaderKey(key: string): boolean {
+  const kind = parseKey(key)?.kind;
+  return kind === 'leader' || kind === 'learned' || kind === 'progress';
+}
+
 export function encodeJob(spec: JobSpec): string {
   return JSON.stringify(spec);
 }
--- /dev/null
+++ b/packages/runtime/src/test/leadership_test.ts
@@ -0,0 +1,73 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { delay } from '../internal/delay.js';
+import { ConfigWatch } from '../internal/config-watch.js';
+import { KeyedFollower } from '../internal/keyed-follower.js';
+import { Leadership } from '../internal/leadership.js';
+import { encodeLeader, leaderKey } from '../internal/work-records.js';
+import { WorkTable } from '../internal/work-table.js';
+import type { AppendResult, KeyedWrite, NewestPage, ReadResult } from '../keyed-log.js';
+import { KeyedLog, StoreUnavailableError } from '../keyed-log.js';
+import { NodeLog } from '../node-log.js';
+import type { PlatformPort } from '../platform-port.js';
+
+const LOG = new NodeLog('n2', 'silent');
+
+const LEADER = encodeLeader({
+  epoch: 1,
+  node: 'n1',
+  nonce: '1',
+  resigned: false,
+  leasesMs: 4_000,
+  formerMs: 0,
+  silent: {},
+});
+
+/** A store that falls silent: reads that wait there already come back empty, nothing else does. */
+class SilentStore extends KeyedLog {
+  readonly claims: KeyedWrite[] = [];
+
+  override async append(records: readonly KeyedWrite[]): Promise<AppendResult> {
+    this.claims.push(...records);
+    return { outcome: 'unknown', reason: 'timeout' };
+  }
+
+  override async read(from: number, waitMs: number): Promise<ReadResult> {
+    if (waitMs === 0) throw new StoreUnavailableError('timeout');
+    await delay(waitMs, new AbortController().signal);
+    return { records: [], next: from, end: from };
+  }
+
+  override async newest(): Promise<NewestPage> {
+    return { records: [{ key: leaderKey(), value: LEADER }], hasMore: false, end: 1 };
+  }
+}
+
+test('a store that has just fallen silent is not taken for a dead scheduling node', async () => {
+  // The store falls silent. A read that was waiting there is still answered, with nothing: neither
+  // can the scheduling node write. Its silence is now longer than a living one's, and the view is
+  // fresh. A claim would replace a node that has lost nothing, seconds later, when it is stored.
+  const store = new SilentStore();
+  const table = new WorkTable('n2');
+  const follower = new KeyedFollower(store, LOG, { name: 'work', waitMs: 400, gapMs: 250 });
+  follower.messages$.subscribe((message) => {
+    if (message.kind === 'record') table.apply(message.rec);
+  });
+  const port = { workLog: store, operatorLog: store } as unknown as PlatformPort;
+  const settings = {
+    node: 'n2',
+    dataCentre: 'a',
+    maxLeaseMs: 6_000,
+    stopTimeoutMs: 500,
+    keepStateMs: 120_000,
+    graceMs: 6_000,
+  };
+  const config = new ConfigWatch(port, LOG);
+  const leadership = new Leadership(port, settings, LOG, table, follower, config);
+  const running = [follower.run(), leadership.run()];
+  await delay(2_500, new AbortController().signal);
+  follower.stop();
+  await leadership.stop();
+  await Promise.all(running);
+  assert.deepEqual(store.claims, []);
+});
