--- a/packages/runtime/src/internal/former-leases.ts
+++ b/packages/runtime/src/internal/former-leases.ts
@@ -21,6 +21,8 @@
 
   #present: LeaderRecord | undefined;
 
+  #isBroken = false;
+
   /** When any record of the present term was last read. */
   #wordMs = -Infinity;
 
@@ -59,6 +61,11 @@
     this.#claims.add(nonce);
   }
 
+  /** The log is read anew from its newest records: some between may never be read. */
+  viewBroken(): void {
+    this.#isBroken = true;
+  }
+
   /** Some record of the present scheduling node was read: it has renewed leases since. */
   wordRead(nowMs: number): void {
     this.#wordMs = nowMs;
@@ -66,12 +73,11 @@
 
   /** The scheduling node's record of itself was read: the same node's as before, or the next one's. */
   recordRead(rec: LeaderRecord, nowMs: number): void {
-    if (this.#present?.epoch === rec.epoch) {
-      this.#silent = this.#earliest(rec, nowMs);
-    } else {
-      this.#replaced(rec, nowMs);
-      this.#silent = endsOf(rec, nowMs);
-    }
+    const isSameTerm = this.#present?.epoch === rec.epoch;
+    if (this.#isBroken || !this.#isNext(rec)) this.#begin(rec, nowMs);
+    else if (!isSameTerm) this.#replaced(this.#present!);
+    this.#silent = isSameTerm && !this.#isBroken ? this.#earliest(rec, nowMs) : endsOf(rec, nowMs);
+    this.#isBroken = false;
     this.#present = rec;
     this.#wordMs = nowMs;
   }
@@ -86,14 +92,18 @@
     return ends;
   }
 
-  #replaced(next: LeaderRecord, nowMs: number): void {
-    const before = this.#present;
-    if (!before || next.epoch !== before.epoch + 1) {
-      // Of terms that were never read only the next one's record can tell.
-      this.#generalEndMs = Math.max(this.allEndMs, nowMs + next.formerMs);
-      this.#namedEndMs = new Map();
-      return;
-    }
+  #isNext({ epoch }: LeaderRecord): boolean {
+    const present = this.#present?.epoch;
+    return present !== undefined && (epoch === present || epoch === present + 1);
+  }
+
+  /** Of terms and records that were never read only this record can tell. */
+  #begin(rec: LeaderRecord, nowMs: number): void {
+    this.#generalEndMs = Math.max(this.allEndMs, nowMs + rec.formerMs);
+    this.#namedEndMs = new Map();
+  }
+
+  #replaced(before: LeaderRecord): void {
     const endMs = this.#presentEndMs(before);
     this.#generalEndMs = Math.max(this.#generalEndMs, endMs);
     const named = new Map(this.#silent);
--- a/packages/runtime/src/internal/leader-term.ts
+++ b/packages/runtime/src/internal/leader-term.ts
@@ -119,13 +119,7 @@
       gapMs: WORKER_LIST_GAP_MS,
     });
     this.#leaseMs = Math.min(LEASE_MS, settings.maxLeaseMs);
-    this.#leases = new TermLeases(
-      record,
-      this.#leaseMs,
-      this.#writer,
-      table.formerLeases,
-      steadyMs(),
-    );
+    this.#leases = new TermLeases(record, this.#leaseMs, this.#writer, table.formerLeases);
     this.#scheduler = new Scheduler(
       {
         leaseMs: surelyOverMs(this.#leaseMs),
@@ -238,7 +232,8 @@
     writes.push(...this.#forgotten(), ...this.#learned());
     const isQuiet = steadyMs() - this.#writtenMs >= LEADER_WRITE_MS;
     const resigns = this.#isResigning;
-    const isNews = this.#leases.hasNews(this.#silentWorkers(), steadyMs());
+    const { silent, isComplete } = this.#silentWorkers();
+    const isNews = this.#leases.hasNews(silent, isComplete);
     const tells = resigns || isNews || (writes.length === 0 && isQuiet);
     if (tells) {
       const value = encodeLeader(this.#leases.record(resigns, steadyMs()));
@@ -297,14 +292,26 @@
     return starts;
   }
 
-  /** Workers on which something runs and that do not answer this node, or never did. */
-  *#silentWorkers(): Generator<WorkerState> {
+  /**
+   * Workers on which something runs and that do not answer this node, or never did. The list is not
+   * complete while others may still give their first answer.
+   */
+  #silentWorkers(): { silent: WorkerState[]; isComplete: boolean } {
     const nowMs = steadyMs();
+    const silent: WorkerState[] = [];
+    let isComplete = true;
     for (const worker of this.#scheduler.workers.values()) {
-      const isLost = this.#links.get(worker.entry.id)?.isLost ?? true;
-      const isSilent = isLost && nowMs - worker.answeredMs > SILENT_WORKER_MS;
-      if (worker.runs.size > 0 && (isSilent || !worker.fenced)) yield worker;
+      const link = this.#links.get(worker.entry.id);
+      if (worker.runs.size > 0 && !worker.fenced) {
+        const isAsked = link ? link.isOverdue(nowMs) : this.#isListLoaded;
+        if (isAsked) silent.push(worker);
+        else isComplete = false;
+      } else if (worker.runs.size > 0) {
+        const isLost = link?.isLost ?? true;
+        if (isLost && nowMs - worker.answeredMs > SILENT_WORKER_MS) silent.push(worker);
+      }
     }
+    return { silent, isComplete };
   }
 
   #waitMs(): number {
@@ -357,7 +364,14 @@
   #workerMessage(message: FollowerMessage): void {
     if (message.kind === 'record') this.#workerRecord(message.rec);
     else if (message.kind === 'reset') this.#listedBefore = new Set(this.#links.keys());
-    else if (this.#listedBefore) {
+    else {
+      this.#isListLoaded = true;
+      this.#unlistAbsent();
+    }
+  }
+
+  #unlistAbsent(): void {
+    if (this.#listedBefore) {
       // What a fresh list does not name is not listed any more.
       for (const id of this.#listedBefore) this.#scheduler.unlistWorker(id);
       this.#listedBefore = undefined;
@@ -366,6 +380,8 @@
 
   #listedBefore: Set<string> | undefined;
 
+  #isListLoaded = false;
+
   #workerRecord(rec: KeyedRecord): void {
     const id = this.#port.workerIdOf(rec);
     if (id === undefined) return;
--- a/packages/runtime/src/internal/term-leases.ts
+++ b/packages/runtime/src/internal/term-leases.ts
@@ -9,9 +9,6 @@
   readonly entry: Pick<WorkerEntry, 'id'>;
 };
 
-/** Workers that live have answered a new scheduling node by then, in milliseconds. */
-const FIRST_ANSWERS_MS = 300;
-
 /**
  * How long leases may last that this term gives, and what its records say of it to later nodes.
  * What is allowed here never ends later than those take it to: a worker is named as silent before
@@ -26,8 +23,6 @@
 
   readonly #former: FormerLeases;
 
-  readonly #startedMs: number;
-
   /** How long leases may last by the newest record that is stored. */
   #storedMs: number;
 
@@ -45,16 +40,15 @@
 
   #written: ReadonlySet<string> = new Set();
 
-  #hasResigned = false;
+  /** When the resignation was sent; no lease ends later than one that was given then. */
+  #resignedMs = Infinity;
 
   constructor(
     claim: LeaderRecord,
     leaseMs: number,
     writer: Pick<LeaderWriter, 'confirmedMs'>,
     former: FormerLeases,
-    startedMs: number,
   ) {
-    this.#startedMs = startedMs;
     this.#claim = claim;
     this.#leaseMs = leaseMs;
     this.#writer = writer;
@@ -65,22 +59,22 @@
 
   /** How long from now a lease on the worker may last, in milliseconds; 0 or less: none. */
   limitMs(worker: string, nowMs: number): number {
-    if (this.#hasResigned || this.#named.has(worker)) return 0;
-    return this.#writer.confirmedMs + this.#storedMs - nowMs;
+    if (this.#named.has(worker)) return 0;
+    const confirmedEndMs = this.#writer.confirmedMs + this.#storedMs;
+    return Math.min(confirmedEndMs, this.#resignedMs + this.#leaseMs) - nowMs;
   }
 
   /**
    * Whether later nodes should be told now: where other workers are silent than before, and for the
-   * first time when all have answered on which something runs, or have had the time for it.
-   * `workers` are those on which something runs and that are silent now.
+   * first time when all have answered on which something runs, or are known to be silent.
+   * `workers` are those that are silent now; `isComplete` says that no others may be.
    */
-  hasNews(workers: Iterable<SilentWorker>, nowMs: number): boolean {
+  hasNews(workers: Iterable<SilentWorker>, isComplete: boolean): boolean {
+    if (!this.#mayTell && !isComplete) return false;
     const silent = new Map<string, number>();
     for (const { entry, leaseEndMs } of workers) {
       if (silent.size < MAX_SILENT_NAMED) silent.set(entry.id, leaseEndMs);
     }
-    const isFirstDue = silent.size === 0 || nowMs - this.#startedMs >= FIRST_ANSWERS_MS;
-    if (!this.#mayTell && !isFirstDue) return false;
     this.#silent = silent;
     const isFirst = !this.#mayTell;
     this.#mayTell = true;
@@ -88,14 +82,14 @@
     return isFirst || hasOther || silent.size !== this.#written.size;
   }
 
-  /** The record of this node; with it, `resigns` gives the role up, and nothing is renewed more. */
+  /** The record of this node, which gives the role up with it if it `resigns`. */
   record(resigns: boolean, nowMs: number): LeaderRecord {
     const silent = Object.fromEntries(
       [...this.#silent].map(([worker, endMs]) => [worker, Math.max(0, Math.ceil(endMs - nowMs))]),
     );
     this.#written = new Set(this.#silent.keys());
     this.#named = new Set([...this.#named, ...this.#written]);
-    this.#hasResigned ||= resigns;
+    if (resigns) this.#resignedMs = Math.min(this.#resignedMs, nowMs);
     if (this.#mayTell) this.#writtenMs = CONFIRMED_LEASE_MS;
     return {
       ...this.#claim,
--- a/packages/runtime/src/internal/timing.ts
+++ b/packages/runtime/src/internal/timing.ts
@@ -28,7 +28,7 @@
  * also by a store that takes two seconds. Until then the new node may renew leases. A node that is
  * replaced before that holds up what it could not reach for no longer.
  */
-export const CLAIM_LEASE_MS = 4_000;
+export const CLAIM_LEASE_MS = 5_000;
 
 /** Nodes whose records do not say how long their leases last gave them for so long at most. */
 export const UNTOLD_LEASE_MS = 9_000;
@@ -38,6 +38,15 @@
   return leaseMs * CLOCK_SLACK + CLOCK_MARGIN_MS;
 }
 
+/** A worker that lives has answered its first renewal by then, in milliseconds. */
+export const FIRST_ANSWER_MS = 300;
+
+/**
+ * While only half of the usual lease may be given or less, a renewal waits no longer than this at
+ * the worker, so that the next one comes soon after the store has confirmed more.
+ */
+export const SHORT_RENEW_WAIT_MS = 300;
+
 /**
  * A worker that missed a renewal and has not answered for so long is named in the record of the
  * scheduling node, and gets no lease until a record without it is stored. Where something runs a
--- a/packages/runtime/src/internal/work-table.ts
+++ b/packages/runtime/src/internal/work-table.ts
@@ -78,6 +78,7 @@
   reset(): void {
     this.#jobs.clear();
     this.#early.clear();
+    this.formerLeases.viewBroken();
   }
 
   apply(rec: KeyedRecord): void {
--- a/packages/runtime/src/internal/worker-link.ts
+++ b/packages/runtime/src/internal/worker-link.ts
@@ -7,6 +7,8 @@
   IDLE_RENEW_WAIT_MS,
   RENEW_RETRY_MS,
   RENEW_WAIT_MS,
+  FIRST_ANSWER_MS,
+  SHORT_RENEW_WAIT_MS,
   START_ATTEMPTS,
   START_WINDOW_MS,
   surelyOverMs,
@@ -60,6 +62,8 @@
 
   #isLost = false;
 
+  #startedMs = Infinity;
+
   #acked = new AbortController();
 
   constructor(
@@ -80,12 +84,18 @@
     return this.address.id;
   }
 
+  /** Whether its first answer is missing that a worker which lives has given by now. */
+  isOverdue(nowMs: number): boolean {
+    return this.#clock === undefined && nowMs - this.#startedMs > FIRST_ANSWER_MS;
+  }
+
   /** Whether the newest renewal was not answered. */
   get isLost(): boolean {
     return this.#isLost;
   }
 
   async run(): Promise<void> {
+    this.#startedMs = steadyMs();
     while (!this.#stopping.signal.aborted) await this.#renew();
   }
 
@@ -167,7 +177,7 @@
     const req = {
       token: this.#listener.token,
       ackedEnd: this.#listener.ackedEnd(this.id),
-      waitMs: this.#waitMs(),
+      waitMs: this.#waitMs(leaseMs),
       ...(extend && { deadlineMs: this.#workerTime(askedMs) + leaseMs }),
     };
     if (extend) {
@@ -177,8 +187,9 @@
     if (!this.#stopping.signal.aborted) await this.#renewed(result, askedMs);
   }
 
-  #waitMs(): number {
+  #waitMs(leaseMs: number): number {
     if (!this.#clock || this.#isLost) return 0;
+    if (leaseMs < this.#leaseMs / 2) return SHORT_RENEW_WAIT_MS;
     return this.#listener.isBusy(this.id) ? RENEW_WAIT_MS : IDLE_RENEW_WAIT_MS;
   }
 
--- a/packages/runtime/src/test/lease-bounds_test.ts
+++ b/packages/runtime/src/test/lease-bounds_test.ts
@@ -38,13 +38,13 @@
 
   confirmedMs: number;
 
-  constructor(claim: LeaderRecord, sentMs: number, former: FormerLeases, nowMs: number) {
+  constructor(claim: LeaderRecord, sentMs: number, former: FormerLeases) {
     this.epoch = claim.epoch;
     this.former = former;
     this.confirmedMs = sentMs;
     const writer = { confirmedMs: sentMs };
     Object.defineProperty(writer, 'confirmedMs', { get: () => this.confirmedMs });
-    this.leases = new TermLeases(claim, LEASE_MS, writer, former, nowMs);
+    this.leases = new TermLeases(claim, LEASE_MS, writer, former);
     for (const id of WORKERS) {
       this.endsMs.set(id, former.namedEndMs.get(id) ?? former.generalEndMs);
     }
@@ -81,6 +81,7 @@
     else if (kind === 'read') this.#read(a % this.#readers.length);
     else if (kind === 'claim') this.#claim(a % this.#readers.length, b * 200);
     else if (kind === 'restart') this.#restart(a % this.#readers.length);
+    else if (kind === 'reload') this.#reload(a % this.#readers.length);
     else if (!term || term.isOver) return;
     else if (kind === 'write') this.#write(term, b);
     else if (kind === 'renew') this.#renew(term, worker);
@@ -107,6 +108,15 @@
     if (newest) former.recordRead(newest, this.#nowMs);
   }
 
+  /** The records between have expired: the node goes on from the newest ones. */
+  #reload(index: number): void {
+    const reader = this.#readers[index]!;
+    const newest = this.#log.findLast((rec) => rec !== undefined);
+    reader.former.viewBroken();
+    if (newest) reader.former.recordRead(newest, this.#nowMs);
+    reader.next = this.#log.length;
+  }
+
   /** A claim is sent, and stored so much later; its node reads on up to it. */
   #claim(index: number, lateMs: number): void {
     this.#read(index);
@@ -126,7 +136,7 @@
     this.#nowMs += lateMs;
     this.#log.push(claim);
     this.#read(index);
-    this.#terms.push(new Term(claim, sentMs, former, this.#nowMs));
+    this.#terms.push(new Term(claim, sentMs, former));
     for (const [id, worker] of this.#workers) this.#check(id, worker);
   }
 
@@ -137,7 +147,7 @@
       return;
     }
     if (!term.pending) {
-      const isNews = term.leases.hasNews(term.silentWorkers(), this.#nowMs);
+      const isNews = term.leases.hasNews(term.silentWorkers(), b !== 1);
       const resigns = b > 7;
       const isRecord = isNews || resigns || b === 0;
       const rec = isRecord ? term.leases.record(resigns, this.#nowMs) : undefined;
@@ -190,7 +200,7 @@
 
 /** Each as likely as it is often here. */
 const KINDS = [
-  ...['wait', 'wait', 'read', 'read', 'claim', 'restart', 'silent'],
+  ...['wait', 'wait', 'read', 'read', 'claim', 'restart', 'reload', 'silent'],
   ...['write', 'write', 'write', 'renew', 'renew', 'renew'],
 ];
 
