A node whose claim was answered waits before it claims again

Change: 2 s of wait after a claim that is stored or lost to another's, 0.7 s without an answer, 0.5 s after a refusal; a leader's record that is read ends it.

--- a/packages/runtime/src/internal/leadership.ts
+++ b/packages/runtime/src/internal/leadership.ts
@@ -2,6 +2,7 @@
 import type { NodeLog } from '../node-log.js';
 import type { NodeSettings } from '../node-settings.js';
 import type { PlatformPort } from '../platform-port.js';
+import type { AppendOutcome } from '../keyed-log.js';
 import type { ConfigWatch } from './config-watch.js';
 import { delay, steadyMs } from './delay.js';
 import type { KeyedFollower } from './keyed-follower.js';
@@ -46,6 +47,22 @@
 /** Sequence numbers of claims are drawn below this, so that two claims of one epoch differ. */
 const MAX_FIRST_SEQUENCE = 1_000_000_000;
 
+/**
+ * How long a node waits after a claim before it sends another, by what the store said, in
+ * milliseconds; a leader's record that is read ends the wait. A claim that is stored, or stands
+ * behind another's of its epoch, is read within the two seconds that a store lets appends wait; one
+ * without an answer may be stored yet. Sent again at once, the claims of all nodes stand before the
+ * first records of the new leader, and it is taken for dead.
+ */
+const CLAIM_PAUSE_MS: Readonly<Record<AppendOutcome, number>> = {
+  appended: 2_000,
+  'out-of-sequence': 2_000,
+  fenced: 2_000,
+  moved: 500,
+  unknown: 700,
+  refused: 500,
+};
+
 /** A claim that was sent, until the work log shows who got the role. */
 interface Claim extends StoredClaim {
   readonly record: LeaderRecord;
@@ -83,6 +100,9 @@
   /** A node that was just replaced leaves the next claim to others for a while. */
   #patienceMs = 0;
 
+  /** No claim before this time, but where another leader shows until then. */
+  #nextClaimMs = -Infinity;
+
   constructor(
     port: PlatformPort,
     settings: NodeSettings,
@@ -121,6 +141,7 @@
   #isRoleFree(): boolean {
     if (this.#stopping.signal.aborted || this.#term) return false;
     const nowMs = steadyMs();
+    if (nowMs < this.#nextClaimMs) return false;
     if (nowMs - this.#follower.freshMs > MAX_VIEW_AGE_MS) return false;
     const { leader, leaderSeenMs } = this.#table;
     if (!leader || leader.resigned || this.#wasLeader(leader)) return true;
@@ -168,6 +189,7 @@
       outcome: result.outcome,
       reason: result.reason,
     });
+    this.#nextClaimMs = steadyMs() + CLAIM_PAUSE_MS[result.outcome];
     // What became of an unanswered claim shows in the log, as does that of every other.
     this.#follower.hurry();
   }
@@ -202,6 +224,7 @@
   }
 
   #leaderSeen(leader: LeaderRecord): void {
+    this.#nextClaimMs = -Infinity;
     const claim = this.#claims.get(leader.nonce);
     if (!claim || leader.resigned || this.#term) return;
     this.#claims.clear();
--- a/packages/runtime/src/test/leadership_test.ts
+++ b/packages/runtime/src/test/leadership_test.ts
@@ -23,6 +23,15 @@
   silent: {},
 });
 
+const SETTINGS = {
+  node: 'n2',
+  dataCentre: 'a',
+  maxLeaseMs: 6_000,
+  stopTimeoutMs: 500,
+  keepStateMs: 120_000,
+  graceMs: 6_000,
+};
+
 /** A store that falls silent: reads that wait there already come back empty, nothing else does. */
 class SilentStore extends KeyedLog {
   readonly claims: KeyedWrite[] = [];
@@ -43,31 +52,60 @@
   }
 }
 
+/** A store in which another node's claim stands that cannot be read yet. */
+class ClaimedStore extends SilentStore {
+  override async append(records: readonly KeyedWrite[]): Promise<AppendResult> {
+    this.claims.push(...records);
+    return { outcome: 'out-of-sequence', reason: 'status 409' };
+  }
+
+  override async read(from: number, waitMs: number): Promise<ReadResult> {
+    await delay(waitMs, new AbortController().signal);
+    return { records: [], next: from, end: from };
+  }
+}
+
+/** A node that follows a store in which the leader has written nothing since it was loaded. */
+class FollowingNode {
+  readonly #follower: KeyedFollower;
+
+  readonly #leadership: Leadership;
+
+  constructor(store: KeyedLog) {
+    const table = new WorkTable('n2');
+    const follower = new KeyedFollower(store, LOG, { name: 'work', waitMs: 400, gapMs: 250 });
+    follower.messages$.subscribe((message) => {
+      if (message.kind === 'record') table.apply(message.rec);
+    });
+    const port = { workLog: store, operatorLog: store } as unknown as PlatformPort;
+    const config = new ConfigWatch(port, LOG);
+    this.#follower = follower;
+    this.#leadership = new Leadership(port, SETTINGS, LOG, table, follower, config);
+  }
+
+  async runFor(ms: number): Promise<void> {
+    const running = [this.#follower.run(), this.#leadership.run()];
+    await delay(ms, new AbortController().signal);
+    this.#follower.stop();
+    await this.#leadership.stop();
+    await Promise.all(running);
+  }
+}
+
 test('a store that has just fallen silent is not taken for a dead scheduling node', async () => {
   // The store falls silent. A read that was waiting there is still answered, with nothing: neither
   // can the scheduling node write. Its silence is now longer than a living one's, and the view is
   // fresh. A claim would replace a node that has lost nothing, seconds later, when it is stored.
   const store = new SilentStore();
-  const table = new WorkTable('n2');
-  const follower = new KeyedFollower(store, LOG, { name: 'work', waitMs: 400, gapMs: 250 });
-  follower.messages$.subscribe((message) => {
-    if (message.kind === 'record') table.apply(message.rec);
-  });
-  const port = { workLog: store, operatorLog: store } as unknown as PlatformPort;
-  const settings = {
-    node: 'n2',
-    dataCentre: 'a',
-    maxLeaseMs: 6_000,
-    stopTimeoutMs: 500,
-    keepStateMs: 120_000,
-    graceMs: 6_000,
-  };
-  const config = new ConfigWatch(port, LOG);
-  const leadership = new Leadership(port, settings, LOG, table, follower, config);
-  const running = [follower.run(), leadership.run()];
-  await delay(2_500, new AbortController().signal);
-  follower.stop();
-  await leadership.stop();
-  await Promise.all(running);
+  await new FollowingNode(store).runFor(2_500);
   assert.deepEqual(store.claims, []);
 });
+
+test('a node whose claim was refused for the claim of another does not claim again at once', async () => {
+  // The store is slow: another node's claim is stored, and comes to be read a second later. Claims
+  // for the same epoch cannot win any more. They stand in the queue before the first records of
+  // the new scheduling node, which is taken for dead for want of them.
+  const store = new ClaimedStore();
+  await new FollowingNode(store).runFor(3_000);
+  assert.equal(store.claims.length, 1);
+});
