--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -7,3 +7,5 @@
 export * from './job-service.js';
 export * from './node.js';
 export * from './job-api.js';
+export { KeyedFollower } from './internal/keyed-follower.js';
+export type { FollowerMessage, FollowerSettings } from './internal/keyed-follower.js';
