--- a/packages/runtime/src/internal/keyed-follower.ts
+++ b/packages/runtime/src/internal/keyed-follower.ts
@@ -131,14 +131,13 @@
   }
 
   async #read(from: number): Promise<void> {
-    const askedMs = steadyMs();
-    const { records, next, end } = await this.#source.read(from, this.#settings.waitMs);
+    // After an outage the store is asked at once: a wait there would keep the view old for longer.
+    const waitMs = this.#isLost ? 0 : this.#settings.waitMs;
+    const { records, next, end, asOfMs } = await this.#source.read(from, waitMs);
     this.#tell(records);
     this.#next = next;
     if (next >= end) {
-      // An empty answer comes after the whole wait, and says that nothing came until then.
-      const knownMs = records.length > 0 ? askedMs : askedMs + this.#settings.waitMs;
-      this.#freshMs = Math.max(this.#freshMs, Math.min(knownMs, steadyMs()));
+      this.#freshMs = Math.max(this.#freshMs, asOfMs);
       this.messages$.next({ kind: 'caught-up' });
     }
   }
--- a/packages/runtime/src/internal/leadership.ts
+++ b/packages/runtime/src/internal/leadership.ts
@@ -73,6 +73,9 @@
 
   readonly #startedMs = steadyMs();
 
+  /** When the view was last too old to tell whether the leader is silent, on the steady clock. */
+  #blindMs = -Infinity;
+
   /** A node that was just replaced leaves the next claim to others for a while. */
   #patienceMs = 0;
 
@@ -114,10 +117,15 @@
   #isRoleFree(): boolean {
     if (this.#stopping.signal.aborted || this.#term) return false;
     const nowMs = steadyMs();
-    if (nowMs - this.#follower.freshMs > MAX_VIEW_AGE_MS) return false;
+    if (nowMs - this.#follower.freshMs > MAX_VIEW_AGE_MS) {
+      this.#blindMs = nowMs;
+      return false;
+    }
     const { leader, leaderSeenMs } = this.#table;
     if (!leader || leader.resigned || this.#wasLeader(leader)) return true;
-    const silentMs = nowMs - Math.max(leaderSeenMs, this.#startedMs);
+    // After a silence of the store this node may read again before the leader can write again.
+    // Counted from its last record it would be taken for dead just then, having lost nothing.
+    const silentMs = nowMs - Math.max(leaderSeenMs, this.#startedMs, this.#blindMs);
     return silentMs > this.#silentLimitMs() + this.#patienceMs;
   }
 
--- a/packages/runtime/src/keyed-log.ts
+++ b/packages/runtime/src/keyed-log.ts
@@ -49,6 +49,8 @@
   readonly next: number;
   /** Where the log ended when it was read. */
   readonly end: number;
+  /** Until when nothing is missing here, on the steady clock. */
+  readonly asOfMs: number;
 }
 
 export interface NewestPage {
