--- a/packages/runtime/src/internal/leadership.ts
+++ b/packages/runtime/src/internal/leadership.ts
@@ -158,7 +158,9 @@
     this.#claims.set(record.nonce, { record, epoch: record.epoch, sequence, sentMs: steadyMs() });
     const write = { key: leaderKey(), value: encodeLeader(record) };
     const stamp = { writer: LEADER_WRITER, epoch: record.epoch, sequence };
-    const result = await this.#port.workLog.append([write], { stamp });
+    // A claim that was sent into a silence of the store is not sent again when the store is back:
+    // it would replace a leader that has lost nothing.
+    const result = await this.#port.workLog.append([write], { stamp, isOnce: true });
     this.#log.emit('info', 'claim', {
       epoch: record.epoch,
       before: before?.node,
--- a/packages/runtime/src/keyed-log.ts
+++ b/packages/runtime/src/keyed-log.ts
@@ -22,6 +22,11 @@
   readonly stamp?: WriterStamp;
   /** Append only if the log still ends here. */
   readonly at?: number;
+  /**
+   * Send it no more than once, though its stamp would let the log take a repeat for what it is: by
+   * the time of a repeat the reason for the append may be gone.
+   */
+  readonly isOnce?: boolean;
 }
 
 /**
