The log tells how old a view was when it was lost and regained

Cause: from log-lost and log-regained alone nobody could tell by how old a configuration a caller had been answered.

--- a/packages/runtime/src/internal/keyed-follower.ts
+++ b/packages/runtime/src/internal/keyed-follower.ts
@@ -101,9 +101,10 @@
 
   async #guarded(): Promise<void> {
     try {
+      const before = this.#freshMs;
       if (this.#next === undefined) await this.#load();
       else await this.#read(this.#next);
-      this.#regained();
+      this.#regained(before);
       await this.#pause(this.#gapMs);
     } catch (err) {
       if (err instanceof RecordsExpiredError) this.#next = undefined;
@@ -150,14 +151,23 @@
     if (this.#isLost || this.#stopping.signal.aborted) return;
     this.#isLost = true;
     const reason = err instanceof Error ? err.message : String(err);
-    this.#log.emit('warn', 'log-lost', { log: this.#settings.name, reason });
+    this.#log.emit('warn', 'log-lost', {
+      log: this.#settings.name,
+      reason,
+      ageMs: ageMs(this.#freshMs),
+    });
     this.lost$.next();
   }
 
-  #regained(): void {
+  /** The view was known to be complete then; it is again now. */
+  #regained(beforeMs: number): void {
     if (!this.#isLost) return;
     this.#isLost = false;
-    this.#log.emit('info', 'log-regained', { log: this.#settings.name, next: this.#next });
+    this.#log.emit('info', 'log-regained', {
+      log: this.#settings.name,
+      next: this.#next,
+      ageMs: ageMs(beforeMs),
+    });
   }
 
   async #pause(ms: number): Promise<void> {
@@ -167,3 +177,8 @@
     await delay(ms, this.#gap.signal);
   }
 }
+
+/** How old a view is, in whole milliseconds; undefined where there is none yet. */
+function ageMs(freshMs: number): number | undefined {
+  return freshMs === -Infinity ? undefined : Math.round(steadyMs() - freshMs);
+}
