--- a/packages/runtime/src/internal/leadership.ts
+++ b/packages/runtime/src/internal/leadership.ts
@@ -97,6 +97,9 @@
 
   readonly #startedMs = steadyMs();
 
+  /** When the view was last too old to tell whether the leader is silent, on the steady clock. */
+  #blindMs = -Infinity;
+
   /** A node that was just replaced leaves the next claim to others for a while. */
   #patienceMs = 0;
 
@@ -142,10 +145,15 @@
     if (this.#stopping.signal.aborted || this.#term) return false;
     const nowMs = steadyMs();
     if (nowMs < this.#nextClaimMs) return false;
-    if (nowMs - this.#follower.freshMs > MAX_VIEW_AGE_MS) return false;
+    if (nowMs - this.#follower.freshMs > MAX_VIEW_AGE_MS) {
+      this.#blindMs = nowMs;
+      return false;
+    }
     const { leader, leaderSeenMs } = this.#table;
     if (!leader || leader.resigned || this.#wasLeader(leader)) return true;
-    const silentMs = nowMs - Math.max(leaderSeenMs, this.#startedMs);
+    // After a silence of the store this node may read again before the leader can write again.
+    // Counted from its last record it would be taken for dead just then, having lost nothing.
+    const silentMs = nowMs - Math.max(leaderSeenMs, this.#startedMs, this.#blindMs);
     return silentMs > this.#silentLimitMs() + this.#patienceMs;
   }
 
@@ -182,7 +190,9 @@
     this.#claims.set(record.nonce, { record, epoch: record.epoch, sequence, sentMs: steadyMs() });
     const write = { key: leaderKey(), value: encodeLeader(record) };
     const stamp = { writer: LEADER_WRITER, epoch: record.epoch, sequence };
-    const result = await this.#port.workLog.append([write], { stamp });
+    // A claim that was sent into a silence of the store is not sent again when the store is back:
+    // it would replace a leader that has lost nothing.
+    const result = await this.#port.workLog.append([write], { stamp, isOnce: true });
     this.#log.emit('info', 'claim', {
       epoch: record.epoch,
       before: before?.node,
--- a/packages/runtime/src/test/leadership_test.ts
+++ b/packages/runtime/src/test/leadership_test.ts
@@ -44,7 +44,7 @@
   override async read(from: number, waitMs: number): Promise<ReadResult> {
     if (waitMs === 0) throw new StoreUnavailableError('timeout');
     await delay(waitMs, new AbortController().signal);
-    return { records: [], next: from, end: from };
+    return { records: [], next: from, end: from, asOfMs: performance.now() };
   }
 
   override async newest(): Promise<NewestPage> {
@@ -61,7 +61,7 @@
 
   override async read(from: number, waitMs: number): Promise<ReadResult> {
     await delay(waitMs, new AbortController().signal);
-    return { records: [], next: from, end: from };
+    return { records: [], next: from, end: from, asOfMs: performance.now() };
   }
 }
 
