--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -156,6 +156,12 @@
     if (order.kind === 'start') this.#startAnswered(worker, order, outcome, nowMs, settledMs);
   }
 
+  /** Whether `decide` would tell something that was handed in since its last call. */
+  get hasNews(): boolean {
+    const { changed, orders, endsProcessed } = this.#state;
+    return changed.size > 0 || orders.length > 0 || endsProcessed.size > 0;
+  }
+
   /**
    * Stops, and changes of pace, that are due. They need nothing stored: the binding stays on record
    * until the worker lists the end. A caller sends them at once, also while an append is under way:
--- a/packages/runtime/src/internal/leader-term.ts
+++ b/packages/runtime/src/internal/leader-term.ts
@@ -201,8 +201,11 @@
   }
 
   reported(worker: string, report: WorkerReport, askedMs: number): void {
+    const isFirst = !this.#scheduler.workers.get(worker)?.fenced;
     this.#scheduler.report(worker, report, askedMs, steadyMs());
-    this.#wakeUp();
+    // Most reports change nothing. With hundreds of workers a round for each of them would take a
+    // third of a core, and orders would lie for seconds on a node that has no more.
+    if (isFirst || this.#scheduler.hasNews) this.#wakeUp();
   }
 
   answered(order: Order, outcome: OrderOutcome, settledMs: number): void {
