--- a/packages/runtime/src/keyed-log.ts
+++ b/packages/runtime/src/keyed-log.ts
@@ -22,6 +22,11 @@
   readonly stamp?: WriterStamp;
   /** Append only if the log still ends here. */
   readonly at?: number;
+  /**
+   * Send it no more than once, though its stamp would let the log take a repeat for what it is: by
+   * the time of a repeat the reason for the append may be gone.
+   */
+  readonly isOnce?: boolean;
 }
 
 /**
@@ -49,6 +54,8 @@
   readonly next: number;
   /** Where the log ended when it was read. */
   readonly end: number;
+  /** Until when nothing is missing here, on the steady clock. */
+  readonly asOfMs: number;
 }
 
 export interface NewestPage {
