--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -112,7 +112,12 @@
 
   /** The store lists the worker, or what it says of itself has changed. */
   listWorker(entry: WorkerEntry, nowMs: number): void {
-    const worker = this.#state.workers.get(entry.id) ?? this.#state.addWorker(entry);
+    const known = this.#state.workers.get(entry.id);
+    const worker = known ?? this.#state.addWorker(entry);
+    if (entry.draining && !(known?.listed && known.entry.draining)) {
+      const { id, remainingMs } = entry;
+      this.#state.note('worker-leaves', { worker: id, remainingMs, runs: worker.runs.size });
+    }
     worker.entry = entry;
     worker.listed = true;
     if (entry.draining) worker.leavesMs = Math.min(worker.leavesMs, nowMs + entry.remainingMs);
@@ -257,7 +262,12 @@
       const isSilent =
         nowMs > worker.leaseEndMs && nowMs - worker.answeredMs > this.#state.timing.leaseMs;
       if (isSilent && (worker.runs.size > 0 || !worker.listed)) {
-        this.#state.note('leases-over', { worker: worker.entry.id, runs: worker.runs.size });
+        this.#state.note('leases-over', {
+          worker: worker.entry.id,
+          runs: worker.runs.size,
+          hasAnswered: worker.fenced,
+          silentMs: Math.round(nowMs - Math.max(worker.answeredMs, this.#state.startedMs)),
+        });
         this.#state.releaseAll(worker);
         if (!worker.listed) this.#state.workers.delete(worker.entry.id);
       }
--- a/packages/runtime/src/job-api.ts
+++ b/packages/runtime/src/job-api.ts
@@ -57,25 +57,25 @@
 
   #metrics: NodeMetrics | undefined;
 
-  readonly #server = http.createServer((req, res) => {
-    this.#serve(req, res).catch((err: unknown) => {
-      this.#log.emit('error', 'call-failed', { reason: String(err) });
-      res.destroy();
-    });
-  });
-
   constructor(node: JobApiNode, log: NodeLog) {
     this.#node = node;
     this.#log = log;
   }
 
+  /** Serves on one more address, HOST:PORT. */
   async listen(address: string): Promise<void> {
     const { NodeMetrics: Metrics } = await import('./internal/node-metrics.js');
-    this.#metrics = new Metrics(this.#log, () => this.#node.state);
+    this.#metrics ??= new Metrics(this.#log, () => this.#node.state);
+    const server = http.createServer((req, res) => {
+      this.#serve(req, res).catch((err: unknown) => {
+        this.#log.emit('error', 'call-failed', { reason: String(err) });
+        res.destroy();
+      });
+    });
     const split = address.lastIndexOf(':');
     await new Promise<void>((resolve, reject) => {
-      this.#server.once('error', reject);
-      this.#server.listen(Number(address.slice(split + 1)), address.slice(0, split), resolve);
+      server.once('error', reject);
+      server.listen(Number(address.slice(split + 1)), address.slice(0, split), resolve);
     });
   }
 
