Tests of records that other writers may leave, all red

Cause: an entry with fields missing or of another type is taken for a worker, a record that cannot be read costs its page or ends the process, and a broken report of a worker is believed or ends its link.

--- a/packages/runtime/src/cluster-config.ts
+++ b/packages/runtime/src/cluster-config.ts
@@ -12,5 +12,7 @@
 export interface ClusterConfig {
   readonly version: number;
   readonly queues: readonly QueueRoute[];
+  /** Every pool of workers that the operators name. */
+  readonly pools: readonly string[];
   readonly maxBodyBytes: number;
 }
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -1,3 +1,4 @@
+export * from './record-fault.js';
 export * from './keyed-log.js';
 export * from './task-workers.js';
 export * from './cluster-config.js';
--- a/packages/runtime/src/internal/config-watch.ts
+++ b/packages/runtime/src/internal/config-watch.ts
@@ -48,8 +48,10 @@
 
   #read(rec: { key: string; value: string | undefined }): void {
     try {
-      const config = this.#port.decodeConfig(rec);
-      if (!config || config.version <= (this.#current?.version ?? -Infinity)) return;
+      const decoded = this.#port.decodeConfig(rec);
+      if (!decoded || 'fault' in decoded) return;
+      const config = decoded.value;
+      if (config.version <= (this.#current?.version ?? -Infinity)) return;
       const from = this.#current?.version;
       this.#current = config;
       this.#log.emit('info', 'config', {
--- a/packages/runtime/src/internal/leader-term.ts
+++ b/packages/runtime/src/internal/leader-term.ts
@@ -313,7 +313,9 @@
       return;
     }
     try {
-      const entry = this.#port.decodeWorker(rec);
+      const decoded = this.#port.decodeWorker(rec);
+      if ('fault' in decoded) return;
+      const entry = decoded.value;
       this.#scheduler.listWorker(entry, steadyMs());
       this.#link(entry.id);
     } catch (err) {
--- a/packages/runtime/src/internal/work-table.ts
+++ b/packages/runtime/src/internal/work-table.ts
@@ -14,6 +14,8 @@
   /** Time of day at which it reached a final state; 0 before that. */
   endedMs: number;
   progress: string | undefined;
+  /** The newest record of its progress could not be read: `progress` may be out of date. */
+  isUnsure: boolean;
   cancelled: boolean;
 }
 
@@ -151,6 +153,7 @@
       state: 'queued',
       endedMs: 0,
       progress: undefined,
+      isUnsure: false,
       cancelled: false,
     });
     const early = this.#early.get(id) ?? [];
--- a/packages/runtime/src/keyed-log.ts
+++ b/packages/runtime/src/keyed-log.ts
@@ -1,13 +1,21 @@
+import type { RecordFault } from './record-fault.js';
+
+/** A record to append; without a value it deletes the key. */
+export interface KeyedWrite {
+  readonly key: string;
+  readonly value: string | undefined;
+}
+
 /** One record of a log that keeps the newest record of each key. */
 export interface KeyedRecord {
+  /** As far as it could be read; empty where nothing of it could. */
   readonly key: string;
   /** Absent where the key was deleted. */
   readonly value: string | undefined;
+  /** Why the record cannot be read. It neither says anything nor deletes its key. */
+  readonly fault?: RecordFault;
 }
 
-/** A record to append; without a value it deletes the key. */
-export type KeyedWrite = KeyedRecord;
-
 /**
  * Names a writer. The log refuses a lower epoch than one it has seen, and takes the appends of
  * one epoch in the order of their sequence numbers, a repeated one only once.
@@ -44,6 +52,7 @@
 }
 
 export interface ReadResult {
+  /** Every record of the log, also those that could not be read. */
   readonly records: readonly KeyedRecord[];
   /** Where to read on. */
   readonly next: number;
--- a/packages/runtime/src/platform-port.ts
+++ b/packages/runtime/src/platform-port.ts
@@ -1,6 +1,7 @@
 import type { WorkerEntry } from '@redwingcrank/jobs';
 import type { ClusterConfig } from './cluster-config.js';
 import type { KeyedLog, KeyedRecord } from './keyed-log.js';
+import type { Decoded } from './record-fault.js';
 import type { TaskWorkers } from './task-workers.js';
 
 /** What the platform gives a node, in this project's words. */
@@ -16,9 +17,9 @@
   /** The id of the worker whose entry this record is; undefined for other records. */
   workerIdOf(rec: KeyedRecord): string | undefined;
 
-  /** @throws Error that says what is wrong with the record */
-  decodeWorker(rec: KeyedRecord): WorkerEntry;
+  /** The worker whose entry this record is, or why it names none to use. */
+  decodeWorker(rec: KeyedRecord): Decoded<WorkerEntry>;
 
   /** Undefined for a record that is not the configuration. */
-  decodeConfig(rec: KeyedRecord): ClusterConfig | undefined;
+  decodeConfig(rec: KeyedRecord): Decoded<ClusterConfig> | undefined;
 }
--- /dev/null
+++ b/packages/runtime/src/test/work-table_test.ts
@@ -0,0 +1,139 @@
+import assert from 'node:assert/strict';
+import { beforeEach, test } from 'node:test';
+import type { JobSpec } from '@redwingcrank/jobs';
+import { JobProgress, PLAIN_STEP } from '@redwingcrank/jobs';
+import type { KeyedRecord } from '../keyed-log.js';
+import { encodeJob, encodeLeader, encodeLearned } from '../internal/work-records.js';
+import { WorkTable } from '../internal/work-table.js';
+
+const SPEC: JobSpec = {
+  id: 'a',
+  queue: 'q',
+  payload: 'p',
+  steps: [{ ...PLAIN_STEP, taskCount: 2 }],
+  acceptedMs: 1,
+};
+
+const LEADER = { epoch: 3, node: 'n1', nonce: 'x', resigned: false };
+
+/** Values that are neither a job, nor progress, nor a leader, nor weights. */
+const STRANGERS = ['', '{', 'null', '7', '"x"', '[]', '[null]', '{"s":7}', '{"epoch":"9"}'];
+
+let table: WorkTable;
+
+const put = (key: string, value: string | undefined): void => table.apply({ key, value });
+
+function progress(change: (job: JobProgress) => void): string {
+  const job = new JobProgress(SPEC);
+  job.openDue(0);
+  job.begin();
+  change(job);
+  return job.encode();
+}
+
+const RUNNING = progress(() => {});
+
+beforeEach(() => {
+  table = new WorkTable();
+  put('leader', encodeLeader(LEADER));
+  put('learned', encodeLearned({ web: { batch: 0.4 } }));
+  put('j/a', encodeJob(SPEC));
+  put('s/a', RUNNING);
+});
+
+function assertAsBefore(what: string): void {
+  assert.deepEqual(table.leader, LEADER, what);
+  assert.deepEqual(table.learned, { web: { batch: 0.4 } }, what);
+  assert.deepEqual([...table.jobs.keys()], ['a'], what);
+  assert.deepEqual(table.jobs.get('a')!.spec, SPEC, what);
+  assert.equal(table.jobs.get('a')!.state, 'running', what);
+  assert.equal(table.jobs.get('a')!.progress, RUNNING, what);
+}
+
+test('a record that says nothing changes nothing', () => {
+  // A record that cannot be read ends the process at its first look at it; started again it meets
+  // the same record. On every node at once, that is an outage which no restart ends.
+  for (const value of STRANGERS) {
+    for (const key of ['leader', 'learned', 'j/a', 'j/b', 's/a', 's/b', 'x', '', '/', 'j']) {
+      put(key, value);
+      assertAsBefore(`${key} ${value}`);
+    }
+  }
+});
+
+test('a record whose bytes could not be read changes nothing', () => {
+  const fault = { reason: 'unreadable', field: 'value' } as const;
+  for (const key of ['leader', 'learned', 'j/a', 's/a', '']) {
+    const rec: KeyedRecord = { key, value: undefined, fault };
+    table.apply(rec);
+    assertAsBefore(key);
+  }
+});
+
+test('a job with one field of another type is no job', () => {
+  // The scheduling node adds claims up, counts tasks and follows the numbers of steps. A job that
+  // does not hold what it should is found out there, in the middle of everybody's decisions.
+  const step = SPEC.steps[0]!;
+  const broken: object[] = [
+    { ...SPEC, id: 'other' },
+    { ...SPEC, queue: 7 },
+    { ...SPEC, payload: null },
+    { ...SPEC, acceptedMs: 'now' },
+    { ...SPEC, steps: [] },
+    { ...SPEC, steps: [null] },
+    { ...SPEC, steps: [{ ...step, taskCount: 0 }] },
+    { ...SPEC, steps: [{ ...step, taskCount: 1e9 }] },
+    { ...SPEC, steps: [{ ...step, cpuMilli: '500' }] },
+    { ...SPEC, steps: [{ ...step, memMb: -1 }] },
+    { ...SPEC, steps: [{ ...step, after: [0] }] },
+    { ...SPEC, steps: [{ ...step, gang: 1 }] },
+    { ...SPEC, schedule: { count: 'x', firstDueMs: 0, intervalMs: 0 } },
+  ];
+  table = new WorkTable();
+  for (const value of broken) {
+    put('j/a', JSON.stringify(value));
+    assert.equal(table.jobs.size, 0, JSON.stringify(value));
+  }
+  put('j/a', encodeJob(SPEC));
+  assert.deepEqual(table.jobs.get('a')!.spec, SPEC);
+});
+
+test('a job of an earlier release lacks a field and is read all the same', () => {
+  const { maxUnavailable: _left, ...step } = SPEC.steps[0]!;
+  table = new WorkTable();
+  put('j/a', JSON.stringify({ ...SPEC, steps: [step] }));
+  assert.deepEqual(table.jobs.get('a')!.spec, SPEC);
+});
+
+test('progress that does not fit its job counts as unreadable', () => {
+  // It says where each task may run. Whoever takes scheduling over would look up tasks that are
+  // not there, in every round, and no job of any caller would begin.
+  const broken = [
+    { s: 'running', b: 1, o: [[0, []]] },
+    { s: 'running', b: 1, o: [[0, [[0]]]] },
+    { s: 'running', b: 1, o: [[0, [[0, [1, 1, 7, 0, '']]]]] },
+    { s: 'running', b: 1, o: [[0, [[0, [9, 1, 'w', 0, '']]]]] },
+    { s: 'asleep', b: 1, o: [] },
+    { s: 'running', b: -1, o: [] },
+    { s: 'running', b: 1 },
+    { s: 'completed', b: 1, o: [], e: 'x' },
+  ];
+  for (const value of broken) {
+    put('s/a', JSON.stringify(value));
+    assertAsBefore(JSON.stringify(value));
+  }
+});
+
+test('a job whose newest progress cannot be read is not taken over until it can', () => {
+  // The record may have said that a task is at work, or done. A node that takes scheduling over
+  // and starts from the record before would start such a task a second time.
+  assert.equal(table.jobs.get('a')!.isUnsure, false);
+  put('s/a', '{"s":7}');
+  assert.equal(table.jobs.get('a')!.isUnsure, true);
+  put('s/a', RUNNING);
+  assert.equal(table.jobs.get('a')!.isUnsure, false);
+  table = new WorkTable();
+  put('s/a', '{"s":7}');
+  put('j/a', encodeJob(SPEC));
+  assert.equal(table.jobs.get('a')!.isUnsure, true);
+});
