--- a/packages/runtime/src/cluster-config.ts
+++ b/packages/runtime/src/cluster-config.ts
@@ -13,6 +13,6 @@
   readonly version: number;
   readonly queues: readonly QueueRoute[];
   /** Every pool of workers that the operators name. */
-  readonly pools: readonly string[];
+  readonly pools: ReadonlySet<string>;
   readonly maxBodyBytes: number;
 }
