A record that cannot be used says nothing, and is told once

Cause: an entry that could not be used left the one before it in force, or was taken for a worker and called without end; one unreadable record of a job, a leader or its weights ended the process, and after it every process that read it. Change: the list of workers has a file of its own, in which such an entry counts as none, and so does one of a pool that the operators do not name. The work table checks every record. A job whose newest progress cannot be read is not taken over until it can; the node that has it stores it once more. One log line when a key turns unusable and one when it is sound again, and a counter by log and reason.

--- a/packages/jobs/src/job-progress.ts
+++ b/packages/jobs/src/job-progress.ts
@@ -1,5 +1,7 @@
 import type { JobSpec, JobState, StepSpec } from './job.js';
 import { isFinal } from './job.js';
+import type { ProgressRecord, TaskTuple } from './internal/progress-record.js';
+import { PHASES, parseProgress } from './internal/progress-record.js';
 
 /**
  * - `waiting`: not started, or to be started again.
@@ -26,19 +28,6 @@
   readonly steps: TaskProgress[][];
 }
 
-type TaskTuple = 0 | 1 | [number, number, string, number, string];
-
-interface ProgressRecord {
-  s: JobState;
-  /** When the job reached a final state. */
-  e?: number;
-  /** Occurrences with a smaller number are over. */
-  b: number;
-  o: [number, TaskTuple[][]][];
-}
-
-const PHASES: readonly TaskPhase[] = ['waiting', 'bound', 'done', 'failed'];
-
 /** A job together with how far it has come. The scheduling node owns and changes it. */
 export class JobProgress {
   readonly spec: JobSpec;
@@ -139,6 +128,7 @@
     return false;
   }
 
+  /** Reads back what `encode` has written for the same job. */
   static decode(spec: JobSpec, text: string): JobProgress {
     const rec = JSON.parse(text) as ProgressRecord;
     const progress = new JobProgress(spec);
@@ -154,10 +144,16 @@
     return progress;
   }
 
-  /** The state alone, for nodes that only answer callers. */
-  static decodeState(text: string): { state: JobState; endedMs: number } {
-    const rec = JSON.parse(text) as ProgressRecord;
-    return { state: rec.s, endedMs: rec.e ?? 0 };
+  /**
+   * The state alone, for nodes that only answer callers; undefined where the text is no progress of
+   * this job, and `decode` must not be called with it.
+   */
+  static decodeState(
+    spec: JobSpec,
+    text: string,
+  ): { state: JobState; endedMs: number } | undefined {
+    const rec = parseProgress(spec, text);
+    return rec && { state: rec.s, endedMs: rec.e ?? 0 };
   }
 }
 
--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -96,6 +96,12 @@
     this.#state.jobs.delete(id);
   }
 
+  /** The stored progress of a job is no longer what this node has: it is stored once more. */
+  restate(id: string): void {
+    const job = this.#state.jobs.get(id);
+    if (job) this.#state.changed.add(job);
+  }
+
   cancel(id: string, timeOfDayMs: number): void {
     const job = this.#state.jobs.get(id);
     if (!job || isFinal(job.state)) return;
--- a/packages/runtime/src/internal/config-watch.ts
+++ b/packages/runtime/src/internal/config-watch.ts
@@ -1,7 +1,9 @@
 import { Subject } from 'rxjs';
 import type { ClusterConfig, QueueRoute } from '../cluster-config.js';
+import type { KeyedRecord } from '../keyed-log.js';
 import type { NodeLog } from '../node-log.js';
 import type { PlatformPort } from '../platform-port.js';
+import { FaultLog } from './fault-log.js';
 import { KeyedFollower } from './keyed-follower.js';
 
 /** How often the operators' records are read, in milliseconds: well under the time they have. */
@@ -13,22 +15,27 @@
 
   readonly #log: NodeLog;
 
+  readonly #faults: FaultLog;
+
   readonly follower: KeyedFollower;
 
   #current: ClusterConfig | undefined;
 
   readonly changes$ = new Subject<ClusterConfig>();
 
-  constructor(port: PlatformPort, log: NodeLog) {
+  constructor(port: PlatformPort, log: NodeLog, faults = new FaultLog(log)) {
     this.#port = port;
     this.#log = log;
+    this.#faults = faults;
     this.follower = new KeyedFollower(port.operatorLog, log, {
       name: 'operator',
       waitMs: 1_000,
       gapMs: GAP_MS,
     });
     this.follower.messages$.subscribe((message) => {
-      if (message.kind === 'record' && message.rec.value !== undefined) this.#read(message.rec);
+      if (message.kind !== 'record') return;
+      const { rec } = message;
+      if (rec.value !== undefined || rec.fault) this.#read(rec);
     });
   }
 
@@ -46,23 +53,29 @@
     return best;
   }
 
-  #read(rec: { key: string; value: string | undefined }): void {
-    try {
-      const decoded = this.#port.decodeConfig(rec);
-      if (!decoded || 'fault' in decoded) return;
-      const config = decoded.value;
-      if (config.version <= (this.#current?.version ?? -Infinity)) return;
-      const from = this.#current?.version;
-      this.#current = config;
-      this.#log.emit('info', 'config', {
-        from,
-        version: config.version,
-        queues: config.queues.length,
-      });
-      this.changes$.next(config);
-    } catch (err) {
-      const reason = err instanceof Error ? err.message : String(err);
-      this.#log.emit('error', 'config-unreadable', { key: rec.key, reason });
+  #read(rec: KeyedRecord): void {
+    const decoded = this.#port.decodeConfig(rec);
+    if (!decoded) {
+      if (rec.fault) this.#faults.unusable('operator', rec.key, rec.fault);
+      return;
+    }
+    if ('fault' in decoded) {
+      this.#faults.unusable('operator', rec.key, decoded.fault);
+      return;
     }
+    this.#faults.usable('operator', rec.key);
+    this.#take(decoded.value);
+  }
+
+  #take(config: ClusterConfig): void {
+    if (config.version <= (this.#current?.version ?? -Infinity)) return;
+    const from = this.#current?.version;
+    this.#current = config;
+    this.#log.emit('info', 'config', {
+      from,
+      version: config.version,
+      queues: config.queues.length,
+    });
+    this.changes$.next(config);
   }
 }
--- a/packages/runtime/src/internal/leader-term.ts
+++ b/packages/runtime/src/internal/leader-term.ts
@@ -1,13 +1,12 @@
 import type { Subscription } from 'rxjs';
 import type { Order, OrderOutcome, WorkerReport } from '@redwingcrank/jobs';
 import { JobProgress, Scheduler, isFinal } from '@redwingcrank/jobs';
-import type { KeyedRecord, KeyedWrite } from '../keyed-log.js';
+import type { KeyedWrite } from '../keyed-log.js';
 import type { NodeLog } from '../node-log.js';
 import type { NodeSettings } from '../node-settings.js';
 import type { PlatformPort } from '../platform-port.js';
 import { delay, steadyMs } from './delay.js';
-import type { FollowerMessage } from './keyed-follower.js';
-import { KeyedFollower } from './keyed-follower.js';
+import { FaultLog } from './fault-log.js';
 import type { StoredClaim } from './leader-writer.js';
 import { LeaderWriter } from './leader-writer.js';
 import {
@@ -35,9 +34,7 @@
   progressKey,
 } from './work-records.js';
 import type { StoredJob, WorkChange, WorkTable } from './work-table.js';
-
-/** How often the entries of workers are read, in milliseconds. */
-const WORKER_LIST_GAP_MS = 250;
+import { WorkerList } from './worker-list.js';
 
 /** A job's records are deleted this long after its state may be forgotten, in milliseconds. */
 const FORGET_SLACK_MS = 30_000;
@@ -68,7 +65,7 @@
 
   readonly #scheduler: Scheduler;
 
-  readonly #workerList: KeyedFollower;
+  readonly #workerList: WorkerList;
 
   readonly #links = new Map<string, WorkerLink>();
 
@@ -102,6 +99,7 @@
     log: NodeLog,
     table: WorkTable,
     config: ConfigWatch,
+    faults = new FaultLog(log),
   ) {
     this.#record = record;
     this.#port = port;
@@ -110,11 +108,6 @@
     this.#table = table;
     this.#config = config;
     this.#writer = new LeaderWriter(port.workLog, log, claim);
-    this.#workerList = new KeyedFollower(port.workerLog, log, {
-      name: 'workers',
-      waitMs: 1_000,
-      gapMs: WORKER_LIST_GAP_MS,
-    });
     this.#leaseMs = Math.min(LEASE_MS, settings.maxLeaseMs);
     const leaseMs = this.#leaseMs * CLOCK_SLACK + CLOCK_MARGIN_MS;
     this.#scheduler = new Scheduler(
@@ -127,6 +120,8 @@
       steadyMs(),
       (event, fields) => log.emit('info', event, fields),
     );
+    const link = (id: string): void => this.#link(id);
+    this.#workerList = new WorkerList(port, log, config, this.#scheduler, link, faults);
   }
 
   get token(): number {
@@ -145,7 +140,6 @@
     this.#subscriptions.push(
       this.#table.changes$.subscribe((change) => this.#workChanged(change)),
       this.#config.changes$.subscribe(() => this.#takeQueues()),
-      this.#workerList.messages$.subscribe((message) => this.#workerMessage(message)),
     );
     this.#workerList.run().catch((err) => this.#failed('worker-list', err));
     while (!this.#stopping.signal.aborted) await this.#round();
@@ -261,7 +255,8 @@
     else this.#scheduler.answered(order, 'unknown', steadyMs(), steadyMs());
   }
 
-  #takeOn({ spec, progress, cancelled }: StoredJob): void {
+  #takeOn({ spec, progress, isUnsure, cancelled }: StoredJob): void {
+    if (isUnsure) return;
     const job = progress === undefined ? new JobProgress(spec) : JobProgress.decode(spec, progress);
     this.#scheduler.addJob(job);
     if (cancelled) this.#scheduler.cancel(spec.id, Date.now());
@@ -278,6 +273,9 @@
       case 'cancelled':
         this.#scheduler.cancel(change.id, Date.now());
         break;
+      case 'unsure':
+        this.#scheduler.restate(change.id);
+        break;
       default:
         this.#scheduler.dropJob(change.id);
     }
@@ -291,38 +289,6 @@
     this.#wakeUp();
   }
 
-  #workerMessage(message: FollowerMessage): void {
-    if (message.kind === 'record') this.#workerRecord(message.rec);
-    else if (message.kind === 'reset') this.#listedBefore = new Set(this.#links.keys());
-    else if (this.#listedBefore) {
-      // What a fresh list does not name is not listed any more.
-      for (const id of this.#listedBefore) this.#scheduler.unlistWorker(id);
-      this.#listedBefore = undefined;
-    }
-  }
-
-  #listedBefore: Set<string> | undefined;
-
-  #workerRecord(rec: KeyedRecord): void {
-    const id = this.#port.workerIdOf(rec);
-    if (id === undefined) return;
-    this.#listedBefore?.delete(id);
-    if (rec.value === undefined) {
-      this.#log.emit('info', 'worker-unlisted', { worker: id });
-      this.#scheduler.unlistWorker(id);
-      return;
-    }
-    try {
-      const decoded = this.#port.decodeWorker(rec);
-      if ('fault' in decoded) return;
-      const entry = decoded.value;
-      this.#scheduler.listWorker(entry, steadyMs());
-      this.#link(entry.id);
-    } catch (err) {
-      this.#failed('worker-entry', err);
-    }
-  }
-
   #link(id: string): void {
     const worker = this.#scheduler.workers.get(id);
     if (!worker || this.#links.has(id)) return;
--- a/packages/runtime/src/internal/leadership.ts
+++ b/packages/runtime/src/internal/leadership.ts
@@ -4,6 +4,7 @@
 import type { PlatformPort } from '../platform-port.js';
 import type { ConfigWatch } from './config-watch.js';
 import { delay, steadyMs } from './delay.js';
+import type { FaultLog } from './fault-log.js';
 import type { KeyedFollower } from './keyed-follower.js';
 import type { StoredClaim } from './leader-writer.js';
 import { LEADER_WRITER } from './leader-writer.js';
@@ -64,6 +65,8 @@
 
   readonly #config: ConfigWatch;
 
+  readonly #faults: FaultLog;
+
   readonly #stopping = new AbortController();
 
   /** Claims that were sent, by their nonce: one without an answer may be stored seconds later. */
@@ -83,6 +86,7 @@
     table: WorkTable,
     follower: KeyedFollower,
     config: ConfigWatch,
+    faults: FaultLog,
   ) {
     this.#port = port;
     this.#settings = settings;
@@ -90,6 +94,7 @@
     this.#table = table;
     this.#follower = follower;
     this.#config = config;
+    this.#faults = faults;
     table.changes$.subscribe((change) => {
       if (change.kind === 'leader') this.#leaderSeen(change.leader);
     });
@@ -173,6 +178,7 @@
       this.#log,
       this.#table,
       this.#config,
+      this.#faults,
     );
     this.#term = term;
     this.#follower.setGap(LEADER_GAP_MS);
--- a/packages/runtime/src/internal/node-metrics.ts
+++ b/packages/runtime/src/internal/node-metrics.ts
@@ -1,5 +1,6 @@
 import { Counter, Gauge, Histogram, Registry } from 'prom-client';
 import type { LogFields, NodeLog } from '../node-log.js';
+import type { FaultCount } from './fault-log.js';
 
 /** Bounds in seconds: an order usually takes a few milliseconds, an answer that is late half a second. */
 const BUCKETS = [0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 2.5];
@@ -11,6 +12,8 @@
   readonly viewAgeMs: number;
   /** Jobs by state. */
   readonly jobs: ReadonlyMap<string, number>;
+  /** Records of the store that could not be used since the start, by log and reason. */
+  readonly faults: Iterable<FaultCount>;
 }
 
 /**
@@ -97,4 +100,17 @@
       for (const [name, count] of state().jobs) this.set({ state: name }, count);
     },
   });
+
+  new Counter({
+    name: 'redwingcrank_unusable_records_total',
+    help: 'Records of the store that could not be used, by log and reason.',
+    labelNames: ['log', 'reason'],
+    registers,
+    collect() {
+      this.reset();
+      for (const { source, reason, count } of state().faults) {
+        this.inc({ log: source, reason }, count);
+      }
+    },
+  });
 }
--- a/packages/runtime/src/internal/work-records.ts
+++ b/packages/runtime/src/internal/work-records.ts
@@ -1,4 +1,6 @@
-import type { JobSpec, PressWeights } from '@redwingcrank/jobs';
+import type { PressWeights } from '@redwingcrank/jobs';
+import type { Decoded } from '../record-fault.js';
+import { parseObject } from './parse-object.js';
 
 /** Which kinds of records the work log holds. Their keys are one letter, a slash and the job. */
 export type WorkRecordKind = 'job' | 'progress' | 'cancel' | 'leader' | 'learned';
@@ -42,26 +44,42 @@
   return { kind, id: key.slice(2) };
 }
 
-export function encodeJob(spec: JobSpec): string {
-  return JSON.stringify(spec);
-}
-
-export function decodeJob(text: string): JobSpec {
-  return JSON.parse(text) as JobSpec;
-}
-
 export function encodeLeader(rec: LeaderRecord): string {
   return JSON.stringify(rec);
 }
 
-export function decodeLeader(text: string): LeaderRecord {
-  return JSON.parse(text) as LeaderRecord;
+/** Which node schedules, according to a record. */
+export function decodeLeader(text: string): Decoded<LeaderRecord> {
+  const rec = parseObject<LeaderRecord>(text);
+  if (!rec) return { fault: { reason: 'unreadable', field: 'value' } };
+  const { epoch, node, nonce, resigned } = rec;
+  // The next claim counts on from it, and workers compare it with the tokens that they have seen.
+  if (!isEpoch(epoch)) return { fault: { reason: 'wrong-type', field: 'epoch' } };
+  if (typeof node !== 'string') return { fault: { reason: 'wrong-type', field: 'node' } };
+  if (typeof nonce !== 'string') return { fault: { reason: 'wrong-type', field: 'nonce' } };
+  if (typeof resigned !== 'boolean') return { fault: { reason: 'wrong-type', field: 'resigned' } };
+  return { value: { epoch, node, nonce, resigned } };
 }
 
 export function encodeLearned(weights: PressWeights): string {
   return JSON.stringify(weights);
 }
 
-export function decodeLearned(text: string): PressWeights {
-  return JSON.parse(text) as PressWeights;
+/** What was learned of images, according to a record: each weight is a number. */
+export function decodeLearned(text: string): Decoded<PressWeights> {
+  const weights = parseObject<PressWeights>(text);
+  if (!weights) return { fault: { reason: 'unreadable', field: 'value' } };
+  for (const [image, row] of Object.entries(weights)) {
+    if (!isRow(row)) return { fault: { reason: 'wrong-type', field: image } };
+  }
+  return { value: weights as PressWeights };
+}
+
+function isEpoch(value: unknown): value is number {
+  return Number.isSafeInteger(value) && (value as number) > 0;
+}
+
+function isRow(row: unknown): boolean {
+  if (typeof row !== 'object' || row === null || Array.isArray(row)) return false;
+  return Object.values(row).every((weight) => Number.isFinite(weight));
 }
--- a/packages/runtime/src/internal/work-table.ts
+++ b/packages/runtime/src/internal/work-table.ts
@@ -2,9 +2,12 @@
 import type { JobSpec, JobState, PressWeights } from '@redwingcrank/jobs';
 import { JobProgress, isFinal } from '@redwingcrank/jobs';
 import type { KeyedRecord } from '../keyed-log.js';
-import type { LeaderRecord } from './work-records.js';
-import { decodeJob, decodeLeader, decodeLearned, parseKey } from './work-records.js';
+import type { Decoded, RecordFault } from '../record-fault.js';
 import { steadyMs } from './delay.js';
+import type { FaultLog } from './fault-log.js';
+import { decodeJob } from './job-record.js';
+import type { LeaderRecord } from './work-records.js';
+import { decodeLeader, decodeLearned, parseKey } from './work-records.js';
 import { UNCONFIRMED_MS } from './timing.js';
 
 /** A job as the store has it. */
@@ -23,18 +26,28 @@
 const GAP_FADE_MS = 5_000;
 
 export type WorkChange =
-  | { readonly kind: 'accepted' | 'cancelled' | 'deleted'; readonly id: string }
+  | { readonly kind: 'accepted' | 'cancelled' | 'deleted' | 'unsure'; readonly id: string }
   | { readonly kind: 'leader'; readonly leader: LeaderRecord };
 
+const UNFIT: RecordFault = { reason: 'unreadable', field: 'value' };
+
+/** Records of a job that came before it: pages of a load are in no particular order. */
+interface EarlyRecords {
+  progress?: KeyedRecord;
+  cancel?: KeyedRecord;
+}
+
 /**
  * Everything in the work log, as every node holds it: it answers callers from it, and whoever
- * takes over scheduling starts from it. Only stored facts stand here.
+ * takes over scheduling starts from it. Only stored facts stand here. A record that cannot
+ * be used changes nothing, but that a job may become unsure by it.
  */
 export class WorkTable {
   readonly #jobs = new Map<string, StoredJob>();
 
-  /** Records that came before their job: pages of a load are in no particular order. */
-  readonly #early = new Map<string, KeyedRecord[]>();
+  readonly #faults: FaultLog | undefined;
+
+  readonly #early = new Map<string, EarlyRecords>();
 
   #leader: LeaderRecord | undefined;
 
@@ -48,6 +61,10 @@
 
   readonly changes$ = new Subject<WorkChange>();
 
+  constructor(faults?: FaultLog) {
+    this.#faults = faults;
+  }
+
   get jobs(): ReadonlyMap<string, StoredJob> {
     return this.#jobs;
   }
@@ -87,19 +104,26 @@
 
   apply(rec: KeyedRecord): void {
     const key = parseKey(rec.key);
-    if (!key) return;
+    if (!key) {
+      if (rec.fault) this.#faults?.unusable('work', rec.key, rec.fault);
+      return;
+    }
     switch (key.kind) {
       case 'leader':
-        this.#applyLeader(rec.value);
+        this.#applyLeader(rec);
         break;
       case 'learned':
-        if (rec.value !== undefined) this.#learned = decodeLearned(rec.value);
+        this.#learned = this.#decoded(rec, decodeLearned) ?? this.#learned;
         break;
       case 'job':
         this.#applyJob(key.id, rec);
         break;
+      case 'progress':
+        this.#sawLeader();
+        this.#applyProgress(key.id, rec);
+        break;
       default:
-        this.#applyToJob(key.id, key.kind, rec);
+        this.#applyCancel(key.id, rec);
     }
   }
 
@@ -112,9 +136,25 @@
     return count;
   }
 
-  #applyLeader(value: string | undefined): void {
-    if (value === undefined) return;
-    const leader = decodeLeader(value);
+  /** What the record says; undefined where it says nothing, or nothing that can be used. */
+  #decoded<T>(rec: KeyedRecord, decode: (text: string) => Decoded<T>): T | undefined {
+    const { key, value, fault } = rec;
+    if (value === undefined && !fault) {
+      this.#faults?.forget('work', key);
+      return undefined;
+    }
+    const decoded = fault ? { fault } : decode(value ?? '');
+    if ('fault' in decoded) {
+      this.#faults?.unusable('work', key, decoded.fault);
+      return undefined;
+    }
+    this.#faults?.usable('work', key);
+    return decoded.value;
+  }
+
+  #applyLeader(rec: KeyedRecord): void {
+    const leader = this.#decoded(rec, decodeLeader);
+    if (!leader) return;
     // The silence before a new leader's first record says nothing about the store.
     if (leader.epoch === this.#leader?.epoch) this.#sawLeader();
     else this.#leaderChanged();
@@ -141,42 +181,75 @@
     this.#leaderSeenMs = nowMs;
   }
 
-  #applyJob(id: string, { value }: KeyedRecord): void {
-    if (value === undefined) {
-      if (this.#jobs.delete(id)) this.changes$.next({ kind: 'deleted', id });
+  #applyJob(id: string, rec: KeyedRecord): void {
+    const spec = this.#decoded(rec, (text) => decodeJob(id, text));
+    if (!spec) {
+      const isDeletion = rec.value === undefined && !rec.fault;
+      if (isDeletion && this.#jobs.delete(id)) this.changes$.next({ kind: 'deleted', id });
       return;
     }
     // A submission that was sent twice is one job: the first stands.
     if (this.#jobs.has(id)) return;
     this.#jobs.set(id, {
-      spec: decodeJob(value),
+      spec,
       state: 'queued',
       endedMs: 0,
       progress: undefined,
       isUnsure: false,
       cancelled: false,
     });
-    const early = this.#early.get(id) ?? [];
+    const { progress, cancel } = this.#early.get(id) ?? {};
     this.#early.delete(id);
-    for (const rec of early) this.apply(rec);
+    if (progress) this.#applyProgress(id, progress);
+    if (cancel) this.#applyCancel(id, cancel);
     this.changes$.next({ kind: 'accepted', id });
   }
 
-  #applyToJob(id: string, kind: 'progress' | 'cancel', rec: KeyedRecord): void {
-    if (kind === 'progress') this.#sawLeader();
-    if (rec.value === undefined) return;
+  #applyProgress(id: string, rec: KeyedRecord): void {
     const job = this.#jobs.get(id);
     if (!job) {
-      this.#early.set(id, [...(this.#early.get(id) ?? []), rec]);
+      this.#keepEarly(id, rec, { progress: rec });
       return;
     }
-    if (kind === 'cancel') {
-      job.cancelled = true;
-      this.changes$.next({ kind: 'cancelled', id });
+    const newest = this.#decoded(rec, (text) => {
+      const state = JobProgress.decodeState(job.spec, text);
+      return state ? { value: { ...state, progress: text } } : { fault: UNFIT };
+    });
+    if (newest) this.#progressed(id, job, newest);
+    else if (rec.value !== undefined || rec.fault) this.#becomesUnsure(id, job);
+  }
+
+  #progressed(id: string, job: StoredJob, newest: Partial<StoredJob>): void {
+    const wasUnsure = job.isUnsure;
+    Object.assign(job, newest, { isUnsure: false });
+    // As if it were new: a scheduling node that had to leave it alone takes it on.
+    if (wasUnsure) this.changes$.next({ kind: 'accepted', id });
+  }
+
+  /**
+   * The record may have bound tasks to workers, or ended them. Starting from the one before it would
+   * start such tasks a second time, so only the node that has the newest progress goes on with it.
+   */
+  #becomesUnsure(id: string, job: StoredJob): void {
+    Object.assign(job, { isUnsure: true });
+    this.changes$.next({ kind: 'unsure', id });
+  }
+
+  /** That there is a record says it all: what it holds is not looked at. */
+  #applyCancel(id: string, rec: KeyedRecord): void {
+    if (rec.value === undefined && !rec.fault) return;
+    const job = this.#jobs.get(id);
+    if (!job) {
+      this.#keepEarly(id, rec, { cancel: rec });
       return;
     }
-    const { state, endedMs } = JobProgress.decodeState(rec.value);
-    Object.assign(job, { state, endedMs, progress: rec.value });
+    job.cancelled = true;
+    this.changes$.next({ kind: 'cancelled', id });
+  }
+
+  #keepEarly(id: string, { value, fault }: KeyedRecord, early: EarlyRecords): void {
+    if (value === undefined && !fault) return;
+    this.#early.set(id, { ...this.#early.get(id), ...early });
   }
 }
 
--- a/packages/runtime/src/node.ts
+++ b/packages/runtime/src/node.ts
@@ -1,6 +1,7 @@
 import { KeyedFollower } from './internal/keyed-follower.js';
 import { FOLLOW_GAP_MS, Leadership } from './internal/leadership.js';
 import { ConfigWatch } from './internal/config-watch.js';
+import { FaultLog } from './internal/fault-log.js';
 import type { NodeState } from './internal/node-metrics.js';
 import { WorkTable, shownState } from './internal/work-table.js';
 import type { QueueRoute } from './cluster-config.js';
@@ -25,7 +26,9 @@
 export class Node {
   readonly #log: NodeLog;
 
-  readonly #table = new WorkTable();
+  readonly #faults: FaultLog;
+
+  readonly #table: WorkTable;
 
   readonly #config: ConfigWatch;
 
@@ -39,7 +42,9 @@
 
   constructor(port: PlatformPort, settings: NodeSettings, log: NodeLog) {
     this.#log = log;
-    this.#config = new ConfigWatch(port, log);
+    this.#faults = new FaultLog(log);
+    this.#table = new WorkTable(this.#faults);
+    this.#config = new ConfigWatch(port, log, this.#faults);
     this.#follower = new KeyedFollower(port.workLog, log, {
       name: 'work',
       waitMs: READ_WAIT_MS,
@@ -56,6 +61,7 @@
       this.#table,
       this.#follower,
       this.#config,
+      this.#faults,
     );
     const { table, follower } = { table: this.#table, follower: this.#follower };
     const view = {
@@ -114,7 +120,12 @@
       jobs.set(state, (jobs.get(state) ?? 0) + 1);
     }
     const viewAgeMs = steadyMs() - this.#follower.freshMs;
-    return { isLeading: this.#leadership.isLeading, viewAgeMs, jobs };
+    return {
+      isLeading: this.#leadership.isLeading,
+      viewAgeMs,
+      jobs,
+      faults: this.#faults.counts,
+    };
   }
 
   get maxBodyBytes(): number {
--- a/packages/runtime/src/test/work-table_test.ts
+++ b/packages/runtime/src/test/work-table_test.ts
@@ -3,7 +3,8 @@
 import type { JobSpec } from '@redwingcrank/jobs';
 import { JobProgress, PLAIN_STEP } from '@redwingcrank/jobs';
 import type { KeyedRecord } from '../keyed-log.js';
-import { encodeJob, encodeLeader, encodeLearned } from '../internal/work-records.js';
+import { encodeJob } from '../internal/job-record.js';
+import { encodeLeader, encodeLearned } from '../internal/work-records.js';
 import { WorkTable } from '../internal/work-table.js';
 
 const SPEC: JobSpec = {
