--- a/packages/fuzz/src/targets/index.ts
+++ b/packages/fuzz/src/targets/index.ts
@@ -8,6 +8,7 @@
 import { Plan } from './plan.js';
 import { Requests } from './requests.js';
 import { SnapshotEquivalence } from './snapshot-equivalence.js';
+import { StoreRecords } from './store-records.js';
 
 /** Every target, by the promise it watches. */
 export const TARGETS: readonly FuzzTarget[] = [
@@ -20,4 +21,5 @@
   new ManifestMutation(),
   new ForeignRecords(),
   new Jobs(),
+  new StoreRecords(),
 ];
