--- a/packages/fuzz/src/records/records-world.ts
+++ b/packages/fuzz/src/records/records-world.ts
@@ -239,6 +239,7 @@
       if (isUnsure) this.#coverage.hit('job-unsure');
       else {
         const job = progress ? JobProgress.decode(spec, progress) : new JobProgress(spec);
+        checkJob(job);
         scheduler.addJob(job);
       }
     }
@@ -276,6 +277,23 @@
   }
 }
 
+/** The claims are what a step has, and there is progress for each of the tasks. */
+function checkJob({ spec, occurrences }: JobProgress): void {
+  for (const step of spec.steps) {
+    for (const [name, plain] of Object.entries(PLAIN_STEP)) {
+      const value: unknown = step[name as keyof typeof step];
+      const isNumber = typeof value === 'number' && value >= 0 && value < Infinity;
+      const fits = typeof plain === 'number' ? isNumber : typeof value === typeof plain;
+      if (!fits) throw new Error(`${spec.id}: ${name} is ${JSON.stringify(value)}`);
+    }
+  }
+  for (const { steps } of occurrences.values()) {
+    const counts = steps.map((tasks) => tasks.length);
+    const claimed = spec.steps.map(({ taskCount }) => taskCount);
+    if (`${counts}` !== `${claimed}`) throw new Error(`${spec.id}: progress of other tasks`);
+  }
+}
+
 /** A record of a kind as it should be. */
 function soundRecord(
   kind: RecordKind,
--- a/packages/fuzz/src/targets/store-records.ts
+++ b/packages/fuzz/src/targets/store-records.ts
@@ -7,6 +7,28 @@
 
 const MAX_MUTATIONS = 2;
 
+/** Values that stand in sound records, at places where they are wrong. */
+const nearlySound = fc.constantFrom<unknown>(
+  1,
+  2,
+  57,
+  58,
+  59,
+  -1,
+  1.5,
+  '1',
+  'ready',
+  'done',
+  [0],
+  [[0]],
+);
+
+const nearlySoundMutation = fc.record({
+  kind: fc.constant('replace' as const),
+  path: fc.array(fc.nat(), { minLength: 1, maxLength: 5 }),
+  value: nearlySound,
+});
+
 const meeting: fc.Arbitrary<Meeting> = fc.record({
   kind: fc.constantFrom(
     ...Array<'worker'>(4).fill('worker'),
@@ -15,7 +37,7 @@
     ...(['config', 'wave', 'job', 'cancel', 'leader', 'learned', 'order-answer'] as const),
   ),
   which: fc.nat({ max: 8 }),
-  mutations: fc.array(mutation, { maxLength: MAX_MUTATIONS }),
+  mutations: fc.array(fc.oneof(mutation, nearlySoundMutation), { maxLength: MAX_MUTATIONS }),
   damage: fc.constantFrom(
     ...Array<'none'>(12).fill('none'),
     ...(['deleted', 'empty', 'no-text', 'cut-value', 'key-too-long', 'key-no-text'] as const),
