Claims pass an epoch of which no leader's record can be read

Cause: a node that knows no leader claimed the first epoch for ever, which the store refused. Change: where a read after a refusal has found no later leader, the next claim doubles the epoch.

--- a/packages/runtime/src/internal/leadership.ts
+++ b/packages/runtime/src/internal/leadership.ts
@@ -40,6 +40,13 @@
 /** Sequence numbers of claims are drawn below this, so that two claims of one epoch differ. */
 const MAX_FIRST_SEQUENCE = 1_000_000_000;
 
+/** A claim that the store has refused, as it knew this epoch or a higher one. */
+interface RefusedClaim {
+  readonly epoch: number;
+  /** On the steady clock. */
+  readonly atMs: number;
+}
+
 /** A claim that was sent, until the work log shows who got the role. */
 interface Claim extends StoredClaim {
   readonly record: LeaderRecord;
@@ -72,6 +79,8 @@
   /** Claims that were sent, by their nonce: one without an answer may be stored seconds later. */
   readonly #claims = new Map<string, Claim>();
 
+  #refused: RefusedClaim | undefined;
+
   #term: LeaderTerm | undefined;
 
   readonly #startedMs = steadyMs();
@@ -146,7 +155,7 @@
     if (!this.#isRoleFree()) return;
     const before = this.#table.leader;
     const record = {
-      epoch: (before?.epoch ?? 0) + 1,
+      epoch: this.#nextEpoch(before),
       node: this.#settings.node,
       nonce: randomBytes(6).toString('hex'),
       resigned: false,
@@ -162,10 +171,25 @@
       outcome: result.outcome,
       reason: result.reason,
     });
+    if (result.outcome === 'fenced' || result.outcome === 'out-of-sequence') {
+      this.#refused = { epoch: record.epoch, atMs: steadyMs() };
+    }
     // What became of an unanswered claim shows in the log, as does that of every other.
     this.#follower.hurry();
   }
 
+  /**
+   * One more than the leader's. Where the store refuses that, the record of a later leader is about
+   * to be read; but if a read since has found none, that record cannot be read, and the store would
+   * refuse the same epoch for ever. Doubled, it passes the store's after a few claims.
+   */
+  #nextEpoch(leader: LeaderRecord | undefined): number {
+    const next = (leader?.epoch ?? 0) + 1;
+    const refused = this.#refused;
+    if (!refused || refused.epoch < next || this.#follower.freshMs < refused.atMs) return next;
+    return refused.epoch * 2;
+  }
+
   #leaderSeen(leader: LeaderRecord): void {
     const claim = this.#claims.get(leader.nonce);
     if (!claim || leader.resigned || this.#term) return;
