--- a/packages/runtime/src/test/work-table_test.ts
+++ b/packages/runtime/src/test/work-table_test.ts
@@ -138,3 +138,14 @@
   put('j/a', encodeJob(SPEC));
   assert.equal(table.jobs.get('a')!.isUnsure, true);
 });
+
+test('progress that cannot be read is no sign of life of the scheduling node', async () => {
+  // It may be anybody's. Taken for a sign, a dead scheduling node would never be replaced while
+  // another writer goes on.
+  const seenMs = table.leaderSeenMs;
+  await new Promise(setImmediate);
+  put('s/a', '{"s":7}');
+  assert.equal(table.leaderSeenMs, seenMs);
+  put('s/a', RUNNING);
+  assert.ok(table.leaderSeenMs > seenMs);
+});
