Only progress that can be read is a sign of the leader's life

Cause: anybody's record of progress kept a dead scheduling node in its role. Change: one that cannot be read does not count.

--- a/packages/runtime/src/internal/work-table.ts
+++ b/packages/runtime/src/internal/work-table.ts
@@ -119,8 +119,7 @@
         this.#applyJob(key.id, rec);
         break;
       case 'progress':
-        this.#sawLeader();
-        this.#applyProgress(key.id, rec);
+        if (this.#applyProgress(key.id, rec)) this.#sawLeader();
         break;
       default:
         this.#applyCancel(key.id, rec);
@@ -205,18 +204,23 @@
     this.changes$.next({ kind: 'accepted', id });
   }
 
-  #applyProgress(id: string, rec: KeyedRecord): void {
+  /** Whether the record may be the scheduling node's: nobody else writes what can be read. */
+  #applyProgress(id: string, rec: KeyedRecord): boolean {
     const job = this.#jobs.get(id);
     if (!job) {
       this.#keepEarly(id, rec, { progress: rec });
-      return;
+      return !rec.fault;
     }
     const newest = this.#decoded(rec, (text) => {
       const state = JobProgress.decodeState(job.spec, text);
       return state ? { value: { ...state, progress: text } } : { fault: UNFIT };
     });
     if (newest) this.#progressed(id, job, newest);
-    else if (rec.value !== undefined || rec.fault) this.#becomesUnsure(id, job);
+    else if (rec.value !== undefined || rec.fault) {
+      this.#becomesUnsure(id, job);
+      return false;
+    }
+    return true;
   }
 
   #progressed(id: string, job: StoredJob, newest: Partial<StoredJob>): void {
