--- a/packages/fuzz/src/records/records-world.ts
+++ b/packages/fuzz/src/records/records-world.ts
@@ -188,6 +188,10 @@
     this.#table.apply(rec);
     const isSound = key !== undefined && text === soundRecord(kind, Number(key.at(-1)) || 0).text;
     if (kind === 'job' && isSound) this.#soundJobs.add(key.slice(2));
+    const id = key?.slice(2) ?? '';
+    if (kind === 'progress' && isSound && this.#table.jobs.get(id)?.isUnsure) {
+      throw new Error('sound progress was not taken');
+    }
     const isDeletion = key !== undefined && content.length === 1 + Buffer.byteLength(key);
     if (kind === 'job' && isDeletion) this.#soundJobs.delete(key.slice(2));
     const { leader } = this.#table;
