--- a/packages/fuzz/src/records/records-world.ts
+++ b/packages/fuzz/src/records/records-world.ts
@@ -1,8 +1,5 @@
-import type { JobSpec } from '@redwingcrank/jobs';
 import { JobProgress, PLAIN_STEP, Scheduler } from '@redwingcrank/jobs';
 import {
-  SOUND_CONFIG,
-  SOUND_ENTRY,
   SOUND_REPORT,
   decodeConfig,
   decodeNewest,
@@ -15,29 +12,14 @@
   isWorkerEntry,
 } from '@redwingcrank/platform/fuzzing';
 import type { KeyedRecord } from '@redwingcrank/runtime';
-import {
-  WorkTable,
-  encodeJob,
-  encodeLeader,
-  encodeLearned,
-} from '@redwingcrank/runtime/work-table';
+import { WorkTable } from '@redwingcrank/runtime/work-table';
 import type { Coverage } from '../coverage.js';
 import type { Mutation } from '../targets/mutated-json.js';
 import { mutate } from '../targets/mutated-json.js';
 import type { ByteDamage, SpoiltRecord } from './damaged-bytes.js';
 import { pageOf, spoil } from './damaged-bytes.js';
-
-export type RecordKind =
-  | 'worker'
-  | 'config'
-  | 'wave'
-  | 'job'
-  | 'progress'
-  | 'cancel'
-  | 'leader'
-  | 'learned'
-  | 'report'
-  | 'order-answer';
+import type { RecordKind } from './sound-records.js';
+import { soundRecord } from './sound-records.js';
 
 /** One record or answer that the world meets. */
 export interface Meeting {
@@ -59,11 +41,6 @@
 /** Statuses that a worker, or something else at its address, may answer. */
 const STATUSES = [200, 204, 302, 400, 404, 409, 421, 429, 500, 502, 503];
 
-/** Who the leader's record names. */
-const LEADER = { epoch: 3, node: 'n1', nonce: 'x', resigned: false };
-
-const LEARNED = { web: { batch: 0.4 }, feed: { batch: 1.2 } };
-
 const QUEUE = {
   name: 'q',
   pool: 'pool',
@@ -73,21 +50,6 @@
   targetLatencyMs: 0,
 };
 
-function specOf(id: string): JobSpec {
-  const first = { ...PLAIN_STEP, taskCount: 2, cpuMilli: 500 };
-  const steps = [first, { ...first, after: [0], image: 'batch', lasting: true }];
-  return { id, queue: 'q', payload: 'p', steps, acceptedMs: 0 };
-}
-
-function progressOf(id: string): string {
-  const job = new JobProgress(specOf(id));
-  job.openDue(0);
-  job.begin();
-  const [tasks] = job.occurrences.get(0)!.steps;
-  Object.assign(tasks![0]!, { phase: 'bound', run: 1, worker: 'w0' });
-  return job.encode();
-}
-
 /** Reads what it meets as a node does, and compares with what a judge of its own makes of it. */
 export class RecordsWorld {
   readonly #coverage: Coverage;
@@ -298,37 +260,6 @@
   }
 }
 
-/** A record of a kind as it should be. */
-function soundRecord(
-  kind: RecordKind,
-  which: number,
-): { key: string; value: unknown; text: string } {
-  const id = `${which % 3}`;
-  const of = (key: string, text: string): { key: string; value: unknown; text: string } => ({
-    key,
-    value: JSON.parse(text),
-    text,
-  });
-  switch (kind) {
-    case 'worker':
-      return of(`w${id}`, JSON.stringify(SOUND_ENTRY));
-    case 'config':
-      return of('config', JSON.stringify(SOUND_CONFIG));
-    case 'wave':
-      return of(`wave/${id}`, '{"wave":1,"machines":["m"],"max_count":1}');
-    case 'job':
-      return of(`j/${id}`, encodeJob(specOf(id)));
-    case 'progress':
-      return of(`s/${id}`, progressOf(id));
-    case 'cancel':
-      return of(`c/${id}`, '1');
-    case 'leader':
-      return of('leader', encodeLeader({ ...LEADER, epoch: 1 + (which % 3) }));
-    default:
-      return of('learned', encodeLearned(LEARNED));
-  }
-}
-
 function parse(text: string): unknown {
   try {
     return JSON.parse(text);
--- /dev/null
+++ b/packages/fuzz/src/records/sound-records.ts
@@ -0,0 +1,71 @@
+import type { JobSpec } from '@redwingcrank/jobs';
+import { JobProgress, PLAIN_STEP } from '@redwingcrank/jobs';
+import { SOUND_CONFIG, SOUND_ENTRY } from '@redwingcrank/platform/fuzzing';
+import { encodeJob, encodeLeader, encodeLearned } from '@redwingcrank/runtime/work-table';
+
+/** What a node reads: records of the store, and answers of workers. */
+export type RecordKind =
+  | 'worker'
+  | 'config'
+  | 'wave'
+  | 'job'
+  | 'progress'
+  | 'cancel'
+  | 'leader'
+  | 'learned'
+  | 'report'
+  | 'order-answer';
+
+/** A record as whoever it belongs to writes it. */
+export interface SoundRecord {
+  readonly key: string;
+  readonly value: unknown;
+  readonly text: string;
+}
+
+/** So few workers and jobs that their records meet each other. */
+const IDS = 3;
+
+/** Who the leader's record names. */
+const LEADER = { epoch: 3, node: 'n1', nonce: 'x', resigned: false };
+
+const LEARNED = { web: { batch: 0.4 }, feed: { batch: 1.2 } };
+
+/** A record of a kind as it should be. */
+export function soundRecord(kind: RecordKind, which: number): SoundRecord {
+  const id = `${which % IDS}`;
+  const of = (key: string, text: string): SoundRecord => ({ key, value: JSON.parse(text), text });
+  switch (kind) {
+    case 'worker':
+      return of(`w${id}`, JSON.stringify(SOUND_ENTRY));
+    case 'config':
+      return of('config', JSON.stringify(SOUND_CONFIG));
+    case 'wave':
+      return of(`wave/${id}`, '{"wave":1,"machines":["m"],"max_count":1}');
+    case 'job':
+      return of(`j/${id}`, encodeJob(specOf(id)));
+    case 'progress':
+      return of(`s/${id}`, progressOf(id));
+    case 'cancel':
+      return of(`c/${id}`, '1');
+    case 'leader':
+      return of('leader', encodeLeader({ ...LEADER, epoch: 1 + (which % IDS) }));
+    default:
+      return of('learned', encodeLearned(LEARNED));
+  }
+}
+
+function specOf(id: string): JobSpec {
+  const first = { ...PLAIN_STEP, taskCount: 2, cpuMilli: 500 };
+  const steps = [first, { ...first, after: [0], image: 'batch', lasting: true }];
+  return { id, queue: 'q', payload: 'p', steps, acceptedMs: 0 };
+}
+
+function progressOf(id: string): string {
+  const job = new JobProgress(specOf(id));
+  job.openDue(0);
+  job.begin();
+  const [tasks] = job.occurrences.get(0)!.steps;
+  Object.assign(tasks![0]!, { phase: 'bound', run: 1, worker: 'w0' });
+  return job.encode();
+}
