--- a/packages/fuzz/src/records/records-world.ts
+++ b/packages/fuzz/src/records/records-world.ts
@@ -60,7 +60,7 @@
   /** The same as the node has it. */
   readonly #usable = new Map<string, boolean>();
 
-  readonly #table = new WorkTable();
+  readonly #table = new WorkTable('n9');
 
   /** Jobs of which a sound record was met. */
   readonly #soundJobs = new Set<string>();
--- a/packages/fuzz/src/records/sound-records.ts
+++ b/packages/fuzz/src/records/sound-records.ts
@@ -27,7 +27,14 @@
 const IDS = 3;
 
 /** Who the leader's record names. */
-const LEADER = { epoch: 3, node: 'n1', nonce: 'x', resigned: false };
+const LEADER = {
+  node: 'n1',
+  nonce: 'x',
+  resigned: false,
+  leasesMs: 7_600,
+  formerMs: 0,
+  silent: { w1: 900 },
+};
 
 const LEARNED = { web: { batch: 0.4 }, feed: { batch: 1.2 } };
 
--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -24,7 +24,7 @@
 
 /** What a round of decisions came to. */
 export interface Decisions {
-  /** Jobs whose progress must be stored before any of the orders is sent. */
+  /** Jobs whose progress must be stored before any of the starts is sent. */
   readonly changed: readonly JobProgress[];
   readonly orders: readonly Order[];
   /** By worker: ends that may be acknowledged once the changes are stored. */
@@ -79,6 +79,14 @@
     this.#model.press.assume(learned);
   }
 
+  /** By worker, when leases that earlier nodes have given are over, where more than the rule is known. */
+  inheritLeases(endMs: ReadonlyMap<string, number>): void {
+    for (const [id, leaseEndMs] of endMs) {
+      const worker = this.#state.workers.get(id);
+      if (worker && !worker.fenced) worker.leaseEndMs = leaseEndMs;
+    }
+  }
+
   setQueues(queues: Iterable<QueuePolicy>): void {
     for (const queue of queues) this.#state.queues.set(queue.name, queue);
   }
@@ -154,7 +162,22 @@
     if (order.kind === 'start') this.#startAnswered(worker, order, outcome, nowMs, settledMs);
   }
 
-  /** Everything that follows from what was handed in since the last call. */
+  /**
+   * Stops, and changes of pace, that are due. They need nothing stored: the binding stays on record
+   * until the worker lists the end. A caller sends them at once, also while an append is under way:
+   * left to wait for its answer, they come too late for a worker that leaves.
+   */
+  decideStops(nowMs: number): Order[] {
+    this.#stopUnwanted(nowMs);
+    const { orders } = this.#state;
+    this.#state.orders = [];
+    return orders;
+  }
+
+  /**
+   * Everything that follows from what was handed in since the last call. The stops among the orders
+   * need not wait for the changes to be stored.
+   */
   decide(nowMs: number, timeOfDayMs: number): Decisions {
     this.#state.timeOfDayMs = timeOfDayMs;
     this.#expireSilent(nowMs);
@@ -216,6 +239,8 @@
     const key = taskName(order.task);
     const run = worker.runs.get(key);
     if (!run || run.run !== order.run) return;
+    // Its next list may be two seconds away, and it may say before that it leaves.
+    if (outcome === 'done') run.seen = true;
     // A run that is over there may have ended well: only the worker's lists can tell.
     if (outcome === 'done' || outcome === 'unknown' || outcome === 'superseded') {
       run.settledMs = settledMs;
--- a/packages/runtime/src/internal/leader-term.ts
+++ b/packages/runtime/src/internal/leader-term.ts
@@ -1,5 +1,5 @@
 import type { Subscription } from 'rxjs';
-import type { Order, OrderOutcome, WorkerReport } from '@redwingcrank/jobs';
+import type { Order, OrderOutcome, WorkerReport, WorkerState } from '@redwingcrank/jobs';
 import { JobProgress, Scheduler, isFinal } from '@redwingcrank/jobs';
 import type { KeyedWrite } from '../keyed-log.js';
 import type { NodeLog } from '../node-log.js';
@@ -9,16 +9,18 @@
 import { FaultLog } from './fault-log.js';
 import type { StoredClaim } from './leader-writer.js';
 import { LeaderWriter } from './leader-writer.js';
+import { LinkStarter } from './link-starter.js';
+import { TermLeases } from './term-leases.js';
 import {
-  CLOCK_MARGIN_MS,
-  CLOCK_SLACK,
   GATHER_MS,
   LEADER_WRITE_MS,
   LEASE_MS,
   ROUND_MS,
   STANDSTILL_MS,
   STOP_AGAIN_MS,
-  UNCONFIRMED_MS,
+  SILENT_WORKER_MS,
+  STOP_LOOK_MS,
+  surelyOverMs,
 } from './timing.js';
 import type { ConfigWatch } from './config-watch.js';
 import type { LinkListener } from './worker-link.js';
@@ -63,12 +65,16 @@
 
   readonly #writer: LeaderWriter;
 
+  readonly #leases: TermLeases;
+
   readonly #scheduler: Scheduler;
 
   readonly #workerList: WorkerList;
 
   readonly #links = new Map<string, WorkerLink>();
 
+  readonly #linkStarter: LinkStarter;
+
   readonly #subscriptions: Subscription[] = [];
 
   readonly #stopping = new AbortController();
@@ -108,12 +114,15 @@
     this.#table = table;
     this.#config = config;
     this.#writer = new LeaderWriter(port.workLog, log, claim);
+    this.#linkStarter = new LinkStarter(this.#stopping.signal, (err) =>
+      this.#failed('worker-link', err),
+    );
     this.#leaseMs = Math.min(LEASE_MS, settings.maxLeaseMs);
-    const leaseMs = this.#leaseMs * CLOCK_SLACK + CLOCK_MARGIN_MS;
+    this.#leases = new TermLeases(record, this.#leaseMs, this.#writer, table.formerLeases);
     this.#scheduler = new Scheduler(
       {
-        leaseMs,
-        inheritedLeaseMs: Math.max(0, table.formerRenewalsEndMs + leaseMs - steadyMs()),
+        leaseMs: surelyOverMs(this.#leaseMs),
+        inheritedLeaseMs: Math.max(0, table.formerLeases.generalEndMs - steadyMs()),
         standstillMs: STANDSTILL_MS,
         stopAgainMs: STOP_AGAIN_MS,
       },
@@ -133,8 +142,15 @@
     // A node that was frozen may read its own claim together with the one that has replaced it.
     const { leader } = this.#table;
     if (leader && leader.epoch > this.token) this.fenced('', 'replaced-before-start');
-    this.#log.emit('info', 'term-start', { epoch: this.token, jobs: this.#table.jobs.size });
+    const { generalEndMs, namedEndMs } = this.#table.formerLeases;
+    this.#log.emit('info', 'term-start', {
+      epoch: this.token,
+      jobs: this.#table.jobs.size,
+      formerLeasesMs: Math.max(0, Math.round(generalEndMs - steadyMs())),
+      silentWorkers: namedEndMs.size,
+    });
     for (const job of this.#table.jobs.values()) this.#takeOn(job);
+    this.#scheduler.inheritLeases(namedEndMs);
     this.#takeQueues();
     this.#scheduler.assume(this.#table.learned);
     this.#subscriptions.push(
@@ -162,8 +178,8 @@
     await this.#ended;
   }
 
-  mayRenew(): boolean {
-    return steadyMs() - this.#writer.confirmedMs < UNCONFIRMED_MS;
+  leaseLimitMs(worker: string): number {
+    return this.#leases.limitMs(worker, steadyMs());
   }
 
   ackedEnd(worker: string): number {
@@ -216,17 +232,22 @@
     writes.push(...this.#forgotten(), ...this.#learned());
     const isQuiet = steadyMs() - this.#writtenMs >= LEADER_WRITE_MS;
     const resigns = this.#isResigning;
-    if (resigns || (writes.length === 0 && isQuiet)) {
-      const value = encodeLeader({ ...this.#record, resigned: resigns });
+    const { silent, isComplete } = this.#silentWorkers();
+    const isNews = this.#leases.hasNews(silent, isComplete);
+    const tells = resigns || isNews || (writes.length === 0 && isQuiet);
+    if (tells) {
+      const value = encodeLeader(this.#leases.record(resigns, steadyMs()));
       writes.push({ key: leaderKey(), value });
     }
+    const starts = this.#sendStops(decisions.orders);
     if (writes.length > 0) {
       const sentMs = steadyMs();
-      if (!(await this.#writer.write(writes))) {
+      if (!(await this.#write(writes))) {
         this.stop();
         return;
       }
       this.#writtenMs = sentMs;
+      if (tells) this.#leases.recordStored();
     }
     if (resigns) {
       this.#log.emit('info', 'resigned', { epoch: this.token });
@@ -235,7 +256,62 @@
     }
     this.#scheduler.acknowledge(decisions.acks);
     for (const id of decisions.acks.keys()) this.#links.get(id)?.acknowledged();
-    for (const order of decisions.orders) this.#send(order);
+    for (const order of starts) this.#send(order);
+  }
+
+  /**
+   * Stores the records; stops that fall due meanwhile are sent. With a store that loses answers an
+   * append takes seconds, and a worker that has said that it leaves is gone by then, together with
+   * the lasting tasks that nobody stopped there.
+   */
+  async #write(writes: readonly KeyedWrite[]): Promise<boolean> {
+    const over = new AbortController();
+    const looking = this.#sendStopsUntil(AbortSignal.any([over.signal, this.#stopping.signal]));
+    try {
+      return await this.#writer.write(writes);
+    } finally {
+      over.abort();
+      await looking;
+    }
+  }
+
+  async #sendStopsUntil(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      await delay(STOP_LOOK_MS, signal);
+      if (!signal.aborted) this.#sendStops(this.#scheduler.decideStops(steadyMs()));
+    }
+  }
+
+  /** Sends all orders but the starts, and returns those: they wait for what is stored first. */
+  #sendStops(orders: readonly Order[]): Order[] {
+    const starts: Order[] = [];
+    for (const order of orders) {
+      if (order.kind === 'start') starts.push(order);
+      else this.#send(order);
+    }
+    return starts;
+  }
+
+  /**
+   * Workers on which something runs and that do not answer this node, or never did. The list is not
+   * complete while others may still give their first answer.
+   */
+  #silentWorkers(): { silent: WorkerState[]; isComplete: boolean } {
+    const nowMs = steadyMs();
+    const silent: WorkerState[] = [];
+    let isComplete = true;
+    for (const worker of this.#scheduler.workers.values()) {
+      const link = this.#links.get(worker.entry.id);
+      if (worker.runs.size > 0 && !worker.fenced) {
+        const isAsked = link ? link.isOverdue(nowMs) : this.#workerList.isLoaded;
+        if (isAsked) silent.push(worker);
+        else isComplete = false;
+      } else if (worker.runs.size > 0) {
+        const isLost = link?.isLost ?? true;
+        if (isLost && nowMs - worker.answeredMs > SILENT_WORKER_MS) silent.push(worker);
+      }
+    }
+    return { silent, isComplete };
   }
 
   #waitMs(): number {
@@ -295,7 +371,7 @@
     const { entry } = worker;
     const link = new WorkerLink(entry, this.#port.workers, this, this.#log, this.#leaseMs);
     this.#links.set(id, link);
-    link.run().catch((err) => this.#failed('worker-link', err));
+    this.#linkStarter.start(link);
   }
 
   #unlinkGone(): void {
--- a/packages/runtime/src/internal/leadership.ts
+++ b/packages/runtime/src/internal/leadership.ts
@@ -2,16 +2,25 @@
 import type { NodeLog } from '../node-log.js';
 import type { NodeSettings } from '../node-settings.js';
 import type { PlatformPort } from '../platform-port.js';
+import type { AppendOutcome } from '../keyed-log.js';
 import type { ConfigWatch } from './config-watch.js';
 import { delay, steadyMs } from './delay.js';
-import type { FaultLog } from './fault-log.js';
+import { FaultLog } from './fault-log.js';
 import type { KeyedFollower } from './keyed-follower.js';
 import type { StoredClaim } from './leader-writer.js';
 import { LEADER_WRITER } from './leader-writer.js';
 import { LeaderTerm } from './leader-term.js';
-import { CLAIM_SPREAD_MS, LEADER_SILENT_MS, SLOW_LEADER_SILENT_MS } from './timing.js';
+import {
+  CLAIM_LEASE_MS,
+  CLAIM_SPREAD_MS,
+  CONFIRMED_LEASE_MS,
+  LEADER_SILENT_MS,
+  SLOW_LEADER_SILENT_MS,
+  UNTOLD_LEASE_MS,
+  surelyOverMs,
+} from './timing.js';
 import type { LeaderRecord } from './work-records.js';
-import { encodeLeader, leaderKey } from './work-records.js';
+import { encodeLeader, isLeaderKey, leaderKey } from './work-records.js';
 import type { WorkTable } from './work-table.js';
 
 /** How often a node looks whether the scheduling role is free, in milliseconds. */
@@ -40,12 +49,30 @@
 /** Sequence numbers of claims are drawn below this, so that two claims of one epoch differ. */
 const MAX_FIRST_SEQUENCE = 1_000_000_000;
 
+/** By how much the next claim is higher where the epoch that the store knows cannot be read. */
+const EPOCH_LEAP = 16;
+
 /** A claim that the store has refused, as it knew this epoch or a higher one. */
 interface RefusedClaim {
   readonly epoch: number;
   /** On the steady clock. */
   readonly atMs: number;
 }
+/**
+ * How long a node waits after a claim before it sends another, by what the store said, in
+ * milliseconds; a leader's record that is read ends the wait. A claim that is stored, or stands
+ * behind another's of its epoch, is read within the two seconds that a store lets appends wait; one
+ * without an answer may be stored yet. Sent again at once, the claims of all nodes stand before the
+ * first records of the new leader, and it is taken for dead.
+ */
+const CLAIM_PAUSE_MS: Readonly<Record<AppendOutcome, number>> = {
+  appended: 2_000,
+  'out-of-sequence': 2_000,
+  fenced: 2_000,
+  moved: 500,
+  unknown: 700,
+  refused: 500,
+};
 
 /** A claim that was sent, until the work log shows who got the role. */
 interface Claim extends StoredClaim {
@@ -88,6 +115,9 @@
   /** A node that was just replaced leaves the next claim to others for a while. */
   #patienceMs = 0;
 
+  /** No claim before this time, but where another leader shows until then. */
+  #nextClaimMs = -Infinity;
+
   constructor(
     port: PlatformPort,
     settings: NodeSettings,
@@ -95,7 +125,7 @@
     table: WorkTable,
     follower: KeyedFollower,
     config: ConfigWatch,
-    faults: FaultLog,
+    faults = new FaultLog(log),
   ) {
     this.#port = port;
     this.#settings = settings;
@@ -128,6 +158,7 @@
   #isRoleFree(): boolean {
     if (this.#stopping.signal.aborted || this.#term) return false;
     const nowMs = steadyMs();
+    if (nowMs < this.#nextClaimMs) return false;
     if (nowMs - this.#follower.freshMs > MAX_VIEW_AGE_MS) return false;
     const { leader, leaderSeenMs } = this.#table;
     if (!leader || leader.resigned || this.#wasLeader(leader)) return true;
@@ -152,14 +183,18 @@
     const { leader } = this.#table;
     const spreadMs = leader && this.#wasLeader(leader) ? 0 : randomInt(CLAIM_SPREAD_MS);
     await delay(spreadMs, this.#stopping.signal);
-    if (!this.#isRoleFree()) return;
+    if (!this.#isRoleFree() || !(await this.#isSureOfSilence())) return;
     const before = this.#table.leader;
     const record = {
       epoch: this.#nextEpoch(before),
       node: this.#settings.node,
       nonce: randomBytes(6).toString('hex'),
       resigned: false,
+      leasesMs: CLAIM_LEASE_MS,
+      formerMs: this.#formerMs(before),
+      silent: {},
     };
+    this.#table.formerLeases.claiming(record.nonce);
     const sequence = randomInt(MAX_FIRST_SEQUENCE);
     this.#claims.set(record.nonce, { record, epoch: record.epoch, sequence, sentMs: steadyMs() });
     const write = { key: leaderKey(), value: encodeLeader(record) };
@@ -174,6 +209,7 @@
     if (result.outcome === 'fenced' || result.outcome === 'out-of-sequence') {
       this.#refused = { epoch: record.epoch, atMs: steadyMs() };
     }
+    this.#nextClaimMs = steadyMs() + CLAIM_PAUSE_MS[result.outcome];
     // What became of an unanswered claim shows in the log, as does that of every other.
     this.#follower.hurry();
   }
@@ -181,16 +217,49 @@
   /**
    * One more than the leader's. Where the store refuses that, the record of a later leader is about
    * to be read; but if a read since has found none, that record cannot be read, and the store would
-   * refuse the same epoch for ever. Doubled, it passes the store's after a few claims.
+   * refuse the same epoch for ever. A much higher one passes the store's after a claim or two.
    */
   #nextEpoch(leader: LeaderRecord | undefined): number {
     const next = (leader?.epoch ?? 0) + 1;
     const refused = this.#refused;
     if (!refused || refused.epoch < next || this.#follower.freshMs < refused.atMs) return next;
-    return refused.epoch * 2;
+    return refused.epoch * EPOCH_LEAP;
+  }
+
+  /**
+   * Asks the store once more whether the leader has written nothing. The view may be fresh from a
+   * read that was answered as the store fell silent: then it is the store that the leader has lost,
+   * and a claim, stored when it is back, would replace a node that goes on working. A store that
+   * answers now would have taken the leader's records.
+   */
+  async #isSureOfSilence(): Promise<boolean> {
+    const { leader } = this.#table;
+    const { next } = this.#follower;
+    if (!leader || leader.resigned || this.#wasLeader(leader) || next === undefined) return true;
+    try {
+      const { records } = await this.#port.workLog.read(next, 0);
+      return this.#isRoleFree() && !records.some(({ key }) => isLeaderKey(key));
+    } catch (err) {
+      const reason = err instanceof Error ? err.message : String(err);
+      this.#log.emit('info', 'claim-put-off', { reason });
+      return false;
+    }
+  }
+
+  /**
+   * How long leases may last after the claim is stored, seconds after it was sent maybe: as long as
+   * if the present scheduling node had renewed them until then. One whose record cannot be read may
+   * have given the longest.
+   */
+  #formerMs(present: LeaderRecord | undefined): number {
+    const unreadMs = this.#refused ? UNTOLD_LEASE_MS : 0;
+    const leasesMs = present?.leasesMs ?? unreadMs;
+    const presentMs = surelyOverMs(Math.max(leasesMs, CONFIRMED_LEASE_MS));
+    return Math.max(presentMs, this.#table.formerLeases.allEndMs - steadyMs());
   }
 
   #leaderSeen(leader: LeaderRecord): void {
+    this.#nextClaimMs = -Infinity;
     const claim = this.#claims.get(leader.nonce);
     if (!claim || leader.resigned || this.#term) return;
     this.#claims.clear();
--- a/packages/runtime/src/internal/timing.ts
+++ b/packages/runtime/src/internal/timing.ts
@@ -10,11 +10,53 @@
 
 /**
  * No lease is longer, whatever the platform allows. The tasks of a worker that vanished wait until
- * its leases are over; with ten seconds a signal watch was silent for eleven. Together with
- * `UNCONFIRMED_MS` it lets work outlast a store that is away for nine seconds.
+ * its leases are over; with ten seconds a signal watch was silent for eleven.
  */
 export const LEASE_MS = 6_000;
 
+/**
+ * No lease ends later than this after the scheduling node sent the newest append that the store has
+ * confirmed. So an outage of the store that is shorter ends no work; and a later node that cannot
+ * ask a worker waits no longer, counted from the newest record of the one before. Users take a
+ * lasting task that is away for nine seconds for lost, and reading that record, the next round and
+ * the start may take a second together.
+ */
+export const CONFIRMED_LEASE_MS = 7_600;
+
+/**
+ * The same for a claim of the role: the time in which the first append of the term is confirmed,
+ * also by a store that takes two seconds. Until then the new node may renew leases. A node that is
+ * replaced before that holds up what it could not reach for no longer.
+ */
+export const CLAIM_LEASE_MS = 5_000;
+
+/** Nodes whose records do not say how long their leases last gave them for so long at most. */
+export const UNTOLD_LEASE_MS = 9_000;
+
+/** A lease of this length is over after so long, on the slowest clock of a worker too. */
+export function surelyOverMs(leaseMs: number): number {
+  return leaseMs * CLOCK_SLACK + CLOCK_MARGIN_MS;
+}
+
+/** A worker that lives has answered its first renewal by then, in milliseconds. */
+export const FIRST_ANSWER_MS = 300;
+
+/**
+ * While only half of the usual lease may be given or less, a renewal waits no longer than this at
+ * the worker, so that the next one comes soon after the store has confirmed more.
+ */
+export const SHORT_RENEW_WAIT_MS = 300;
+
+/**
+ * A worker that missed a renewal and has not answered for so long is named in the record of the
+ * scheduling node, and gets no lease until a record without it is stored. Where something runs a
+ * worker answers each second, and one whose connection was reset within the next 150 ms.
+ */
+export const SILENT_WORKER_MS = 1_200;
+
+/** So many silent workers are named at most: some 50 KB, a fifth of the largest record. */
+export const MAX_SILENT_NAMED = 2_000;
+
 /** The scheduling node writes at least this often, so that the others see that it lives. */
 export const LEADER_WRITE_MS = 250;
 
@@ -34,17 +76,6 @@
 /** Claims of several nodes are spread over this time, so that the first one is seen by the rest. */
 export const CLAIM_SPREAD_MS = 400;
 
-/**
- * How long a leader renews leases without a word from the store. With the lease that follows, an
- * outage of nine seconds ends no work. A later leader that cannot reach a worker waits this long
- * before it takes that worker's leases to be running out: lasting tasks that were there are away
- * all the while, so longer would be worse.
- */
-export const UNCONFIRMED_MS = 3_000;
-
-/** A worker that has not answered for so long gets its leases renewed no more. */
-export const STOP_RENEWING_MS = 2_000;
-
 /** A start that has not reached its worker within this time takes no effect there any more. */
 export const START_WINDOW_MS = 1_500;
 
@@ -66,6 +97,12 @@
 /** A stop whose run is still listed after so long is sent again. */
 export const STOP_AGAIN_MS = 1_200;
 
+/**
+ * While an append is under way, stops that fall due are looked for so often. An append usually takes
+ * 10 ms, so this costs nothing but where its answer is late or lost.
+ */
+export const STOP_LOOK_MS = 100;
+
 /** The latest that the scheduling node looks at everything again without being told to. */
 export const ROUND_MS = 250;
 
--- a/packages/runtime/src/internal/work-records.ts
+++ b/packages/runtime/src/internal/work-records.ts
@@ -1,6 +1,7 @@
 import type { PressWeights } from '@redwingcrank/jobs';
-import type { Decoded } from '../record-fault.js';
+import type { Decoded, RecordFault } from '../record-fault.js';
 import { parseObject } from './parse-object.js';
+import { UNTOLD_LEASE_MS, surelyOverMs } from './timing.js';
 
 /** Which kinds of records the work log holds. Their keys are one letter, a slash and the job. */
 export type WorkRecordKind = 'job' | 'progress' | 'cancel' | 'leader' | 'learned';
@@ -24,8 +25,27 @@
   readonly nonce: string;
   /** The node has given up the role: another may claim it at once. */
   readonly resigned: boolean;
+  /**
+   * No lease of this term ends later than this after the sending of its newest record of any kind,
+   * in milliseconds of a worker's clock; but for those of `silent` workers.
+   */
+  readonly leasesMs: number;
+  /** All leases of the terms before are over so long after the sending of this record, in ms. */
+  readonly formerMs: number;
+  /**
+   * Workers that do not answer, and after how many milliseconds all leases there are over. They get
+   * no lease until a later record is stored that does not name them.
+   */
+  readonly silent: Readonly<Record<string, number>>;
 }
 
+/** For records of nodes that do not tell of their leases yet. */
+const UNTOLD = {
+  leasesMs: UNTOLD_LEASE_MS,
+  formerMs: surelyOverMs(UNTOLD_LEASE_MS),
+  silent: {},
+} as const;
+
 export const jobKey = (id: string): string => `j/${id}`;
 
 export const progressKey = (id: string): string => `s/${id}`;
@@ -44,6 +64,12 @@
   return { kind, id: key.slice(2) };
 }
 
+/** Whether only the scheduling node writes records of this key. */
+export function isLeaderKey(key: string): boolean {
+  const kind = parseKey(key)?.kind;
+  return kind === 'leader' || kind === 'learned' || kind === 'progress';
+}
+
 export function encodeLeader(rec: LeaderRecord): string {
   return JSON.stringify(rec);
 }
@@ -52,13 +78,17 @@
 export function decodeLeader(text: string): Decoded<LeaderRecord> {
   const rec = parseObject<LeaderRecord>(text);
   if (!rec) return { fault: { reason: 'unreadable', field: 'value' } };
-  const { epoch, node, nonce, resigned } = rec;
+  const { epoch, node, nonce, resigned, leasesMs, formerMs, silent } = { ...UNTOLD, ...rec };
   // The next claim counts on from it, and workers compare it with the tokens that they have seen.
-  if (!isEpoch(epoch)) return { fault: { reason: 'wrong-type', field: 'epoch' } };
-  if (typeof node !== 'string') return { fault: { reason: 'wrong-type', field: 'node' } };
-  if (typeof nonce !== 'string') return { fault: { reason: 'wrong-type', field: 'nonce' } };
-  if (typeof resigned !== 'boolean') return { fault: { reason: 'wrong-type', field: 'resigned' } };
-  return { value: { epoch, node, nonce, resigned } };
+  if (!isEpoch(epoch)) return wrongType('epoch');
+  if (typeof node !== 'string') return wrongType('node');
+  if (typeof nonce !== 'string') return wrongType('nonce');
+  if (typeof resigned !== 'boolean') return wrongType('resigned');
+  // Sums with anything but a number would be over at once, or never.
+  if (!isTime(leasesMs)) return wrongType('leasesMs');
+  if (!isTime(formerMs)) return wrongType('formerMs');
+  if (!isTable(silent, isTime)) return wrongType('silent');
+  return { value: { epoch, node, nonce, resigned, leasesMs, formerMs, silent } };
 }
 
 export function encodeLearned(weights: PressWeights): string {
@@ -69,17 +99,34 @@
 export function decodeLearned(text: string): Decoded<PressWeights> {
   const weights = parseObject<PressWeights>(text);
   if (!weights) return { fault: { reason: 'unreadable', field: 'value' } };
-  for (const [image, row] of Object.entries(weights)) {
-    if (!isRow(row)) return { fault: { reason: 'wrong-type', field: image } };
-  }
-  return { value: weights as PressWeights };
+  return isTable(weights, isRow) ? { value: weights } : wrongType('value');
+}
+
+function wrongType(field: string): { readonly fault: RecordFault } {
+  return { fault: { reason: 'wrong-type', field } };
 }
 
 function isEpoch(value: unknown): value is number {
   return Number.isSafeInteger(value) && (value as number) > 0;
 }
 
-function isRow(row: unknown): boolean {
-  if (typeof row !== 'object' || row === null || Array.isArray(row)) return false;
-  return Object.values(row).every((weight) => Number.isFinite(weight));
+function isTime(value: unknown): value is number {
+  return typeof value === 'number' && Number.isFinite(value) && value >= 0;
+}
+
+function isWeight(value: unknown): value is number {
+  return Number.isFinite(value);
+}
+
+function isRow(value: unknown): value is Readonly<Record<string, number>> {
+  return isTable(value, isWeight);
+}
+
+/** Whether the value is an object all of whose fields are of a kind. */
+function isTable<T>(
+  value: unknown,
+  isEntry: (entry: unknown) => entry is T,
+): value is Readonly<Record<string, T>> {
+  if (typeof value !== 'object' || value === null || Array.isArray(value)) return false;
+  return Object.values(value).every((entry) => isEntry(entry));
 }
--- a/packages/runtime/src/internal/work-table.ts
+++ b/packages/runtime/src/internal/work-table.ts
@@ -5,10 +5,10 @@
 import type { Decoded, RecordFault } from '../record-fault.js';
 import { steadyMs } from './delay.js';
 import type { FaultLog } from './fault-log.js';
+import { FormerLeases } from './former-leases.js';
 import { decodeJob } from './job-record.js';
 import type { LeaderRecord } from './work-records.js';
 import { decodeLeader, decodeLearned, parseKey } from './work-records.js';
-import { UNCONFIRMED_MS } from './timing.js';
 
 /** A job as the store has it. */
 export interface StoredJob {
@@ -53,15 +53,15 @@
 
   #leaderSeenMs = -Infinity;
 
-  #formerRenewalsEndMs = -Infinity;
-
   #leaderGapMs = 0;
 
   #learned: PressWeights = {};
 
   readonly changes$ = new Subject<WorkChange>();
 
-  constructor(faults?: FaultLog) {
+  /** The table of the node of this name; what it cannot use it tells the log of faults. */
+  constructor(node: string, faults?: FaultLog) {
+    this.formerLeases = new FormerLeases(node, steadyMs());
     this.#faults = faults;
   }
 
@@ -78,14 +78,8 @@
     return this.#leaderSeenMs;
   }
 
-  /**
-   * Until when, on the steady clock, the scheduling nodes before the present one may have renewed
-   * leases. Each renews none later than `UNCONFIRMED_MS` after it sent its newest record, and none
-   * after it has resigned; that record was read later than it was sent.
-   */
-  get formerRenewalsEndMs(): number {
-    return this.#formerRenewalsEndMs;
-  }
+  /** Until when workers may hold leases that earlier scheduling nodes have given. */
+  readonly formerLeases: FormerLeases;
 
   /** How far apart the scheduling node's records were lately, at most, in milliseconds. */
   get leaderGapMs(): number {
@@ -100,6 +94,7 @@
   reset(): void {
     this.#jobs.clear();
     this.#early.clear();
+    this.formerLeases.viewBroken();
   }
 
   apply(rec: KeyedRecord): void {
@@ -113,13 +108,13 @@
         this.#applyLeader(rec);
         break;
       case 'learned':
-        this.#learned = this.#decoded(rec, decodeLearned) ?? this.#learned;
+        this.#applyLearned(rec);
         break;
       case 'job':
         this.#applyJob(key.id, rec);
         break;
       case 'progress':
-        if (this.#applyProgress(key.id, rec)) this.#sawLeader();
+        this.#applyProgress(key.id, rec);
         break;
       default:
         this.#applyCancel(key.id, rec);
@@ -153,23 +148,42 @@
 
   #applyLeader(rec: KeyedRecord): void {
     const leader = this.#decoded(rec, decodeLeader);
-    if (!leader) return;
+    if (!leader) {
+      if (rec.value !== undefined || rec.fault) this.#missedLeader();
+      return;
+    }
     // The silence before a new leader's first record says nothing about the store.
     if (leader.epoch === this.#leader?.epoch) this.#sawLeader();
-    else this.#leaderChanged();
+    else this.#leaderSeenMs = steadyMs();
     if (this.#leader && leader.epoch < this.#leader.epoch) return;
+    this.formerLeases.recordRead(leader, steadyMs());
     this.#leader = leader;
     this.changes$.next({ kind: 'leader', leader });
   }
 
-  #leaderChanged(): void {
-    const nowMs = steadyMs();
-    const hasResigned = this.#leader?.resigned ?? false;
-    // Of leaders before the first one that was read nothing is known, but that they are replaced.
-    const seenMs = this.#leader ? this.#leaderSeenMs : nowMs;
-    const endMs = seenMs + (hasResigned ? 0 : UNCONFIRMED_MS);
-    this.#formerRenewalsEndMs = Math.max(this.#formerRenewalsEndMs, endMs);
-    this.#leaderSeenMs = nowMs;
+  /**
+   * The record may have been of a term that is now never read, or have named workers: as if the log
+   * had been read anew, only the next record tells how long leases may last.
+   */
+  #missedLeader(): void {
+    this.formerLeases.wordRead(steadyMs());
+    this.formerLeases.viewBroken();
+  }
+
+  #applyLearned(rec: KeyedRecord): void {
+    const learned = this.#decoded(rec, decodeLearned);
+    this.#learned = learned ?? this.#learned;
+    this.#wordOf(rec, learned !== undefined);
+  }
+
+  /**
+   * Of what only the scheduling node writes. A record that cannot be used may be anybody's, and is no
+   * sign that the node lives; it may be the node's too, and leases have been renewed since.
+   */
+  #wordOf({ value, fault }: KeyedRecord, isUsable: boolean): void {
+    const isDeletion = value === undefined && !fault;
+    if (isUsable || isDeletion) this.#sawLeader();
+    else this.formerLeases.wordRead(steadyMs());
   }
 
   #sawLeader(): void {
@@ -178,6 +192,7 @@
     const fading = this.#leaderGapMs * Math.exp(-gapMs / GAP_FADE_MS);
     this.#leaderGapMs = Math.max(fading, gapMs);
     this.#leaderSeenMs = nowMs;
+    this.formerLeases.wordRead(nowMs);
   }
 
   #applyJob(id: string, rec: KeyedRecord): void {
@@ -204,23 +219,20 @@
     this.changes$.next({ kind: 'accepted', id });
   }
 
-  /** Whether the record may be the scheduling node's: nobody else writes what can be read. */
-  #applyProgress(id: string, rec: KeyedRecord): boolean {
+  #applyProgress(id: string, rec: KeyedRecord): void {
     const job = this.#jobs.get(id);
     if (!job) {
       this.#keepEarly(id, rec, { progress: rec });
-      return !rec.fault;
+      this.#wordOf(rec, !rec.fault);
+      return;
     }
     const newest = this.#decoded(rec, (text) => {
       const state = JobProgress.decodeState(job.spec, text);
       return state ? { value: { ...state, progress: text } } : { fault: UNFIT };
     });
     if (newest) this.#progressed(id, job, newest);
-    else if (rec.value !== undefined || rec.fault) {
-      this.#becomesUnsure(id, job);
-      return false;
-    }
-    return true;
+    else if (rec.value !== undefined || rec.fault) this.#becomesUnsure(id, job);
+    this.#wordOf(rec, newest !== undefined);
   }
 
   #progressed(id: string, job: StoredJob, newest: Partial<StoredJob>): void {
--- a/packages/runtime/src/internal/worker-link.ts
+++ b/packages/runtime/src/internal/worker-link.ts
@@ -4,21 +4,24 @@
 import type { RenewResult, TaskWorkers, WorkerAddress } from '../task-workers.js';
 import { delay, steadyMs } from './delay.js';
 import {
-  CLOCK_MARGIN_MS,
-  CLOCK_SLACK,
   IDLE_RENEW_WAIT_MS,
   RENEW_RETRY_MS,
   RENEW_WAIT_MS,
+  FIRST_ANSWER_MS,
+  SHORT_RENEW_WAIT_MS,
   START_ATTEMPTS,
   START_WINDOW_MS,
-  STOP_RENEWING_MS,
+  surelyOverMs,
 } from './timing.js';
 
 /** What a link tells the scheduling node. */
 export interface LinkListener {
   readonly token: number;
-  /** Whether leases may still be renewed: the store has confirmed the leader lately. */
-  mayRenew(): boolean;
+  /**
+   * How long from now a lease on the worker may last at most, in milliseconds; 0 or less where none
+   * may be given. Later nodes rely on it.
+   */
+  leaseLimitMs(worker: string): number;
   /** Ends up to this number may be forgotten by the worker. */
   ackedEnd(worker: string): number;
   /** Whether anything runs on the worker, or may. */
@@ -57,10 +60,10 @@
 
   #clock: ClockReading | undefined;
 
-  #answeredMs = steadyMs();
-
   #isLost = false;
 
+  #startedMs = Infinity;
+
   #acked = new AbortController();
 
   constructor(
@@ -81,7 +84,18 @@
     return this.address.id;
   }
 
+  /** Whether its first answer is missing that a worker which lives has given by now. */
+  isOverdue(nowMs: number): boolean {
+    return this.#clock === undefined && nowMs - this.#startedMs > FIRST_ANSWER_MS;
+  }
+
+  /** Whether the newest renewal was not answered. */
+  get isLost(): boolean {
+    return this.#isLost;
+  }
+
   async run(): Promise<void> {
+    this.#startedMs = steadyMs();
     while (!this.#stopping.signal.aborted) await this.#renew();
   }
 
@@ -102,8 +116,14 @@
     for (let attempt = 0; attempt < START_ATTEMPTS && outcome === 'unknown'; attempt += 1) {
       if (this.#stopping.signal.aborted) return;
       const sentMs = steadyMs();
+      if (order.kind === 'start' && this.#listener.leaseLimitMs(this.id) < START_WINDOW_MS) {
+        // A node that was frozen and replaced would start here what the next one starts elsewhere.
+        if (!mayRun) outcome = 'too-late';
+        this.#logOrder(order, outcome, 'no lease may be given', attempt, sentMs);
+        break;
+      }
       const deadlineMs = this.#workerTime(sentMs) + START_WINDOW_MS;
-      const windowMs = START_WINDOW_MS * CLOCK_SLACK + CLOCK_MARGIN_MS;
+      const windowMs = surelyOverMs(START_WINDOW_MS);
       if (order.kind === 'start') this.#listener.leaseSent(this.id, sentMs + windowMs);
       const result = await this.#workers.order(
         this.address,
@@ -150,24 +170,26 @@
 
   async #renew(): Promise<void> {
     const askedMs = steadyMs();
-    const isSilent = askedMs - this.#answeredMs > STOP_RENEWING_MS;
-    const extend = this.#clock !== undefined && !isSilent && this.#listener.mayRenew();
+    // A lease that is offered counts as given. Offered again and again to a worker that is gone, it
+    // would hold back for seconds what ran there; one look without a lease tells whether it lives.
+    const leaseMs = Math.floor(Math.min(this.#leaseMs, this.#listener.leaseLimitMs(this.id)));
+    const extend = this.#clock !== undefined && !this.#isLost && leaseMs > 0;
     const req = {
       token: this.#listener.token,
       ackedEnd: this.#listener.ackedEnd(this.id),
-      waitMs: this.#waitMs(),
-      ...(extend && { deadlineMs: this.#workerTime(askedMs) + this.#leaseMs }),
+      waitMs: this.#waitMs(leaseMs),
+      ...(extend && { deadlineMs: this.#workerTime(askedMs) + leaseMs }),
     };
     if (extend) {
-      const endMs = askedMs + this.#leaseMs * CLOCK_SLACK + CLOCK_MARGIN_MS;
-      this.#listener.leaseSent(this.id, endMs);
+      this.#listener.leaseSent(this.id, askedMs + surelyOverMs(leaseMs));
     }
     const result = await this.#workers.renew(this.address, req);
     if (!this.#stopping.signal.aborted) await this.#renewed(result, askedMs);
   }
 
-  #waitMs(): number {
+  #waitMs(leaseMs: number): number {
     if (!this.#clock || this.#isLost) return 0;
+    if (leaseMs < this.#leaseMs / 2) return SHORT_RENEW_WAIT_MS;
     return this.#listener.isBusy(this.id) ? RENEW_WAIT_MS : IDLE_RENEW_WAIT_MS;
   }
 
@@ -203,7 +225,6 @@
   }
 
   #found(): void {
-    this.#answeredMs = steadyMs();
     if (!this.#isLost) return;
     this.#isLost = false;
     this.#log.emit('info', 'worker-regained', { worker: this.id });
--- a/packages/runtime/src/internal/worker-list.ts
+++ b/packages/runtime/src/internal/worker-list.ts
@@ -45,6 +45,8 @@
   /** The newest entries that could be read, by worker. */
   readonly #entries = new Map<string, WorkerEntry>();
 
+  #isLoaded = false;
+
   /** Workers that a list which is being loaded anew has not named yet. */
   #unnamed: Set<string> | undefined;
 
@@ -70,6 +72,11 @@
     });
   }
 
+  /** Whether the list has been read to its end at least once. */
+  get isLoaded(): boolean {
+    return this.#isLoaded;
+  }
+
   /** Follows the entries until stopped. */
   async run(): Promise<void> {
     this.#subscriptions.push(
@@ -87,11 +94,14 @@
   #told(message: FollowerMessage): void {
     if (message.kind === 'record') this.#read(message.rec);
     else if (message.kind === 'reset') this.#unnamed = new Set(this.#entries.keys());
-    else if (this.#unnamed) {
-      // What a fresh list does not name is not listed any more.
-      for (const id of this.#unnamed) this.#drop(id);
-      this.#unnamed = undefined;
-    }
+    else this.#caughtUp();
+  }
+
+  #caughtUp(): void {
+    this.#isLoaded = true;
+    // What a fresh list does not name is not listed any more.
+    for (const id of this.#unnamed ?? []) this.#drop(id);
+    this.#unnamed = undefined;
   }
 
   #read(rec: KeyedRecord): void {
--- a/packages/runtime/src/node.ts
+++ b/packages/runtime/src/node.ts
@@ -43,7 +43,7 @@
   constructor(port: PlatformPort, settings: NodeSettings, log: NodeLog) {
     this.#log = log;
     this.#faults = new FaultLog(log);
-    this.#table = new WorkTable(this.#faults);
+    this.#table = new WorkTable(settings.node, this.#faults);
     this.#config = new ConfigWatch(port, log, this.#faults);
     this.#follower = new KeyedFollower(port.workLog, log, {
       name: 'work',
