A cancel is refused at once while the store is away

Cause: a cancel was sent into the silence and waited for its time limit of up to three seconds; its caller learned nothing and callers' jobs of after the return stood behind it. Change: as with jobs, nothing is sent from the first failed read until one succeeds.

--- a/packages/runtime/src/job-service.ts
+++ b/packages/runtime/src/job-service.ts
@@ -95,7 +95,8 @@
       if (known || this.#isFresh()) return 'no-such-job';
       return 'unavailable';
     }
-    const outcome = await this.#store({ key: cancelKey(id), value: '1' }, deadlineMs);
+    const write = { key: cancelKey(id), value: '1' };
+    const outcome = this.#canStore() ? await this.#store(write, deadlineMs) : 'not-run';
     this.#log.emit('info', 'cancel', { job: id, queue, outcome });
     if (outcome === 'stored') return 'cancelled';
     return outcome === 'not-run' ? 'unavailable' : 'unknown';
@@ -120,7 +121,8 @@
   /**
    * Without the store nothing can be accepted, and the caller had better try another node now. A
    * record that was sent in vain may still be stored, so its caller could not be told that the job
-   * has not run: nothing is sent from the first failed read until one succeeds.
+   * has not run; and until its time limit is over the next ones would wait behind it, though the
+   * store is back. Nothing is sent from the first failed read until one succeeds.
    */
   #canStore(): boolean {
     return !this.#view.isLost && this.#isFresh();
