--- a/packages/runtime/src/internal/former-leases.ts
+++ b/packages/runtime/src/internal/former-leases.ts
@@ -24,7 +24,7 @@
   #isBroken = false;
 
   /** When any record of the present term was last read. */
-  #wordMs = -Infinity;
+  #heardMs = -Infinity;
 
   /** Of the present term: when the leases of the workers that it names as silent are over. */
   #silent: ReadonlyMap<string, number> = new Map();
@@ -66,9 +66,9 @@
     this.#isBroken = true;
   }
 
-  /** Some record of the present scheduling node was read: it has renewed leases since. */
-  wordRead(nowMs: number): void {
-    this.#wordMs = nowMs;
+  /** Any record of the present scheduling node was read: it may have renewed leases since. */
+  heartbeatRead(nowMs: number): void {
+    this.#heardMs = nowMs;
   }
 
   /** The scheduling node's record of itself was read: the same node's as before, or the next one's. */
@@ -79,7 +79,7 @@
     this.#silent = isSameTerm && !this.#isBroken ? this.#earliest(rec, nowMs) : endsOf(rec, nowMs);
     this.#isBroken = false;
     this.#present = rec;
-    this.#wordMs = nowMs;
+    this.#heardMs = nowMs;
   }
 
   /** Of two records that name a worker without a break, the earlier bound holds. */
@@ -115,7 +115,7 @@
   }
 
   #presentEndMs({ node, nonce, leasesMs }: LeaderRecord): number {
-    const endMs = this.#wordMs + surelyOverMs(leasesMs);
+    const endMs = this.#heardMs + surelyOverMs(leasesMs);
     if (node !== this.#node || this.#claims.has(nonce)) return endMs;
     // An earlier life of this node has renewed nothing since this one began.
     return Math.min(endMs, this.#startedMs + surelyOverMs(LEASE_MS));
--- a/packages/runtime/src/internal/leader-term.ts
+++ b/packages/runtime/src/internal/leader-term.ts
@@ -118,7 +118,7 @@
       this.#failed('worker-link', err),
     );
     this.#leaseMs = Math.min(LEASE_MS, settings.maxLeaseMs);
-    this.#leases = new TermLeases(record, this.#leaseMs, this.#writer, table.formerLeases);
+    this.#leases = new TermLeases(record, this.#writer, table.formerLeases);
     this.#scheduler = new Scheduler(
       {
         leaseMs: surelyOverMs(this.#leaseMs),
@@ -232,12 +232,15 @@
       key: progressKey(job.spec.id),
       value: job.encode(),
     }));
-    writes.push(...this.#forgotten(), ...this.#learned());
+    const forgotten = this.#forgotten();
+    writes.push(...forgotten, ...this.#learned());
     const isQuiet = steadyMs() - this.#writtenMs >= LEADER_WRITE_MS;
     const resigns = this.#isResigning;
     const { silent, isComplete } = this.#silentWorkers();
-    const isNews = this.#leases.hasNews(silent, isComplete);
-    const tells = resigns || isNews || (writes.length === 0 && isQuiet);
+    const isNews = this.#leases.noteSilent(silent, isComplete);
+    // Deleted records of callers are no sign of this node's life: its own goes with them.
+    const isSign = forgotten.length > 0 || (writes.length === 0 && isQuiet);
+    const tells = resigns || isNews || isSign;
     if (tells) {
       const value = encodeLeader(this.#leases.record(resigns, steadyMs()));
       writes.push({ key: leaderKey(), value });
--- a/packages/runtime/src/internal/term-leases.ts
+++ b/packages/runtime/src/internal/term-leases.ts
@@ -17,8 +17,6 @@
 export class TermLeases {
   readonly #claim: LeaderRecord;
 
-  readonly #leaseMs: number;
-
   readonly #writer: Pick<LeaderWriter, 'confirmedMs'>;
 
   readonly #former: FormerLeases;
@@ -30,7 +28,7 @@
   #writtenMs: number;
 
   /** Until then the term's records say no more than its claim. */
-  #mayTell = false;
+  #isTelling = false;
 
   /** Workers that are named in the record to be written next, by when their leases are over. */
   #silent: ReadonlyMap<string, number> = new Map();
@@ -40,17 +38,12 @@
 
   #written: ReadonlySet<string> = new Set();
 
-  /** When the resignation was sent; no lease ends later than one that was given then. */
-  #resignedMs = Infinity;
-
   constructor(
     claim: LeaderRecord,
-    leaseMs: number,
     writer: Pick<LeaderWriter, 'confirmedMs'>,
     former: FormerLeases,
   ) {
     this.#claim = claim;
-    this.#leaseMs = leaseMs;
     this.#writer = writer;
     this.#former = former;
     this.#storedMs = claim.leasesMs;
@@ -60,24 +53,23 @@
   /** How long from now a lease on the worker may last, in milliseconds; 0 or less: none. */
   limitMs(worker: string, nowMs: number): number {
     if (this.#named.has(worker)) return 0;
-    const confirmedEndMs = this.#writer.confirmedMs + this.#storedMs;
-    return Math.min(confirmedEndMs, this.#resignedMs + this.#leaseMs) - nowMs;
+    return this.#writer.confirmedMs + this.#storedMs - nowMs;
   }
 
   /**
-   * Whether later nodes should be told now: where other workers are silent than before, and for the
+   * Takes down which workers are silent now. True if later nodes should be told: where other workers are silent than before, and for the
    * first time when all have answered on which something runs, or are known to be silent.
    * `workers` are those that are silent now; `isComplete` says that no others may be.
    */
-  hasNews(workers: Iterable<SilentWorker>, isComplete: boolean): boolean {
-    if (!this.#mayTell && !isComplete) return false;
+  noteSilent(workers: Iterable<SilentWorker>, isComplete: boolean): boolean {
+    if (!this.#isTelling && !isComplete) return false;
     const silent = new Map<string, number>();
     for (const { entry, leaseEndMs } of workers) {
       if (silent.size < MAX_SILENT_NAMED) silent.set(entry.id, leaseEndMs);
     }
     this.#silent = silent;
-    const isFirst = !this.#mayTell;
-    this.#mayTell = true;
+    const isFirst = !this.#isTelling;
+    this.#isTelling = true;
     const hasOther = [...silent.keys()].some((worker) => !this.#written.has(worker));
     return isFirst || hasOther || silent.size !== this.#written.size;
   }
@@ -89,12 +81,11 @@
     );
     this.#written = new Set(this.#silent.keys());
     this.#named = new Set([...this.#named, ...this.#written]);
-    if (resigns) this.#resignedMs = Math.min(this.#resignedMs, nowMs);
-    if (this.#mayTell) this.#writtenMs = CONFIRMED_LEASE_MS;
+    if (this.#isTelling) this.#writtenMs = CONFIRMED_LEASE_MS;
     return {
       ...this.#claim,
       resigned: resigns,
-      leasesMs: resigns ? this.#leaseMs : this.#writtenMs,
+      leasesMs: this.#writtenMs,
       formerMs: Math.max(0, Math.ceil(this.#former.allEndMs - nowMs)),
       silent,
     };
--- a/packages/runtime/src/internal/timing.ts
+++ b/packages/runtime/src/internal/timing.ts
@@ -16,19 +16,19 @@
 
 /**
  * No lease ends later than this after the scheduling node sent the newest append that the store has
- * confirmed. So an outage of the store that is shorter ends no work; and a later node that cannot
- * ask a worker waits no longer, counted from the newest record of the one before. Users take a
- * lasting task that is away for nine seconds for lost, and reading that record, the next round and
- * the start may take a second together.
+ * confirmed. A later node that cannot ask a worker waits no longer, counted from the newest record
+ * of the one before. Users take a lasting task that is away for nine seconds for lost, and reading
+ * that record, the next round and the start may take a second together. It bounds, too, for how long
+ * a store may be away before work ends.
  */
 export const CONFIRMED_LEASE_MS = 7_600;
 
 /**
- * The same for a claim of the role: the time in which the first append of the term is confirmed,
- * also by a store that takes two seconds. Until then the new node may renew leases. A node that is
- * replaced before that holds up what it could not reach for no longer.
+ * The same for a claim of the role, until the first append of the term is confirmed: as long as one
+ * lease. With four seconds everything that ran was lost where the answers of the store were lost for
+ * five; with more, a node that is replaced at once would hold up for longer what it never reached.
  */
-export const CLAIM_LEASE_MS = 5_000;
+export const CLAIM_LEASE_MS = 6_000;
 
 /** Nodes whose records do not say how long their leases last gave them for so long at most. */
 export const UNTOLD_LEASE_MS = 9_000;
--- a/packages/runtime/src/internal/work-table.ts
+++ b/packages/runtime/src/internal/work-table.ts
@@ -166,7 +166,7 @@
    * had been read anew, only the next record tells how long leases may last.
    */
   #missedLeader(): void {
-    this.formerLeases.wordRead(steadyMs());
+    this.formerLeases.heartbeatRead(steadyMs());
     this.formerLeases.viewBroken();
   }
 
@@ -183,7 +183,7 @@
   #wordOf({ value, fault }: KeyedRecord, isUsable: boolean): void {
     const isDeletion = value === undefined && !fault;
     if (isUsable || isDeletion) this.#sawLeader();
-    else this.formerLeases.wordRead(steadyMs());
+    else this.formerLeases.heartbeatRead(steadyMs());
   }
 
   #sawLeader(): void {
@@ -192,7 +192,7 @@
     const fading = this.#leaderGapMs * Math.exp(-gapMs / GAP_FADE_MS);
     this.#leaderGapMs = Math.max(fading, gapMs);
     this.#leaderSeenMs = nowMs;
-    this.formerLeases.wordRead(nowMs);
+    this.formerLeases.heartbeatRead(nowMs);
   }
 
   #applyJob(id: string, rec: KeyedRecord): void {
--- a/packages/runtime/src/test/lease-bounds_test.ts
+++ b/packages/runtime/src/test/lease-bounds_test.ts
@@ -44,7 +44,7 @@
     this.confirmedMs = sentMs;
     const writer = { confirmedMs: sentMs };
     Object.defineProperty(writer, 'confirmedMs', { get: () => this.confirmedMs });
-    this.leases = new TermLeases(claim, LEASE_MS, writer, former);
+    this.leases = new TermLeases(claim, writer, former);
     for (const id of WORKERS) {
       this.endsMs.set(id, former.namedEndMs.get(id) ?? former.generalEndMs);
     }
@@ -93,7 +93,7 @@
     for (; reader.next < this.#log.length; reader.next += 1) {
       const rec = this.#log[reader.next];
       if (rec) reader.former.recordRead(rec, this.#nowMs);
-      else reader.former.wordRead(this.#nowMs);
+      else reader.former.heartbeatRead(this.#nowMs);
     }
   }
 
@@ -147,7 +147,7 @@
       return;
     }
     if (!term.pending) {
-      const isNews = term.leases.hasNews(term.silentWorkers(), b !== 1);
+      const isNews = term.leases.noteSilent(term.silentWorkers(), b !== 1);
       const resigns = b > 7;
       const isRecord = isNews || resigns || b === 0;
       const rec = isRecord ? term.leases.record(resigns, this.#nowMs) : undefined;
