What the scheduling node reads back of its own records is stored, whatever became of the answer

Cause: while the store carries appends out and its answers are lost, a new node could give leases for six seconds after its claim only, and everything that ran was lost, although it read its own records all the while. Change: records of the node are numbered; one that is read back confirms like an answer.

--- a/packages/fuzz/src/records/sound-records.ts
+++ b/packages/fuzz/src/records/sound-records.ts
@@ -34,6 +34,7 @@
   leasesMs: 7_600,
   formerMs: 0,
   silent: { w1: 900 },
+  number: 0,
 };
 
 const LEARNED = { web: { batch: 0.4 }, feed: { batch: 1.2 } };
--- a/packages/runtime/src/internal/leader-term.ts
+++ b/packages/runtime/src/internal/leader-term.ts
@@ -85,13 +85,17 @@
 
   #isResigning = false;
 
+  /** The newest record of this node itself that was written. */
+  #told = { number: 0, sentMs: -Infinity };
+
   #end: () => void = () => {};
 
   readonly #ended = new Promise<void>((resolve) => {
     this.#end = resolve;
   });
 
-  #writtenMs = -Infinity;
+  /** When this node last wrote; its claim counts. */
+  #writtenMs = steadyMs();
 
   #learnedMs = steadyMs() + LEARNED_EVERY_MS;
 
@@ -242,8 +246,9 @@
     const isSign = forgotten.length > 0 || (writes.length === 0 && isQuiet);
     const tells = resigns || isNews || isSign;
     if (tells) {
-      const value = encodeLeader(this.#leases.record(resigns, steadyMs()));
-      writes.push({ key: leaderKey(), value });
+      const rec = this.#leases.record(resigns, steadyMs());
+      this.#told = { number: rec.number, sentMs: steadyMs() };
+      writes.push({ key: leaderKey(), value: encodeLeader(rec) });
     }
     const starts = this.#sendStops(decisions.orders);
     if (writes.length > 0) {
@@ -348,6 +353,7 @@
     switch (change.kind) {
       case 'leader':
         if (change.leader.epoch > this.token) this.fenced('', 'newer-leader-record');
+        else this.#ownRecordRead(change.leader);
         break;
       case 'accepted':
         this.#takeOn(this.#table.jobs.get(change.id)!);
@@ -364,6 +370,16 @@
     this.#wakeUp();
   }
 
+  /**
+   * What was read back is stored. Where the store carries appends out and its answers are lost,
+   * leases could else be given no more after some seconds, and all that runs would end.
+   */
+  #ownRecordRead({ epoch, number }: LeaderRecord): void {
+    if (epoch !== this.token || number !== this.#told.number) return;
+    this.#writer.readBack(this.#told.sentMs);
+    this.#leases.recordStored();
+  }
+
   #takeQueues(): void {
     const config = this.#config.current;
     if (!config) return;
--- a/packages/runtime/src/internal/leader-writer.ts
+++ b/packages/runtime/src/internal/leader-writer.ts
@@ -50,6 +50,11 @@
     return this.#confirmedMs;
   }
 
+  /** A record that was sent then was read back: it is stored, whatever became of the answer. */
+  readBack(sentMs: number): void {
+    this.#confirmedMs = Math.max(this.#confirmedMs, sentMs);
+  }
+
   stop(): void {
     this.#stopping.abort();
   }
@@ -71,7 +76,7 @@
     while (!this.#stopping.signal.aborted) {
       const result = await this.#target.append(records, { stamp });
       if (result.outcome === 'appended') {
-        this.#confirmedMs = sentMs;
+        this.#confirmedMs = Math.max(this.#confirmedMs, sentMs);
         if (failures > 0) this.#log.emit('info', 'store-regained', { failures });
         return true;
       }
--- a/packages/runtime/src/internal/leadership.ts
+++ b/packages/runtime/src/internal/leadership.ts
@@ -201,6 +201,7 @@
       leasesMs: CLAIM_LEASE_MS,
       formerMs: this.#formerMs(before),
       silent: {},
+      number: 0,
     };
     this.#table.formerLeases.claiming(record.nonce);
     const sequence = randomInt(MAX_FIRST_SEQUENCE);
--- a/packages/runtime/src/internal/term-leases.ts
+++ b/packages/runtime/src/internal/term-leases.ts
@@ -30,6 +30,8 @@
   /** Until then the term's records say no more than its claim. */
   #isTelling = false;
 
+  #number = 0;
+
   /** Workers that are named in the record to be written next, by when their leases are over. */
   #silent: ReadonlyMap<string, number> = new Map();
 
@@ -81,6 +83,7 @@
     );
     this.#written = new Set(this.#silent.keys());
     this.#named = new Set([...this.#named, ...this.#written]);
+    this.#number += 1;
     if (this.#isTelling) this.#writtenMs = CONFIRMED_LEASE_MS;
     return {
       ...this.#claim,
@@ -88,6 +91,7 @@
       leasesMs: this.#writtenMs,
       formerMs: Math.max(0, Math.ceil(this.#former.allEndMs - nowMs)),
       silent,
+      number: this.#number,
     };
   }
 
--- a/packages/runtime/src/internal/work-records.ts
+++ b/packages/runtime/src/internal/work-records.ts
@@ -37,6 +37,8 @@
    * no lease until a later record is stored that does not name them.
    */
   readonly silent: Readonly<Record<string, number>>;
+  /** Counts the records of this term; the claim has 0. */
+  readonly number: number;
 }
 
 /** For records of nodes that do not tell of their leases yet. */
@@ -44,6 +46,7 @@
   leasesMs: UNTOLD_LEASE_MS,
   formerMs: surelyOverMs(UNTOLD_LEASE_MS),
   silent: {},
+  number: 0,
 } as const;
 
 export const jobKey = (id: string): string => `j/${id}`;
@@ -78,7 +81,10 @@
 export function decodeLeader(text: string): Decoded<LeaderRecord> {
   const rec = parseObject<LeaderRecord>(text);
   if (!rec) return { fault: { reason: 'unreadable', field: 'value' } };
-  const { epoch, node, nonce, resigned, leasesMs, formerMs, silent } = { ...UNTOLD, ...rec };
+  const { epoch, node, nonce, resigned, leasesMs, formerMs, silent, number } = {
+    ...UNTOLD,
+    ...rec,
+  };
   // The next claim counts on from it, and workers compare it with the tokens that they have seen.
   if (!isEpoch(epoch)) return wrongType('epoch');
   if (typeof node !== 'string') return wrongType('node');
@@ -88,7 +94,8 @@
   if (!isTime(leasesMs)) return wrongType('leasesMs');
   if (!isTime(formerMs)) return wrongType('formerMs');
   if (!isTable(silent, isTime)) return wrongType('silent');
-  return { value: { epoch, node, nonce, resigned, leasesMs, formerMs, silent } };
+  if (!isTime(number)) return wrongType('number');
+  return { value: { epoch, node, nonce, resigned, leasesMs, formerMs, silent, number } };
 }
 
 export function encodeLearned(weights: PressWeights): string {
--- a/packages/runtime/src/test/broken-work-records_test.ts
+++ b/packages/runtime/src/test/broken-work-records_test.ts
@@ -25,6 +25,7 @@
   leasesMs: 7_600,
   formerMs: 0,
   silent: { w1: 900 },
+  number: 0,
 };
 
 /** Values that are neither a job, nor progress, nor a leader, nor weights. */
@@ -40,7 +41,7 @@
   { ...LEADER, leasesMs: '7600' },
   { ...LEADER, formerMs: -1 },
   { ...LEADER, silent: [] },
-  { ...LEADER, silent: { w1: 'soon' } },
+  { ...LEADER, silent: { w1: 'soon' }, number: 0 },
 ];
 
 let table: WorkTable;
--- a/packages/runtime/src/test/leader-term_test.ts
+++ b/packages/runtime/src/test/leader-term_test.ts
@@ -64,6 +64,7 @@
     leasesMs: 4_000,
     formerMs: 0,
     silent: {},
+    number: 0,
   };
 }
 
--- a/packages/runtime/src/test/leadership_test.ts
+++ b/packages/runtime/src/test/leadership_test.ts
@@ -21,6 +21,7 @@
   leasesMs: 4_000,
   formerMs: 0,
   silent: {},
+  number: 0,
 });
 
 const SETTINGS = {
--- a/packages/runtime/src/test/lease-bounds_test.ts
+++ b/packages/runtime/src/test/lease-bounds_test.ts
@@ -55,6 +55,13 @@
   }
 }
 
+/** The node reads its own record, whose answer is still missing. */
+function readBack(term: Term): void {
+  if (!term.pending?.rec) return;
+  Object.assign(term, { confirmedMs: Math.max(term.confirmedMs, term.pending.sentMs) });
+  term.leases.recordStored();
+}
+
 /** A store, workers and scheduling nodes that come one after the other and may not know it yet. */
 class World {
   #nowMs = 10_000;
@@ -85,6 +92,7 @@
     else if (!term || term.isOver) return;
     else if (kind === 'write') this.#write(term, b);
     else if (kind === 'renew') this.#renew(term, worker);
+    else if (kind === 'read-back') readBack(term);
     else term.silent.add(worker);
   }
 
@@ -131,6 +139,7 @@
       leasesMs: CLAIM_LEASE_MS,
       formerMs: Math.max(surelyOverMs(CONFIRMED_LEASE_MS), former.allEndMs - sentMs),
       silent: {},
+      number: 0,
     };
     former.claiming(claim.nonce);
     this.#nowMs += lateMs;
@@ -200,7 +209,7 @@
 
 /** Each as likely as it is often here. */
 const KINDS = [
-  ...['wait', 'wait', 'read', 'read', 'claim', 'restart', 'reload', 'silent'],
+  ...['wait', 'wait', 'read', 'read', 'claim', 'restart', 'reload', 'read-back', 'silent'],
   ...['write', 'write', 'write', 'renew', 'renew', 'renew'],
 ];
 
@@ -234,6 +243,7 @@
     leasesMs,
     formerMs: 0,
     silent,
+    number: 0,
   });
   const former = new FormerLeases('n9', 0);
   former.recordRead(record(1, CONFIRMED_LEASE_MS, { w1: 5_000 }), 1_000);
--- a/packages/runtime/src/test/new-term_test.ts
+++ b/packages/runtime/src/test/new-term_test.ts
@@ -138,6 +138,7 @@
     leasesMs: 4_000,
     formerMs: 7_800,
     silent: {},
+    number: 0,
   };
   const table = tableOfRunningJob();
   table.apply({ key: leaderKey(), value: encodeLeader(record) });
--- a/packages/runtime/src/test/work-table_test.ts
+++ b/packages/runtime/src/test/work-table_test.ts
@@ -22,6 +22,7 @@
       leasesMs: 7_600,
       formerMs: 0,
       silent: {},
+      number: 0,
       ...fields,
     };
     this.table.apply({ key: leaderKey(), value: encodeLeader(record) });
