A failed fuzz run names the promise that was broken

Cause: the report of a failed run held the drawn case alone; which check had failed took a debugger to learn. Change: the check's own message stands first.

--- a/packages/fuzz/src/run-target.ts
+++ b/packages/fuzz/src/run-target.ts
@@ -31,6 +31,7 @@
   const found = details.failed ? ((await fc.asyncDefaultReportMessage(details)) ?? 'failed') : '';
   // A replay of one case need not set off every failure.
   const gap = path === undefined && never.length > 0 ? `never set off: ${never.join(', ')}` : '';
-  const report = [found, gap].filter(Boolean).join('\n');
+  const broken = details.errorInstance instanceof Error ? details.errorInstance.message : '';
+  const report = [broken, found, gap].filter(Boolean).join('\n');
   return { target: target.name, seed, failed: report !== '', steps: coverage.steps, hits, report };
 }
