--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -252,12 +252,22 @@
         nowMs > worker.leaseEndMs && nowMs - worker.answeredMs > this.#state.timing.leaseMs;
       if (isSilent && (worker.runs.size > 0 || !worker.listed)) {
         this.#state.note('leases-over', { worker: worker.entry.id, runs: worker.runs.size });
-        this.#state.releaseAll(worker);
-        if (!worker.listed) this.#state.workers.delete(worker.entry.id);
+        this.#releaseSettled(worker);
+        if (!worker.listed && worker.runs.size === 0) this.#state.workers.delete(worker.entry.id);
       }
     }
   }
 
+  /**
+   * Releases all runs but those whose start may be sent again yet: after seconds in which this node
+   * stood still, it would begin there what is begun elsewhere as well. Its answer is never far.
+   */
+  #releaseSettled(worker: WorkerState): void {
+    for (const [key, run] of worker.runs) {
+      if (run.settledMs < Infinity) this.#state.releaseRun(worker, key, run);
+    }
+  }
+
   #closeCompleted(timeOfDayMs: number): void {
     for (const job of this.#state.changed) {
       if (!isFinal(job.state)) {
