The fuzz target of jobs bounds how long a lasting task is away

No check bounded how long a task stays bound to a worker that is gone; the target knew neither lasting tasks nor workers that leave, and its leaders' leases were a copy of rules that the runtime no longer has. Change: lasting tasks, workers that announce that they leave, and that vanish; late renewals, cuts from one leader, appends without an answer or lost, resignation, restarts, nodes that stand still. All earlier checks stand.

--- a/packages/fuzz/src/jobs/jobs-oracle.ts
+++ b/packages/fuzz/src/jobs/jobs-oracle.ts
@@ -1,4 +1,4 @@
-import type { EndedRow, Order, WorkerEntry } from '@redwingcrank/jobs';
+import type { EndedRow, JobSpec, Order, WorkerEntry } from '@redwingcrank/jobs';
 import { parseTaskName, taskName } from '@redwingcrank/jobs';
 
 /** Runs of one task that may end as failed before its job is over. */
@@ -11,6 +11,12 @@
   /** A good end was noted, so no further start is right. */
   isNoted: boolean;
   notedFailures: number;
+  /** It runs on without a good end, and is restarted however often it fails. */
+  isLasting: boolean;
+  /** It is lasting, and its job is not cancelled. */
+  isOwed: boolean;
+  /** Since when it runs nowhere, where it is lasting. */
+  awaySinceMs: number;
 }
 
 /** The promises to callers, checked on what workers do and nothing else. */
@@ -25,12 +31,45 @@
 
   readonly #unnoted = new Map<string, Set<string>>();
 
+  nowMs = 0;
+
+  /** From now on the tasks of this job must be at work. */
+  expectLasting({ id, steps }: JobSpec): void {
+    for (let index = 0; index < steps[0]!.taskCount; index += 1) {
+      const facts = this.#facts(taskName({ jobId: id, occurrence: 0, step: 0, index }));
+      Object.assign(facts, { isLasting: true, isOwed: true, awaySinceMs: this.nowMs });
+    }
+  }
+
+  /** Nothing is owed any more to the callers of this job. */
+  cancelled(jobId: string): void {
+    for (const [name, facts] of this.#tasks) {
+      if (parseTaskName(name)?.jobId === jobId) facts.isOwed = false;
+    }
+  }
+
+  /** No lasting task is away for too long; `dueMs` tells until when one must be back. */
+  checkAway(dueMs: (sinceMs: number) => number): void {
+    for (const [name, { isOwed, runningOn, awaySinceMs }] of this.#tasks) {
+      const isBack = !isOwed || runningOn.size > 0 || this.nowMs <= dueMs(awaySinceMs);
+      expect(isBack, `${name} is away since ${awaySinceMs}, now is ${this.nowMs}`);
+    }
+  }
+
+  /** No lasting task is on this worker. */
+  checkEvacuated(worker: string): void {
+    for (const [name, { isOwed, runningOn }] of this.#tasks) {
+      expect(!isOwed || !runningOn.has(worker), `${name} was left on ${worker}`);
+    }
+  }
+
   started(worker: WorkerEntry, { task, run }: Order): void {
     const name = taskName(task);
     const facts = this.#facts(name);
     expect(facts.runningOn.size === 0, `${name} run ${run} starts beside another run`);
     expect(!facts.isNoted, `${name} run ${run} starts after its good end was noted`);
-    expect(facts.notedFailures < MAX_ATTEMPTS, `${name} starts after its last attempt`);
+    const mayStart = facts.isLasting || facts.notedFailures < MAX_ATTEMPTS;
+    expect(mayStart, `${name} starts after its last attempt`);
     for (let index = 0; task.step > 0; index += 1) {
       const before = this.#tasks.get(taskName({ ...task, step: task.step - 1, index }));
       if (!before) break;
@@ -45,6 +84,7 @@
   ended(worker: string, row: EndedRow): void {
     const facts = this.#facts(row.task);
     facts.runningOn.delete(worker);
+    facts.awaySinceMs = this.nowMs;
     this.#load.set(worker, (this.#load.get(worker) ?? 0) - 1_000);
     if (row.how === 'done') facts.isDone = true;
     const unnoted = this.#unnoted.get(worker) ?? new Set();
@@ -66,7 +106,9 @@
   }
 
   gone(worker: string, task: string): void {
-    this.#facts(task).runningOn.delete(worker);
+    const facts = this.#facts(task);
+    facts.runningOn.delete(worker);
+    facts.awaySinceMs = this.nowMs;
   }
 
   /** Every task of a job shown as completed has ended well. */
@@ -81,7 +123,15 @@
   #facts(name: string): TaskFacts {
     let facts = this.#tasks.get(name);
     if (!facts) {
-      facts = { runningOn: new Set(), isDone: false, isNoted: false, notedFailures: 0 };
+      facts = {
+        runningOn: new Set(),
+        isDone: false,
+        isNoted: false,
+        notedFailures: 0,
+        isLasting: false,
+        isOwed: false,
+        awaySinceMs: this.nowMs,
+      };
       this.#tasks.set(name, facts);
     }
     return facts;
--- /dev/null
+++ b/packages/fuzz/src/jobs/jobs-script.ts
@@ -0,0 +1,106 @@
+import type { JobsWorld } from './jobs-world.js';
+
+/** So long before it is gone a worker announces that it leaves, in milliseconds. */
+const LEAVING_MS = 2_000;
+
+/** Carries out what the fuzzer has drawn: a command and two small numbers for whom it meets. */
+export class JobsScript {
+  readonly #world: JobsWorld;
+
+  constructor(world: JobsWorld) {
+    this.#world = world;
+  }
+
+  run(kind: string, a: number, b: number): void {
+    const world = this.#world;
+    world.passTime(20);
+    const leader = world.leaders[a % world.leaders.length]!;
+    const worker = world.workers[b % world.workers.length]!;
+    switch (kind) {
+      case 'submit':
+        world.submit(1 + (a % 4));
+        break;
+      case 'submit-lasting':
+        world.submitLasting(1 + (a % 2));
+        break;
+      case 'cancel':
+        this.#cancel(a);
+        break;
+      case 'round':
+        world.round(leader, 'answered');
+        break;
+      case 'round-unanswered':
+        world.round(leader, a % 2 === 0 ? 'unanswered' : 'lost');
+        break;
+      case 'renew':
+        world.renew(leader, worker, a >= 6 ? 'unanswered' : 'answered');
+        break;
+      case 'renew-late':
+        world.renew(leader, worker, 'late');
+        break;
+      case 'deliver-late':
+        world.deliverLate(a);
+        break;
+      case 'deliver':
+        world.deliver(leader, b, false);
+        break;
+      case 'deliver-unanswered':
+        world.deliver(leader, b, true);
+        break;
+      case 'end':
+        world.end(worker, a, 'done');
+        break;
+      case 'fail':
+        world.end(worker, a, 'failed');
+        break;
+      case 'crash':
+        world.crash(worker);
+        break;
+      case 'leave':
+        world.leave(worker, LEAVING_MS, a % 2 === 0);
+        break;
+      case 'vanish':
+        world.vanish(worker);
+        break;
+      case 'cut':
+        worker.isCut = !worker.isCut;
+        world.coverage.hit('cut');
+        break;
+      case 'cut-off':
+        this.#cutOff(worker.entry.id);
+        break;
+      case 'store':
+        world.isStoreUp = !world.isStoreUp;
+        world.coverage.hit('store-away');
+        break;
+      case 'elect':
+        if (world.isStoreUp) world.elect();
+        break;
+      case 'freeze':
+        world.freezeNode(b);
+        break;
+      case 'restart':
+        if (world.isStoreUp) world.restartLeader();
+        break;
+      case 'resign':
+        world.resign();
+        break;
+      default:
+        world.passTime(a * 400);
+    }
+  }
+
+  #cancel(index: number): void {
+    const id = this.#world.jobIds[index];
+    if (id === undefined) return;
+    this.#world.coverage.hit('cancel');
+    this.#world.cancel(id);
+  }
+
+  /** Only the present leader does not reach the worker; the one before it still may. */
+  #cutOff(worker: string): void {
+    this.#world.coverage.hit('cut-off');
+    const { unreachable } = this.#world.present;
+    if (!unreachable.delete(worker)) unreachable.add(worker);
+  }
+}
--- a/packages/fuzz/src/jobs/jobs-world.ts
+++ b/packages/fuzz/src/jobs/jobs-world.ts
@@ -1,291 +1,335 @@
-import type { JobSpec, Order, WorkerEntry } from '@redwingcrank/jobs';
-import { JobProgress, Scheduler } from '@redwingcrank/jobs';
+import type { JobSpec, WorkerEntry } from '@redwingcrank/jobs';
+import { JobProgress } from '@redwingcrank/jobs';
 import type { Coverage } from '../coverage.js';
-import { JobsOracle, MAX_ATTEMPTS } from './jobs-oracle.js';
-import { ModelWorker, modelJob } from './model-worker.js';
-
-/** The times of the scheduling node, in milliseconds; the same as in the real one. */
-const LEASE_MS = 6_000;
-const LEASE_BOUND_MS = LEASE_MS * 1.021 + 100;
-const UNCONFIRMED_MS = 3_000;
-const START_WINDOW_MS = 1_500;
-
-interface Leader {
-  readonly epoch: number;
-  readonly scheduler: Scheduler;
-  readonly inFlight: {
-    order: Order;
-    deadline: number;
-    sentMs: number;
-    isAnswered: boolean;
-    mayRun: boolean;
-  }[];
-  readonly clocks: Map<string, { clock: number; atMs: number }>;
-  confirmedMs: number;
-  isReplaced: boolean;
+import { JobsOracle } from './jobs-oracle.js';
+import type { Append, RenewCall, SentOrder } from './model-leader.js';
+import { ModelLeader } from './model-leader.js';
+import type { LogEntry } from './model-node.js';
+import { ModelNode } from './model-node.js';
+import { ModelWorker, lastingJob, modelJob } from './model-worker.js';
+
+/** How a renewal fares on its way. */
+export type RenewFate = 'answered' | 'unanswered' | 'late';
+
+/** How an append fares: what gets no answer is sent again. */
+export type AppendFate = 'answered' | 'unanswered' | 'lost';
+
+/** So many workers there are always: what is gone is replaced. */
+const WORKERS = 3;
+
+const NODES = ['n1', 'n2', 'n3'];
+
+/** So many lasting tasks at most, so that one worker has room for them all. */
+const MAX_LASTING = 3;
+
+/** A renewal that reaches its worker when newer ones have. */
+interface LateCall {
+  readonly worker: ModelWorker;
+  readonly call: RenewCall;
 }
 
 /** Leaders, workers and the store, without sockets: what they do is drawn by the fuzzer. */
 export class JobsWorld {
-  readonly #coverage: Coverage;
+  readonly coverage: Coverage;
+
+  readonly oracle = new JobsOracle();
+
+  readonly workers: ModelWorker[] = [];
 
-  readonly #oracle = new JobsOracle();
+  /** The newest last; the one before it may not know yet that it is replaced. */
+  readonly leaders: ModelLeader[] = [];
 
-  readonly #workers: ModelWorker[] = [];
+  isStoreUp = true;
+
+  /** When a worker was last gone for good: what was bound there may have been away before. */
+  lostMs = -Infinity;
 
   #lives = 0;
 
+  #lastingCount = 0;
+
   readonly #jobs = new Map<string, JobSpec>();
 
   readonly #progress = new Map<string, string>();
 
   readonly #cancelled = new Set<string>();
 
-  #epoch = 0;
+  /** A repeat of one of these changes nothing. */
+  readonly #stored = new WeakSet<Append>();
+
+  readonly #lateCalls: LateCall[] = [];
 
-  #isStoreUp = true;
+  #epoch = 0;
 
-  readonly #leaders: Leader[] = [];
+  readonly #nodes: readonly ModelNode[];
 
   #nowMs = 1_000;
 
   constructor(coverage: Coverage) {
-    this.#coverage = coverage;
-    for (let i = 0; i < 3; i += 1) this.#addWorker(`host${i}`);
-    this.#elect();
+    this.coverage = coverage;
+    this.#nodes = NODES.map((name) => new ModelNode(name, this.#nowMs));
+    for (let i = 0; i < WORKERS; i += 1) this.#addWorker(`host${i}`);
+    this.elect();
+  }
+
+  get nowMs(): number {
+    return this.#nowMs;
+  }
+
+  /** The leader that the store takes appends from. */
+  get present(): ModelLeader {
+    return this.leaders.at(-1)!;
+  }
+
+  /** The ids of jobs, in the order of their submission. */
+  get jobIds(): string[] {
+    return [...this.#jobs.keys()];
   }
 
-  run(kind: string, a: number, b: number): void {
-    this.#nowMs += 20;
-    for (const worker of this.#workers) worker.passTime(20);
-    const leader = this.#leaders[a % this.#leaders.length]!;
-    const worker = this.#workers[b % this.#workers.length]!;
-    switch (kind) {
-      case 'submit':
-        this.#submit(1 + (a % 4));
-        break;
-      case 'cancel':
-        this.#cancel(a);
-        break;
-      case 'round':
-        this.#round(leader);
-        break;
-      case 'renew':
-        this.#renew(leader, worker, a >= 6);
-        break;
-      case 'deliver':
-        this.#deliver(leader, b, false);
-        break;
-      case 'deliver-unanswered':
-        this.#deliver(leader, b, true);
-        break;
-      case 'end':
-        this.#end(worker, a, 'done');
-        break;
-      case 'fail':
-        this.#end(worker, a, 'failed');
-        break;
-      case 'crash':
-        this.#crash(worker);
-        break;
-      case 'cut':
-        worker.isCut = !worker.isCut;
-        this.#coverage.hit('cut');
-        break;
-      case 'store':
-        this.#isStoreUp = !this.#isStoreUp;
-        this.#coverage.hit('store-away');
-        break;
-      case 'elect':
-        if (this.#isStoreUp) this.#elect();
-        break;
-      default:
-        this.#passTime(a * 400);
+  isLasting(id: string): boolean {
+    return this.#jobs.get(id)!.steps.some(({ lasting }) => lasting);
+  }
+
+  passTime(ms: number): void {
+    this.#nowMs += ms;
+    this.oracle.nowMs = this.#nowMs;
+    for (const worker of [...this.workers]) {
+      worker.passTime(ms);
+      if (this.#nowMs >= worker.leavesMs) this.vanish(worker);
     }
   }
 
-  #submit(width: number): void {
-    const spec = modelJob(`job${this.#jobs.size}`, width);
-    this.#jobs.set(spec.id, spec);
-    for (const { scheduler } of this.#leaders) scheduler.addJob(new JobProgress(spec));
+  submit(width: number): void {
+    this.#submit(modelJob(`job${this.#jobs.size}`, width));
   }
 
-  #cancel(index: number): void {
-    const id = [...this.#jobs.keys()][index];
-    if (!id) return;
-    this.#coverage.hit('cancel');
+  submitLasting(width: number): void {
+    if (this.#lastingCount + width > MAX_LASTING) return;
+    this.#lastingCount += width;
+    const spec = lastingJob(`job${this.#jobs.size}`, width);
+    this.oracle.expectLasting(spec);
+    this.#submit(spec);
+  }
+
+  cancel(id: string): void {
     this.#cancelled.add(id);
-    for (const { scheduler } of this.#leaders) scheduler.cancel(id, this.#nowMs);
+    this.oracle.cancelled(id);
+    for (const { scheduler } of this.leaders) scheduler.cancel(id, this.#nowMs);
   }
 
-  /** A node claims the role; the leader before knows nothing of it yet. */
-  #elect(): void {
-    this.#epoch += 1;
-    const scheduler = new Scheduler(
-      {
-        leaseMs: LEASE_BOUND_MS,
-        inheritedLeaseMs: UNCONFIRMED_MS + LEASE_BOUND_MS,
-        standstillMs: Infinity,
-        stopAgainMs: 1_000,
-      },
-      this.#nowMs,
-      () => {},
-    );
-    scheduler.setQueues([
-      {
-        name: 'q',
-        pool: 'p',
-        priority: 0,
-        maxAttempts: MAX_ATTEMPTS,
-        stretch: 1,
-        targetLatencyMs: 0,
-      },
-    ]);
-    for (const [id, spec] of this.#jobs) {
-      const stored = this.#progress.get(id);
-      scheduler.addJob(stored ? JobProgress.decode(spec, stored) : new JobProgress(spec));
-      if (this.#cancelled.has(id)) scheduler.cancel(id, this.#nowMs);
-    }
-    for (const worker of this.#workers) {
-      if (!worker.isCut && worker.isAlive) scheduler.listWorker(worker.entry, this.#nowMs);
-    }
-    if (this.#leaders.length > 1) this.#leaders.shift();
-    if (this.#leaders.length > 0) this.#coverage.hit('elect');
-    this.#leaders.push({
-      epoch: this.#epoch,
-      scheduler,
-      inFlight: [],
-      clocks: new Map(),
-      confirmedMs: this.#nowMs,
-      isReplaced: false,
-    });
+  /** A node claims the role, another one than before; the leader before knows nothing of it yet. */
+  elect(): void {
+    this.#claim(this.#nodes[(this.#epoch + 1) % NODES.length]!);
   }
 
-  #round(leader: Leader): void {
-    if (leader.isReplaced || !this.#isStoreUp) return;
-    if (leader.epoch < this.#epoch) {
-      this.#coverage.hit('write-fenced');
-      Object.assign(leader, { isReplaced: true });
-      return;
-    }
-    const { changed, orders, acks } = leader.scheduler.decide(this.#nowMs, this.#nowMs);
-    Object.assign(leader, { confirmedMs: this.#nowMs });
-    for (const job of changed) {
-      this.#progress.set(job.spec.id, job.encode());
-      if (job.state === 'completed') this.#oracle.completed(job.spec.id);
-    }
-    leader.scheduler.acknowledge(acks);
-    for (const order of orders) {
-      const clock = this.#clockOf(leader, order.worker);
-      if (order.kind === 'start') {
-        leader.scheduler.leaseSent(order.worker, this.#nowMs + START_WINDOW_MS * 1.021 + 100);
+  /** A node that does not schedule stands still until it takes the role. */
+  freezeNode(index: number): void {
+    const node = this.#nodes[index % NODES.length]!;
+    if (this.leaders.some((leader) => leader.node === node)) return;
+    this.coverage.hit('freeze');
+    node.freeze();
+  }
+
+  wakeNodes(): void {
+    for (const node of this.#nodes) node.wake(this.#nowMs);
+  }
+
+  /** The leader's process ends and another life of the node takes the role at once. */
+  restartLeader(): void {
+    this.coverage.hit('restart');
+    const { node } = this.present;
+    for (const leader of this.leaders) if (leader.node === node) leader.isOver = true;
+    node.restart(this.#nowMs);
+    this.#claim(node);
+  }
+
+  /** The leader reads which workers the store lists. */
+  list(leader: ModelLeader): void {
+    const listed = new Set<string>();
+    for (const { entry, isCut } of this.workers) {
+      if (!isCut) {
+        listed.add(entry.id);
+        leader.scheduler.listWorker(entry, this.#nowMs);
       }
-      const deadline = clock + START_WINDOW_MS;
-      leader.inFlight.push({
-        order,
-        deadline,
-        sentMs: this.#nowMs,
-        isAnswered: false,
-        mayRun: false,
-      });
+    }
+    for (const id of leader.scheduler.workers.keys()) {
+      if (!listed.has(id)) leader.scheduler.unlistWorker(id);
     }
   }
 
-  #clockOf(leader: Leader, id: string): number {
-    const reading = leader.clocks.get(id);
-    return reading ? reading.clock + (this.#nowMs - reading.atMs) : 0;
+  /** Decides, stores and sends, or repeats the append that got no answer. */
+  round(leader: ModelLeader, fate: AppendFate): void {
+    if (!this.#takesAppends(leader)) return;
+    const append = leader.unanswered ?? leader.decide(this.#nowMs, false);
+    if (fate !== 'answered') this.coverage.hit(`append-${fate}`);
+    if (fate !== 'lost') this.#store(append);
+    Object.assign(leader, { unanswered: fate === 'answered' ? undefined : append });
+    if (fate === 'answered') leader.stored(append, this.#nowMs);
   }
 
-  #renew(leader: Leader, worker: ModelWorker, isLost: boolean): void {
-    const known = leader.scheduler.workers.get(worker.entry.id);
-    if (leader.isReplaced || worker.isCut || !known) return;
-    if (!worker.isAlive) return;
-    const mayRenew = this.#nowMs - leader.confirmedMs < UNCONFIRMED_MS;
-    const reading = leader.clocks.get(worker.entry.id);
-    const deadline =
-      mayRenew && reading ? this.#clockOf(leader, worker.entry.id) + LEASE_MS : undefined;
-    if (deadline !== undefined) {
-      leader.scheduler.leaseSent(worker.entry.id, this.#nowMs + LEASE_BOUND_MS);
-    }
-    const report = worker.renew(leader.epoch, known.ackedEnd, deadline);
-    if (!report) {
-      this.#coverage.hit('renew-fenced');
-      Object.assign(leader, { isReplaced: true });
+  /** The leader gives its role up; that it is stored it does not hear. */
+  resign(): void {
+    const { present } = this;
+    if (!this.#takesAppends(present) || present.unanswered) return;
+    this.coverage.hit('resign');
+    const append = present.decide(this.#nowMs, true);
+    Object.assign(present, { unanswered: append });
+    this.#store(append);
+    this.elect();
+  }
+
+  renew(leader: ModelLeader, worker: ModelWorker, fate: RenewFate): void {
+    if (!leader.reaches(worker)) return;
+    const call = leader.renew(worker.entry.id, this.#nowMs);
+    if (!call) return;
+    if (fate === 'late') {
+      this.coverage.hit('renew-late');
+      this.#lateCalls.push({ worker, call });
+      leader.missed(worker.entry.id);
       return;
     }
-    if (isLost) {
-      this.#coverage.hit('report-lost');
-      return;
+    const report = worker.renew(call);
+    if (!report) {
+      this.coverage.hit('renew-fenced');
+      Object.assign(leader, { isOver: true });
+    } else if (fate === 'unanswered') {
+      this.coverage.hit('report-lost');
+      leader.missed(worker.entry.id);
+    } else {
+      leader.renewed(worker.entry.id, report, call.askedMs, this.#nowMs);
     }
-    leader.clocks.set(worker.entry.id, { clock: report.clockMs, atMs: this.#nowMs });
-    leader.scheduler.report(worker.entry.id, report, this.#nowMs, this.#nowMs);
   }
 
-  /** An order arrives; unanswered, it may arrive a second time later. */
-  #deliver(leader: Leader, index: number, isUnanswered: boolean): void {
-    const at = index % Math.max(1, leader.inFlight.length);
-    const sent = leader.inFlight[at];
+  /** A renewal that nobody waits for any more reaches its worker. */
+  deliverLate(index: number): void {
+    const at = index % Math.max(1, this.#lateCalls.length);
+    const [late] = this.#lateCalls.splice(at, 1);
+    if (late?.worker.isAlive) late.worker.renew(late.call);
+  }
+
+  /** An order arrives; unanswered, it is sent again, or arrives a second time later. */
+  deliver(leader: ModelLeader, index: number, isUnanswered: boolean): void {
+    const sent = leader.inFlight[index % Math.max(1, leader.inFlight.length)];
     if (!sent) return;
-    const { order, deadline, sentMs } = sent;
-    const worker = this.#workers.find(({ entry }) => entry.id === order.worker);
-    if (!worker || worker.isCut || !worker.isAlive) {
-      this.#settle(leader, sent, 'unknown', sentMs + START_WINDOW_MS * 1.021 + 100);
-      leader.inFlight.splice(at, 1);
+    const worker = this.workers.find(({ entry }) => entry.id === sent.order.worker);
+    if (!worker || !leader.reaches(worker)) {
+      this.drop(leader, sent);
       return;
     }
-    const outcome =
-      order.kind === 'start'
-        ? worker.start(order, leader.epoch, deadline)
-        : worker.stop(order, leader.epoch);
+    const outcome = worker.order(sent.order, leader.epoch, sent.deadline);
     if (isUnanswered) {
-      this.#coverage.hit('order-unanswered');
-      // The order is sent again before anybody is told: the next answer is to that attempt.
+      this.coverage.hit('order-unanswered');
       sent.mayRun = true;
-      if (index % 2 === 0) return;
-      this.#settle(leader, sent, 'unknown', sentMs + START_WINDOW_MS * 1.021 + 100);
+      if (index % 2 === 0) leader.resend(sent, this.#nowMs);
+      else leader.settle(sent, 'unknown', this.#nowMs);
       return;
     }
-    leader.inFlight.splice(at, 1);
-    if (outcome === 'fenced') this.#coverage.hit('order-fenced');
-    if (outcome === 'too-late') this.#coverage.hit('order-late');
-    if (outcome === 'fenced') Object.assign(leader, { isReplaced: true });
-    else if (sent.mayRun && outcome !== 'done') {
-      this.#settle(leader, sent, 'unknown', sentMs + START_WINDOW_MS * 1.021 + 100);
-    } else this.#settle(leader, sent, outcome, this.#nowMs);
+    leader.inFlight.splice(leader.inFlight.indexOf(sent), 1);
+    if (outcome === 'fenced') this.coverage.hit('order-fenced');
+    if (outcome === 'too-late') this.coverage.hit('order-late');
+    if (outcome === 'fenced') Object.assign(leader, { isOver: true });
+    else leader.settle(sent, outcome, this.#nowMs);
   }
 
-  #settle(
-    leader: Leader,
-    sent: Leader['inFlight'][number],
-    outcome: 'done' | 'superseded' | 'too-late' | 'unknown',
-    settledMs: number,
-  ): void {
-    if (leader.isReplaced || sent.isAnswered) return;
-    Object.assign(sent, { isAnswered: true });
-    leader.scheduler.answered(sent.order, outcome, this.#nowMs, settledMs);
+  /** An order never arrives. */
+  drop(leader: ModelLeader, sent: SentOrder): void {
+    leader.inFlight.splice(leader.inFlight.indexOf(sent), 1);
+    leader.settle(sent, 'unknown', this.#nowMs);
   }
 
-  #end(worker: ModelWorker, index: number, how: 'done' | 'failed'): void {
+  end(worker: ModelWorker, index: number, how: 'done' | 'failed'): void {
     const order = worker.running[index % Math.max(1, worker.running.length)];
-    if (!order || !worker.isAlive) return;
-    if (how === 'failed') this.#coverage.hit('fail');
-    const { jobId, occurrence, step, index: task } = order.task;
-    worker.end(`${jobId}.${occurrence}.${step}.${task}`, how);
+    if (!order) return;
+    // A lasting task has no good end.
+    const isFailure = how === 'failed' || this.isLasting(order.task.jobId);
+    if (isFailure) this.coverage.hit('fail');
+    worker.end(order, isFailure ? 'failed' : how);
   }
 
   /** The process dies; another life begins at its address, and tells so whoever asks for it. */
-  #crash(worker: ModelWorker): void {
-    if (!worker.isAlive) return;
-    this.#coverage.hit('crash');
-    worker.crash();
-    this.#workers.splice(this.#workers.indexOf(worker), 1);
+  crash(worker: ModelWorker): void {
+    this.coverage.hit('crash');
+    this.#remove(worker);
     const reborn = this.#addWorker(worker.entry.address);
-    for (const leader of this.#leaders) {
+    for (const leader of this.leaders) {
       leader.scheduler.workerGone(worker.entry.id, this.#nowMs, 'other-life');
       leader.scheduler.listWorker(reborn.entry, this.#nowMs);
     }
   }
 
+  /** The worker announces that it leaves, and then does; not every leader reads that at once. */
+  leave(worker: ModelWorker, remainingMs: number, isRead: boolean): void {
+    if (worker.entry.draining) return;
+    this.coverage.hit('leave');
+    worker.announceLeaving(remainingMs, this.#nowMs);
+    if (!isRead) return;
+    for (const { scheduler } of this.leaders) scheduler.listWorker(worker.entry, this.#nowMs);
+  }
+
+  /** The worker is gone for good and listed no more; nothing else answers at its address. */
+  vanish(worker: ModelWorker): void {
+    this.coverage.hit('vanish');
+    this.lostMs = this.#nowMs;
+    this.#remove(worker);
+    const other = this.#addWorker(`host${this.#lives}`);
+    for (const { scheduler } of this.leaders) {
+      scheduler.unlistWorker(worker.entry.id);
+      scheduler.listWorker(other.entry, this.#nowMs);
+    }
+  }
+
+  #claim(node: ModelNode): void {
+    if (this.leaders.length > 0) this.coverage.hit('elect');
+    node.wake(this.#nowMs);
+    const claim = node.claim(this.#nowMs);
+    this.#epoch = claim.epoch;
+    this.#tell(claim);
+    const leader = new ModelLeader(claim, node, this.#nowMs);
+    for (const [id, spec] of this.#jobs) {
+      const stored = this.#progress.get(id);
+      leader.scheduler.addJob(stored ? JobProgress.decode(spec, stored) : new JobProgress(spec));
+      if (this.#cancelled.has(id)) leader.scheduler.cancel(id, this.#nowMs);
+    }
+    leader.scheduler.inheritLeases(node.former.namedEndMs);
+    this.list(leader);
+    if (this.leaders.length > 1) this.leaders.shift();
+    this.leaders.push(leader);
+  }
+
+  #takesAppends(leader: ModelLeader): boolean {
+    if (leader.isOver || !this.isStoreUp) return false;
+    if (leader.epoch === this.#epoch) return true;
+    this.coverage.hit('write-fenced');
+    Object.assign(leader, { isOver: true });
+    return false;
+  }
+
+  #store(append: Append): void {
+    if (this.#stored.has(append)) return;
+    this.#stored.add(append);
+    const { progress, rec } = append;
+    for (const { id, text } of progress) {
+      this.#progress.set(id, text);
+      if (JobProgress.decodeState(text).state === 'completed') this.oracle.completed(id);
+    }
+    this.#tell(rec);
+  }
+
+  /** Every node reads the record at once: read later, it would only make them wait longer. */
+  #tell(entry: LogEntry): void {
+    for (const node of this.#nodes) node.read(entry, this.#nowMs);
+  }
+
+  #submit(spec: JobSpec): void {
+    this.#jobs.set(spec.id, spec);
+    for (const { scheduler } of this.leaders) scheduler.addJob(new JobProgress(spec));
+  }
+
+  #remove(worker: ModelWorker): void {
+    worker.crash();
+    this.workers.splice(this.workers.indexOf(worker), 1);
+  }
+
   #addWorker(address: string): ModelWorker {
     this.#lives += 1;
     const entry: WorkerEntry = {
@@ -298,13 +342,8 @@
       capacity: { cpuMilli: 4_000, memMb: 100_000, gpus: 0 },
       labels: [],
     };
-    const worker = new ModelWorker(entry, this.#oracle);
-    this.#workers.push(worker);
+    const worker = new ModelWorker(entry, this.oracle);
+    this.workers.push(worker);
     return worker;
   }
-
-  #passTime(ms: number): void {
-    this.#nowMs += ms;
-    for (const worker of this.#workers) worker.passTime(ms);
-  }
 }
--- a/packages/fuzz/src/jobs/model-worker.ts
+++ b/packages/fuzz/src/jobs/model-worker.ts
@@ -8,6 +8,7 @@
 } from '@redwingcrank/jobs';
 import { PLAIN_STEP, taskName } from '@redwingcrank/jobs';
 import type { JobsOracle } from './jobs-oracle.js';
+import type { RenewCall } from './model-leader.js';
 
 /** The worker's clock is so much slower than true time. */
 const CLOCK_RATE = 0.98;
@@ -17,11 +18,11 @@
   percent: number;
 }
 
-export type StartResult = 'done' | 'fenced' | 'superseded' | 'too-late';
+export type OrderResult = 'done' | 'fenced' | 'superseded' | 'too-late';
 
 /** One life of a worker as the platform describes it, on a clock of its own. */
 export class ModelWorker {
-  readonly entry: WorkerEntry;
+  #entry: WorkerEntry;
 
   readonly #oracle: JobsOracle;
 
@@ -44,11 +45,19 @@
   /** Nobody reaches it, nor it anybody. */
   isCut = false;
 
+  /** When it is gone for good; Infinity before it has announced that. */
+  leavesMs = Infinity;
+
   constructor(entry: WorkerEntry, oracle: JobsOracle) {
-    this.entry = entry;
+    this.#entry = entry;
     this.#oracle = oracle;
   }
 
+  /** What it says of itself now. */
+  get entry(): WorkerEntry {
+    return this.#entry;
+  }
+
   get clock(): number {
     return this.#clock;
   }
@@ -57,6 +66,11 @@
     return [...this.#running.values()].map(({ order }) => order);
   }
 
+  /** Whether it lists ends that nobody has acknowledged. */
+  get hasEnds(): boolean {
+    return this.#ended.length > 0;
+  }
+
   passTime(ms: number): void {
     this.#clock += ms * CLOCK_RATE;
     if (this.#clock > this.#leaseEnd) this.endAll('lapsed');
@@ -68,7 +82,17 @@
     this.#running.clear();
   }
 
-  start(order: Order & { kind: 'start' }, token: number, deadline: number): StartResult {
+  announceLeaving(remainingMs: number, nowMs: number): void {
+    this.#entry = { ...this.#entry, draining: true, remainingMs };
+    this.leavesMs = nowMs + remainingMs;
+  }
+
+  /** Carries out an order; a start not after `deadline`. */
+  order(order: Order, token: number, deadline: number): OrderResult {
+    return order.kind === 'start' ? this.#start(order, token, deadline) : this.#stop(order, token);
+  }
+
+  #start(order: Order & { kind: 'start' }, token: number, deadline: number): OrderResult {
     if (token < this.#token) return 'fenced';
     this.#token = token;
     if (deadline < this.#clock) return 'too-late';
@@ -81,22 +105,23 @@
     return 'done';
   }
 
-  stop(order: Order, token: number): 'done' | 'fenced' {
+  #stop(order: Order, token: number): OrderResult {
     if (token < this.#token) return 'fenced';
     this.#token = token;
     const name = taskName(order.task);
     this.#overRuns.set(name, Math.max(order.run, this.#overRuns.get(name) ?? 0));
-    if (this.#running.get(name)?.order.run === order.run) this.end(name, 'stopped');
+    if (this.#running.get(name)?.order.run === order.run) this.#end(name, 'stopped');
     return 'done';
   }
 
   /** Undefined where the token is too low. */
-  renew(token: number, acked: number, deadline: number | undefined): WorkerReport | undefined {
+  renew({ token, ackedEnd, deadline }: RenewCall): WorkerReport | undefined {
     if (token < this.#token) return undefined;
     this.#token = token;
     if (deadline !== undefined) this.#leaseEnd = Math.max(this.#leaseEnd, deadline);
-    for (const row of this.#ended) if (row.number <= acked) this.#oracle.noted(this.entry.id, row);
-    this.#ended = this.#ended.filter(({ number }) => number > acked);
+    for (const row of this.#ended)
+      if (row.number <= ackedEnd) this.#oracle.noted(this.entry.id, row);
+    this.#ended = this.#ended.filter(({ number }) => number > ackedEnd);
     const running = [...this.#running].map(([task, run]) => {
       run.percent += 1;
       return { task, run: run.order.run, checkpoint: '', percent: run.percent, measure: 0 };
@@ -104,7 +129,17 @@
     return { clockMs: this.#clock, running, ended: [...this.#ended] };
   }
 
-  end(name: string, how: EndKind): void {
+  /** A run comes to its own end. */
+  end(order: Order, how: EndKind): void {
+    this.#end(taskName(order.task), how);
+  }
+
+  endAll(how: EndKind): void {
+    if (how === 'lapsed') this.#oracle.lapsed(this.entry.id);
+    for (const name of [...this.#running.keys()]) this.#end(name, how);
+  }
+
+  #end(name: string, how: EndKind): void {
     const run = this.#running.get(name);
     if (!run) return;
     this.#running.delete(name);
@@ -114,11 +149,6 @@
     this.#ended.push(row);
     this.#oracle.ended(this.entry.id, row);
   }
-
-  endAll(how: EndKind): void {
-    if (how === 'lapsed') this.#oracle.lapsed(this.entry.id);
-    for (const name of [...this.#running.keys()]) this.end(name, how);
-  }
 }
 
 /** A job of two steps on which every rule can be broken. */
@@ -127,3 +157,9 @@
   const steps = [step, { ...step, after: [0] }];
   return { id, queue: 'q', payload: 'p', steps, acceptedMs: 0 };
 }
+
+/** A job whose tasks run until it is cancelled. */
+export function lastingJob(id: string, width: number): JobSpec {
+  const step = { ...PLAIN_STEP, taskCount: width, cpuMilli: 1_000, memMb: 1_000, lasting: true };
+  return { id, queue: 'q', payload: 'p', steps: [step], acceptedMs: 0 };
+}
