--- a/packages/fuzz/src/jobs/jobs-world.ts
+++ b/packages/fuzz/src/jobs/jobs-world.ts
@@ -310,7 +310,8 @@
     const { progress, rec } = append;
     for (const { id, text } of progress) {
       this.#progress.set(id, text);
-      if (JobProgress.decodeState(text).state === 'completed') this.oracle.completed(id);
+      const stored = JobProgress.decodeState(this.#jobs.get(id)!, text);
+      if (stored!.state === 'completed') this.oracle.completed(id);
     }
     this.#tell(rec);
   }
--- a/packages/fuzz/src/jobs/model-leader.ts
+++ b/packages/fuzz/src/jobs/model-leader.ts
@@ -95,7 +95,7 @@
     this.node = node;
     this.confirmedMs = nowMs;
     this.#startedMs = nowMs;
-    this.#leases = new TermLeases(claim, LEASE_MS, this, former);
+    this.#leases = new TermLeases(claim, this, former);
     this.scheduler = new Scheduler(
       {
         leaseMs: surelyOverMs(LEASE_MS),
@@ -117,7 +117,7 @@
   decide(nowMs: number, resigns: boolean): Append {
     const { changed, orders, acks } = this.scheduler.decide(nowMs, nowMs);
     const { silent, isComplete } = this.#silentWorkers(nowMs);
-    const isNews = this.#leases.hasNews(silent, isComplete);
+    const isNews = this.#leases.noteSilent(silent, isComplete);
     const tells = resigns || isNews || changed.length === 0;
     const rec = tells ? this.#leases.record(resigns, nowMs) : undefined;
     const progress = changed.map((job) => ({ id: job.spec.id, text: job.encode() }));
--- a/packages/fuzz/src/jobs/model-node.ts
+++ b/packages/fuzz/src/jobs/model-node.ts
@@ -55,7 +55,7 @@
   read(entry: LogEntry, nowMs: number): void {
     if (this.#isFrozen) this.#missed = entry ?? this.#missed;
     else if (entry) this.#recordRead(entry, nowMs);
-    else this.#former.wordRead(nowMs);
+    else this.#former.heartbeatRead(nowMs);
   }
 
   #recordRead(rec: LeaderRecord, nowMs: number): void {
--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -104,6 +104,12 @@
     this.#state.jobs.delete(id);
   }
 
+  /** The stored progress of a job is no longer what this node has: it is stored once more. */
+  restate(id: string): void {
+    const job = this.#state.jobs.get(id);
+    if (job) this.#state.changed.add(job);
+  }
+
   cancel(id: string, timeOfDayMs: number): void {
     const job = this.#state.jobs.get(id);
     if (!job || isFinal(job.state)) return;
@@ -112,7 +118,12 @@
 
   /** The store lists the worker, or what it says of itself has changed. */
   listWorker(entry: WorkerEntry, nowMs: number): void {
-    const worker = this.#state.workers.get(entry.id) ?? this.#state.addWorker(entry);
+    const known = this.#state.workers.get(entry.id);
+    const worker = known ?? this.#state.addWorker(entry);
+    if (entry.draining && !(known?.listed && known.entry.draining)) {
+      const { id, remainingMs } = entry;
+      this.#state.note('worker-leaves', { worker: id, remainingMs, runs: worker.runs.size });
+    }
     worker.entry = entry;
     worker.listed = true;
     if (entry.draining) worker.leavesMs = Math.min(worker.leavesMs, nowMs + entry.remainingMs);
@@ -156,6 +167,12 @@
     if (order.kind === 'start') this.#startAnswered(worker, order, outcome, nowMs, settledMs);
   }
 
+  /** Whether `decide` would tell something that was handed in since its last call. */
+  get hasNews(): boolean {
+    const { changed, orders, endsProcessed } = this.#state;
+    return changed.size > 0 || orders.length > 0 || endsProcessed.size > 0;
+  }
+
   /**
    * Stops, and changes of pace, that are due. They need nothing stored: the binding stays on record
    * until the worker lists the end. A caller sends them at once, also while an append is under way:
@@ -251,7 +268,12 @@
       const isSilent =
         nowMs > worker.leaseEndMs && nowMs - worker.answeredMs > this.#state.timing.leaseMs;
       if (isSilent && (worker.runs.size > 0 || !worker.listed)) {
-        this.#state.note('leases-over', { worker: worker.entry.id, runs: worker.runs.size });
+        this.#state.note('leases-over', {
+          worker: worker.entry.id,
+          runs: worker.runs.size,
+          hasAnswered: worker.fenced,
+          silentMs: Math.round(nowMs - Math.max(worker.answeredMs, this.#state.startedMs)),
+        });
         this.#releaseSettled(worker);
         if (!worker.listed && worker.runs.size === 0) this.#state.workers.delete(worker.entry.id);
       }
--- a/packages/runtime/src/internal/work-records.ts
+++ b/packages/runtime/src/internal/work-records.ts
@@ -1,4 +1,6 @@
-import type { JobSpec, PressWeights } from '@redwingcrank/jobs';
+import type { PressWeights } from '@redwingcrank/jobs';
+import type { Decoded, RecordFault } from '../record-fault.js';
+import { parseObject } from './parse-object.js';
 import { UNTOLD_LEASE_MS, surelyOverMs } from './timing.js';
 
 /** Which kinds of records the work log holds. Their keys are one letter, a slash and the job. */
@@ -68,26 +70,63 @@
   return kind === 'leader' || kind === 'learned' || kind === 'progress';
 }
 
-export function encodeJob(spec: JobSpec): string {
-  return JSON.stringify(spec);
-}
-
-export function decodeJob(text: string): JobSpec {
-  return JSON.parse(text) as JobSpec;
-}
-
 export function encodeLeader(rec: LeaderRecord): string {
   return JSON.stringify(rec);
 }
 
-export function decodeLeader(text: string): LeaderRecord {
-  return { ...UNTOLD, ...(JSON.parse(text) as Partial<LeaderRecord>) } as LeaderRecord;
+/** Which node schedules, according to a record. */
+export function decodeLeader(text: string): Decoded<LeaderRecord> {
+  const rec = parseObject<LeaderRecord>(text);
+  if (!rec) return { fault: { reason: 'unreadable', field: 'value' } };
+  const { epoch, node, nonce, resigned, leasesMs, formerMs, silent } = { ...UNTOLD, ...rec };
+  // The next claim counts on from it, and workers compare it with the tokens that they have seen.
+  if (!isEpoch(epoch)) return wrongType('epoch');
+  if (typeof node !== 'string') return wrongType('node');
+  if (typeof nonce !== 'string') return wrongType('nonce');
+  if (typeof resigned !== 'boolean') return wrongType('resigned');
+  // Sums with anything but a number would be over at once, or never.
+  if (!isTime(leasesMs)) return wrongType('leasesMs');
+  if (!isTime(formerMs)) return wrongType('formerMs');
+  if (!isTable(silent, isTime)) return wrongType('silent');
+  return { value: { epoch, node, nonce, resigned, leasesMs, formerMs, silent } };
 }
 
 export function encodeLearned(weights: PressWeights): string {
   return JSON.stringify(weights);
 }
 
-export function decodeLearned(text: string): PressWeights {
-  return JSON.parse(text) as PressWeights;
+/** What was learned of images, according to a record: each weight is a number. */
+export function decodeLearned(text: string): Decoded<PressWeights> {
+  const weights = parseObject<PressWeights>(text);
+  if (!weights) return { fault: { reason: 'unreadable', field: 'value' } };
+  return isTable(weights, isRow) ? { value: weights } : wrongType('value');
+}
+
+function wrongType(field: string): { readonly fault: RecordFault } {
+  return { fault: { reason: 'wrong-type', field } };
+}
+
+function isEpoch(value: unknown): value is number {
+  return Number.isSafeInteger(value) && (value as number) > 0;
+}
+
+function isTime(value: unknown): value is number {
+  return typeof value === 'number' && Number.isFinite(value) && value >= 0;
+}
+
+function isWeight(value: unknown): value is number {
+  return Number.isFinite(value);
+}
+
+function isRow(value: unknown): value is Readonly<Record<string, number>> {
+  return isTable(value, isWeight);
+}
+
+/** Whether the value is an object all of whose fields are of a kind. */
+function isTable<T>(
+  value: unknown,
+  isEntry: (entry: unknown) => entry is T,
+): value is Readonly<Record<string, T>> {
+  if (typeof value !== 'object' || value === null || Array.isArray(value)) return false;
+  return Object.values(value).every((entry) => isEntry(entry));
 }
