Tests of leases while the store fails and the scheduling role passes on, failing

Cause: leases are bound to what the store has confirmed, also where the node is told to end, has just taken over or has not asked its workers yet. Change: tests alone.

--- /dev/null
+++ b/packages/runtime/src/test/new-term_test.ts
@@ -0,0 +1,159 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { JobSpec, WorkerEntry } from '@redwingcrank/jobs';
+import { JobProgress, PLAIN_STEP } from '@redwingcrank/jobs';
+import type { AppendResult, NewestPage, ReadResult } from '../keyed-log.js';
+import { KeyedLog } from '../keyed-log.js';
+import { NodeLog } from '../node-log.js';
+import type { PlatformPort } from '../platform-port.js';
+import type { OrderResult, RenewRequest, RenewResult } from '../task-workers.js';
+import { TaskWorkers } from '../task-workers.js';
+import { ConfigWatch } from '../internal/config-watch.js';
+import { LeaderTerm } from '../internal/leader-term.js';
+import { delay, steadyMs } from '../internal/delay.js';
+import {
+  encodeJob,
+  encodeLeader,
+  jobKey,
+  leaderKey,
+  progressKey,
+} from '../internal/work-records.js';
+import { WorkTable } from '../internal/work-table.js';
+
+/** What a store that is a hundred times slower than usual takes for an append, in milliseconds. */
+const APPEND_MS = 400;
+
+/** The same for the list of workers, whose first read times out once. */
+const LIST_MS = 1_000;
+
+/** The next renewal after a worker's first answer follows within this time, in milliseconds. */
+const PROMPT_MS = 300;
+
+const pause = (ms: number): Promise<void> => delay(ms, new AbortController().signal);
+
+/** A log of a slow store, with these records. */
+class SlowLog extends KeyedLog {
+  readonly #records: NewestPage['records'];
+
+  constructor(records: NewestPage['records'] = []) {
+    super();
+    this.#records = records;
+  }
+
+  override async append(): Promise<AppendResult> {
+    await pause(APPEND_MS);
+    return { outcome: 'appended', reason: '' };
+  }
+
+  override read(): Promise<ReadResult> {
+    return new Promise(() => {});
+  }
+
+  override async newest(): Promise<NewestPage> {
+    await pause(LIST_MS);
+    return { records: this.#records, hasMore: false, end: 0 };
+  }
+}
+
+const JOB: JobSpec = {
+  id: '00000000000000aa',
+  queue: 'q',
+  payload: 'p',
+  steps: [{ ...PLAIN_STEP, lasting: true }],
+  acceptedMs: 0,
+};
+
+/** A worker that answers every renewal, after the wait that it is asked for. */
+class SoundWorker extends TaskWorkers {
+  /** When it has first answered. */
+  answeredMs = 0;
+
+  /** When it was first asked with a lease. */
+  leaseMs = 0;
+
+  override async renew(_worker: unknown, req: RenewRequest): Promise<RenewResult> {
+    if (req.deadlineMs !== undefined) this.leaseMs ||= steadyMs();
+    await pause(req.waitMs);
+    this.answeredMs ||= steadyMs();
+    const running = [{ task: `${JOB.id}.0.0.0`, run: 1, checkpoint: '', percent: 100, measure: 0 }];
+    return { outcome: 'done', report: { clockMs: steadyMs(), running, ended: [] } };
+  }
+
+  override async order(): Promise<OrderResult> {
+    return { outcome: 'done', reason: '' };
+  }
+
+  override forget(): void {}
+}
+
+const ENTRY: WorkerEntry = {
+  id: 'w1',
+  address: 'w1.example:1',
+  pool: 'pool',
+  dataCentre: 'a',
+  draining: false,
+  remainingMs: 0,
+  capacity: { cpuMilli: 8_000, memMb: 16_000, gpus: 0 },
+  labels: [],
+};
+
+const SETTINGS = {
+  node: 'n1',
+  dataCentre: 'a',
+  maxLeaseMs: 6_000,
+  stopTimeoutMs: 500,
+  keepStateMs: 120_000,
+  graceMs: 6_000,
+};
+
+/** What the work log says of a job whose one task runs on the worker. */
+function tableOfRunningJob(): WorkTable {
+  const job = new JobProgress(JOB);
+  job.openDue(Date.now());
+  job.begin();
+  const [first] = job.occurrences.values();
+  Object.assign(first!.steps[0]![0]!, { phase: 'bound', run: 1, worker: ENTRY.id });
+  const table = new WorkTable('n1');
+  table.apply({ key: jobKey(JOB.id), value: encodeJob(JOB) });
+  table.apply({ key: progressKey(JOB.id), value: job.encode() });
+  return table;
+}
+
+test('a new scheduling node renews the lease of a worker with its second call although the store is slow', async () => {
+  // A node takes over while the store is slow: the list of workers comes after a second, each append
+  // takes 400 ms. A worker that was not asked before the list came must not pass for silent: named
+  // as such in the node's record it gets no lease until two more records are stored, and with the
+  // leases that the node before has given all its work ends.
+  const workers = new SoundWorker();
+  const log = new NodeLog('n1', 'silent');
+  const port: PlatformPort = {
+    workLog: new SlowLog(),
+    workerLog: new SlowLog([{ key: ENTRY.id, value: 'x' }]),
+    operatorLog: new SlowLog(),
+    workers,
+    workerIdOf: ({ key }) => key,
+    decodeWorker: () => ENTRY,
+    decodeConfig: () => undefined,
+  };
+  const record = {
+    epoch: 2,
+    node: 'n1',
+    nonce: 'a',
+    resigned: false,
+    leasesMs: 4_000,
+    formerMs: 7_800,
+    silent: {},
+  };
+  const table = tableOfRunningJob();
+  table.apply({ key: leaderKey(), value: encodeLeader(record) });
+  const claim = { epoch: 2, sequence: 7, sentMs: steadyMs() - APPEND_MS };
+  const config = new ConfigWatch(port, log);
+  const term = new LeaderTerm(record, claim, port, SETTINGS, log, table, config);
+  const running = term.run();
+  await pause(LIST_MS + 2_500);
+  term.stop();
+  await running;
+  assert.ok(workers.answeredMs > 0 && workers.leaseMs > 0);
+  const tookMs = workers.leaseMs - workers.answeredMs;
+  assert.ok(tookMs < PROMPT_MS, `${tookMs} ms`);
+});
