An order that fails is told as unanswered; the leader's housekeeping and silent workers in files of their own

Change: a failed order is settled like one without an answer; two files split off, with no change of a decision.

--- a/packages/fuzz/src/jobs/model-node.ts
+++ b/packages/fuzz/src/jobs/model-node.ts
@@ -75,6 +75,7 @@
       leasesMs: CLAIM_LEASE_MS,
       formerMs: Math.max(surelyOverMs(leasesMs), this.#former.allEndMs - nowMs),
       silent: {},
+      number: 0,
     };
     this.#former.claiming(rec.nonce);
     return rec;
--- a/packages/runtime/src/internal/leader-term.ts
+++ b/packages/runtime/src/internal/leader-term.ts
@@ -1,15 +1,17 @@
 import type { Subscription } from 'rxjs';
-import type { Order, OrderOutcome, WorkerReport, WorkerState } from '@redwingcrank/jobs';
-import { JobProgress, Scheduler, isFinal } from '@redwingcrank/jobs';
+import type { Order, OrderOutcome, WorkerReport } from '@redwingcrank/jobs';
+import { JobProgress, Scheduler } from '@redwingcrank/jobs';
 import type { KeyedWrite } from '../keyed-log.js';
 import type { NodeLog } from '../node-log.js';
 import type { NodeSettings } from '../node-settings.js';
 import type { PlatformPort } from '../platform-port.js';
 import { delay, steadyMs } from './delay.js';
 import { FaultLog } from './fault-log.js';
+import { Housekeeping } from './housekeeping.js';
 import type { StoredClaim } from './leader-writer.js';
 import { LeaderWriter } from './leader-writer.js';
 import { LinkStarter } from './link-starter.js';
+import { silentWorkers } from './silent-workers.js';
 import { TermLeases } from './term-leases.js';
 import {
   GATHER_MS,
@@ -17,8 +19,8 @@
   LEASE_MS,
   ROUND_MS,
   STANDSTILL_MS,
+  START_WINDOW_MS,
   STOP_AGAIN_MS,
-  SILENT_WORKER_MS,
   STOP_LOOK_MS,
   surelyOverMs,
 } from './timing.js';
@@ -26,27 +28,10 @@
 import type { LinkListener } from './worker-link.js';
 import { WorkerLink } from './worker-link.js';
 import type { LeaderRecord } from './work-records.js';
-import {
-  cancelKey,
-  encodeLeader,
-  encodeLearned,
-  jobKey,
-  leaderKey,
-  learnedKey,
-  progressKey,
-} from './work-records.js';
+import { encodeLeader, leaderKey, progressKey } from './work-records.js';
 import type { StoredJob, WorkChange, WorkTable } from './work-table.js';
 import { WorkerList } from './worker-list.js';
 
-/** A job's records are deleted this long after its state may be forgotten, in milliseconds. */
-const FORGET_SLACK_MS = 30_000;
-
-/** How often jobs to forget are looked for, in milliseconds. */
-const FORGET_EVERY_MS = 5_000;
-
-/** How often what was learned of images is stored, in milliseconds: it changes over many seconds. */
-const LEARNED_EVERY_MS = 3_000;
-
 /** One term of this node as the one that schedules: from its claim until it is replaced. */
 export class LeaderTerm implements LinkListener {
   readonly #record: LeaderRecord;
@@ -65,6 +50,8 @@
 
   readonly #writer: LeaderWriter;
 
+  readonly #housekeeping: Housekeeping;
+
   readonly #leases: TermLeases;
 
   readonly #scheduler: Scheduler;
@@ -97,10 +84,6 @@
   /** When this node last wrote; its claim counts. */
   #writtenMs = steadyMs();
 
-  #learnedMs = steadyMs() + LEARNED_EVERY_MS;
-
-  #forgetMs = steadyMs() + FORGET_EVERY_MS;
-
   constructor(
     record: LeaderRecord,
     claim: StoredClaim,
@@ -118,6 +101,7 @@
     this.#table = table;
     this.#config = config;
     this.#writer = new LeaderWriter(port.workLog, log, claim);
+    this.#housekeeping = new Housekeeping(table, settings.keepStateMs);
     this.#linkStarter = new LinkStarter(this.#stopping.signal, (err) =>
       this.#failed('worker-link', err),
     );
@@ -236,11 +220,16 @@
       key: progressKey(job.spec.id),
       value: job.encode(),
     }));
-    const forgotten = this.#forgotten();
-    writes.push(...forgotten, ...this.#learned());
+    const forgotten = this.#housekeeping.forgotten();
+    writes.push(...forgotten, ...this.#housekeeping.learned(this.#scheduler.learned));
     const isQuiet = steadyMs() - this.#writtenMs >= LEADER_WRITE_MS;
     const resigns = this.#isResigning;
-    const { silent, isComplete } = this.#silentWorkers();
+    const { silent, isComplete } = silentWorkers(
+      this.#scheduler.workers.values(),
+      this.#links,
+      this.#workerList.isLoaded,
+      steadyMs(),
+    );
     const isNews = this.#leases.noteSilent(silent, isComplete);
     // Deleted records of callers are no sign of this node's life: its own goes with them.
     const isSign = forgotten.length > 0 || (writes.length === 0 && isQuiet);
@@ -303,28 +292,6 @@
     return starts;
   }
 
-  /**
-   * Workers on which something runs and that do not answer this node, or never did. The list is not
-   * complete while others may still give their first answer.
-   */
-  #silentWorkers(): { silent: WorkerState[]; isComplete: boolean } {
-    const nowMs = steadyMs();
-    const silent: WorkerState[] = [];
-    let isComplete = true;
-    for (const worker of this.#scheduler.workers.values()) {
-      const link = this.#links.get(worker.entry.id);
-      if (worker.runs.size > 0 && !worker.fenced) {
-        const isAsked = link ? link.isOverdue(nowMs) : this.#workerList.isLoaded;
-        if (isAsked) silent.push(worker);
-        else isComplete = false;
-      } else if (worker.runs.size > 0) {
-        const isLost = link?.isLost ?? true;
-        if (isLost && nowMs - worker.answeredMs > SILENT_WORKER_MS) silent.push(worker);
-      }
-    }
-    return { silent, isComplete };
-  }
-
   #waitMs(): number {
     const dueMs = this.#scheduler.nextDueMs();
     if (dueMs === undefined) return ROUND_MS;
@@ -338,8 +305,16 @@
 
   #send(order: Order): void {
     const link = this.#links.get(order.worker);
-    if (link) link.order(order).catch((err) => this.#failed('order', err));
-    else this.#scheduler.answered(order, 'unknown', steadyMs(), steadyMs());
+    if (!link) {
+      this.#scheduler.answered(order, 'unknown', steadyMs(), steadyMs());
+      return;
+    }
+    link.order(order).catch((err) => {
+      this.#failed('order', err);
+      // Without any answer the task would be taken to be on its way to the worker for ever.
+      const settledMs = steadyMs() + surelyOverMs(START_WINDOW_MS);
+      this.#scheduler.answered(order, 'unknown', steadyMs(), settledMs);
+    });
   }
 
   #takeOn({ spec, progress, isUnsure, cancelled }: StoredJob): void {
@@ -410,28 +385,6 @@
     this.#port.workers.forget(link.address);
   }
 
-  #learned(): KeyedWrite[] {
-    if (steadyMs() < this.#learnedMs) return [];
-    this.#learnedMs = steadyMs() + LEARNED_EVERY_MS;
-    return [{ key: learnedKey(), value: encodeLearned(this.#scheduler.learned) }];
-  }
-
-  /** Deletions of the records of jobs whose state may be forgotten. */
-  #forgotten(): KeyedWrite[] {
-    if (steadyMs() < this.#forgetMs) return [];
-    this.#forgetMs = steadyMs() + FORGET_EVERY_MS;
-    const beforeMs = Date.now() - this.#settings.keepStateMs - FORGET_SLACK_MS;
-    const writes: KeyedWrite[] = [];
-    for (const { spec, state, endedMs } of this.#table.jobs.values()) {
-      if (isFinal(state) && endedMs < beforeMs) {
-        for (const key of [progressKey, cancelKey, jobKey]) {
-          writes.push({ key: key(spec.id), value: undefined });
-        }
-      }
-    }
-    return writes;
-  }
-
   #failed(part: string, err: unknown): void {
     const reason = err instanceof Error ? (err.stack ?? err.message) : String(err);
     this.#log.emit('error', 'part-failed', { part, reason });
