Two comments read again

Cause: read as a newcomer would; a line over its width, a missing blank line. Change: comments and blank lines alone. Measured: build, linter and formatter are clean.

--- a/packages/runtime/src/internal/leadership.ts
+++ b/packages/runtime/src/internal/leadership.ts
@@ -58,6 +58,7 @@
   /** On the steady clock. */
   readonly atMs: number;
 }
+
 /**
  * How long a node waits after a claim before it sends another, by what the store said, in
  * milliseconds; a leader's record that is read ends the wait. A claim that is stored, or stands
--- a/packages/runtime/src/internal/term-leases.ts
+++ b/packages/runtime/src/internal/term-leases.ts
@@ -59,9 +59,9 @@
   }
 
   /**
-   * Takes down which workers are silent now. True if later nodes should be told: where other workers are silent than before, and for the
-   * first time when all have answered on which something runs, or are known to be silent.
-   * `workers` are those that are silent now; `isComplete` says that no others may be.
+   * Takes down which workers are silent now; `isComplete` says that no others may be. True if later
+   * nodes should be told: where other workers are silent than before, and for the first time when
+   * each worker on which something runs has answered or is known to be silent.
    */
   noteSilent(workers: Iterable<SilentWorker>, isComplete: boolean): boolean {
     if (!this.#isTelling && !isComplete) return false;
