Tests of the runtime share their worker and settings

Cause: the same entry and settings stood in four test files. Change: fixtures.ts; no test changed in what it checks.

--- /dev/null
+++ b/packages/runtime/src/test/fixtures.ts
@@ -0,0 +1,26 @@
+import type { WorkerEntry } from '@redwingcrank/jobs';
+import type { NodeSettings } from '../node-settings.js';
+
+/** A worker with room for a few tasks. */
+export const WORKER_ENTRY: WorkerEntry = {
+  id: 'w1',
+  address: 'w1.example:1',
+  pool: 'pool',
+  dataCentre: 'a',
+  draining: false,
+  remainingMs: 0,
+  capacity: { cpuMilli: 8_000, memMb: 16_000, gpus: 0 },
+  labels: [],
+};
+
+/** What a node of this name is told. */
+export function nodeSettings(node: string): NodeSettings {
+  return {
+    node,
+    dataCentre: 'a',
+    maxLeaseMs: 6_000,
+    stopTimeoutMs: 500,
+    keepStateMs: 120_000,
+    graceMs: 6_000,
+  };
+}
--- a/packages/runtime/src/test/leader-term_test.ts
+++ b/packages/runtime/src/test/leader-term_test.ts
@@ -13,6 +13,7 @@
 import type { LeaderRecord } from '../internal/work-records.js';
 import { encodeLeader, leaderKey } from '../internal/work-records.js';
 import { WorkTable } from '../internal/work-table.js';
+import { nodeSettings } from './fixtures.js';
 
 /** A log that takes every append and has nothing to read. */
 class EmptyLog extends KeyedLog {
@@ -44,14 +45,7 @@
   override forget(): void {}
 }
 
-const SETTINGS = {
-  node: 'n1',
-  dataCentre: 'a',
-  maxLeaseMs: 6_000,
-  stopTimeoutMs: 500,
-  keepStateMs: 120_000,
-  graceMs: 6_000,
-};
+const SETTINGS = nodeSettings('n1');
 
 const LOG = new NodeLog('n1', 'silent');
 
--- a/packages/runtime/src/test/leadership_test.ts
+++ b/packages/runtime/src/test/leadership_test.ts
@@ -10,6 +10,7 @@
 import { KeyedLog, StoreUnavailableError } from '../keyed-log.js';
 import { NodeLog } from '../node-log.js';
 import type { PlatformPort } from '../platform-port.js';
+import { nodeSettings } from './fixtures.js';
 
 const LOG = new NodeLog('n2', 'silent');
 
@@ -24,14 +25,7 @@
   number: 0,
 });
 
-const SETTINGS = {
-  node: 'n2',
-  dataCentre: 'a',
-  maxLeaseMs: 6_000,
-  stopTimeoutMs: 500,
-  keepStateMs: 120_000,
-  graceMs: 6_000,
-};
+const SETTINGS = nodeSettings('n2');
 
 /** A store that falls silent: reads that wait there already come back empty, nothing else does. */
 class SilentStore extends KeyedLog {
--- a/packages/runtime/src/test/new-term_test.ts
+++ b/packages/runtime/src/test/new-term_test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import type { JobSpec, WorkerEntry } from '@redwingcrank/jobs';
+import type { JobSpec } from '@redwingcrank/jobs';
 import { JobProgress, PLAIN_STEP } from '@redwingcrank/jobs';
 import type { AppendResult, NewestPage, ReadResult } from '../keyed-log.js';
 import { KeyedLog } from '../keyed-log.js';
@@ -14,6 +14,7 @@
 import { encodeJob } from '../internal/job-record.js';
 import { encodeLeader, jobKey, leaderKey, progressKey } from '../internal/work-records.js';
 import { WorkTable } from '../internal/work-table.js';
+import { WORKER_ENTRY, nodeSettings } from './fixtures.js';
 
 /** What a store that is a hundred times slower than usual takes for an append, in milliseconds. */
 const APPEND_MS = 400;
@@ -81,25 +82,7 @@
   override forget(): void {}
 }
 
-const ENTRY: WorkerEntry = {
-  id: 'w1',
-  address: 'w1.example:1',
-  pool: 'pool',
-  dataCentre: 'a',
-  draining: false,
-  remainingMs: 0,
-  capacity: { cpuMilli: 8_000, memMb: 16_000, gpus: 0 },
-  labels: [],
-};
-
-const SETTINGS = {
-  node: 'n1',
-  dataCentre: 'a',
-  maxLeaseMs: 6_000,
-  stopTimeoutMs: 500,
-  keepStateMs: 120_000,
-  graceMs: 6_000,
-};
+const SETTINGS = nodeSettings('n1');
 
 /** What the work log says of a job whose one task runs on the worker. */
 function tableOfRunningJob(): WorkTable {
@@ -107,7 +90,7 @@
   job.openDue(Date.now());
   job.begin();
   const [first] = job.occurrences.values();
-  Object.assign(first!.steps[0]![0]!, { phase: 'bound', run: 1, worker: ENTRY.id });
+  Object.assign(first!.steps[0]![0]!, { phase: 'bound', run: 1, worker: WORKER_ENTRY.id });
   const table = new WorkTable('n1');
   table.apply({ key: jobKey(JOB.id), value: encodeJob(JOB) });
   table.apply({ key: progressKey(JOB.id), value: job.encode() });
@@ -123,11 +106,11 @@
   const log = new NodeLog('n1', 'silent');
   const port: PlatformPort = {
     workLog: new SlowLog(),
-    workerLog: new SlowLog([{ key: ENTRY.id, value: 'x' }]),
+    workerLog: new SlowLog([{ key: WORKER_ENTRY.id, value: 'x' }]),
     operatorLog: new SlowLog(),
     workers,
     workerIdOf: ({ key }) => key,
-    decodeWorker: () => ({ value: ENTRY }),
+    decodeWorker: () => ({ value: WORKER_ENTRY }),
     decodeConfig: () => undefined,
   };
   const record = {
--- a/packages/runtime/src/test/worker-link_test.ts
+++ b/packages/runtime/src/test/worker-link_test.ts
@@ -1,26 +1,15 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import type { WorkerEntry } from '@redwingcrank/jobs';
 import { NodeLog } from '../node-log.js';
 import type { OrderResult, RenewRequest, RenewResult } from '../task-workers.js';
 import { TaskWorkers } from '../task-workers.js';
 import { delay } from '../internal/delay.js';
 import type { LinkListener } from '../internal/worker-link.js';
 import { WorkerLink } from '../internal/worker-link.js';
+import { WORKER_ENTRY } from './fixtures.js';
 
 const LEASE_MS = 6_000;
 
-const ENTRY: WorkerEntry = {
-  id: 'w1',
-  address: 'w1.example:1',
-  pool: 'pool',
-  dataCentre: 'a',
-  draining: false,
-  remainingMs: 0,
-  capacity: { cpuMilli: 8_000, memMb: 16_000, gpus: 0 },
-  labels: [],
-};
-
 /** A worker that answers at once, until it is gone. */
 class OneWorker extends TaskWorkers {
   isGone = false;
@@ -62,7 +51,7 @@
   const workers = new OneWorker();
   const leases: number[] = [];
   const link = new WorkerLink(
-    ENTRY,
+    WORKER_ENTRY,
     workers,
     listener(leases),
     new NodeLog('n1', 'silent'),
