--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -104,6 +104,12 @@
     this.#state.jobs.delete(id);
   }
 
+  /** The stored progress of a job is no longer what this node has: it is stored once more. */
+  restate(id: string): void {
+    const job = this.#state.jobs.get(id);
+    if (job) this.#state.changed.add(job);
+  }
+
   cancel(id: string, timeOfDayMs: number): void {
     const job = this.#state.jobs.get(id);
     if (!job || isFinal(job.state)) return;
@@ -112,7 +118,12 @@
 
   /** The store lists the worker, or what it says of itself has changed. */
   listWorker(entry: WorkerEntry, nowMs: number): void {
-    const worker = this.#state.workers.get(entry.id) ?? this.#state.addWorker(entry);
+    const known = this.#state.workers.get(entry.id);
+    const worker = known ?? this.#state.addWorker(entry);
+    if (entry.draining && !(known?.listed && known.entry.draining)) {
+      const { id, remainingMs } = entry;
+      this.#state.note('worker-leaves', { worker: id, remainingMs, runs: worker.runs.size });
+    }
     worker.entry = entry;
     worker.listed = true;
     if (entry.draining) worker.leavesMs = Math.min(worker.leavesMs, nowMs + entry.remainingMs);
@@ -257,13 +268,28 @@
       const isSilent =
         nowMs > worker.leaseEndMs && nowMs - worker.answeredMs > this.#state.timing.leaseMs;
       if (isSilent && (worker.runs.size > 0 || !worker.listed)) {
-        this.#state.note('leases-over', { worker: worker.entry.id, runs: worker.runs.size });
-        this.#state.releaseAll(worker);
-        if (!worker.listed) this.#state.workers.delete(worker.entry.id);
+        this.#state.note('leases-over', {
+          worker: worker.entry.id,
+          runs: worker.runs.size,
+          hasAnswered: worker.fenced,
+          silentMs: Math.round(nowMs - Math.max(worker.answeredMs, this.#state.startedMs)),
+        });
+        this.#releaseSettled(worker);
+        if (!worker.listed && worker.runs.size === 0) this.#state.workers.delete(worker.entry.id);
       }
     }
   }
 
+  /**
+   * Releases all runs but those whose start may be sent again yet: after seconds in which this node
+   * stood still, it would begin there what is begun elsewhere as well. Its answer is never far.
+   */
+  #releaseSettled(worker: WorkerState): void {
+    for (const [key, run] of worker.runs) {
+      if (run.settledMs < Infinity) this.#state.releaseRun(worker, key, run);
+    }
+  }
+
   #closeCompleted(timeOfDayMs: number): void {
     for (const job of this.#state.changed) {
       if (!isFinal(job.state)) {
--- a/packages/runtime/src/internal/leader-term.ts
+++ b/packages/runtime/src/internal/leader-term.ts
@@ -1,16 +1,17 @@
 import type { Subscription } from 'rxjs';
-import type { Order, OrderOutcome, WorkerReport, WorkerState } from '@redwingcrank/jobs';
-import { JobProgress, Scheduler, isFinal } from '@redwingcrank/jobs';
-import type { KeyedRecord, KeyedWrite } from '../keyed-log.js';
+import type { Order, OrderOutcome, WorkerReport } from '@redwingcrank/jobs';
+import { JobProgress, Scheduler } from '@redwingcrank/jobs';
+import type { KeyedWrite } from '../keyed-log.js';
 import type { NodeLog } from '../node-log.js';
 import type { NodeSettings } from '../node-settings.js';
 import type { PlatformPort } from '../platform-port.js';
 import { delay, steadyMs } from './delay.js';
-import type { FollowerMessage } from './keyed-follower.js';
-import { KeyedFollower } from './keyed-follower.js';
+import { FaultLog } from './fault-log.js';
+import { Housekeeping } from './housekeeping.js';
 import type { StoredClaim } from './leader-writer.js';
 import { LeaderWriter } from './leader-writer.js';
 import { LinkStarter } from './link-starter.js';
+import { silentWorkers } from './silent-workers.js';
 import { TermLeases } from './term-leases.js';
 import {
   GATHER_MS,
@@ -18,8 +19,8 @@
   LEASE_MS,
   ROUND_MS,
   STANDSTILL_MS,
+  START_WINDOW_MS,
   STOP_AGAIN_MS,
-  SILENT_WORKER_MS,
   STOP_LOOK_MS,
   surelyOverMs,
 } from './timing.js';
@@ -27,28 +28,9 @@
 import type { LinkListener } from './worker-link.js';
 import { WorkerLink } from './worker-link.js';
 import type { LeaderRecord } from './work-records.js';
-import {
-  cancelKey,
-  encodeLeader,
-  encodeLearned,
-  jobKey,
-  leaderKey,
-  learnedKey,
-  progressKey,
-} from './work-records.js';
+import { encodeLeader, leaderKey, progressKey } from './work-records.js';
 import type { StoredJob, WorkChange, WorkTable } from './work-table.js';
-
-/** How often the entries of workers are read, in milliseconds. */
-const WORKER_LIST_GAP_MS = 250;
-
-/** A job's records are deleted this long after its state may be forgotten, in milliseconds. */
-const FORGET_SLACK_MS = 30_000;
-
-/** How often jobs to forget are looked for, in milliseconds. */
-const FORGET_EVERY_MS = 5_000;
-
-/** How often what was learned of images is stored, in milliseconds: it changes over many seconds. */
-const LEARNED_EVERY_MS = 3_000;
+import { WorkerList } from './worker-list.js';
 
 /** One term of this node as the one that schedules: from its claim until it is replaced. */
 export class LeaderTerm implements LinkListener {
@@ -68,11 +50,13 @@
 
   readonly #writer: LeaderWriter;
 
+  readonly #housekeeping: Housekeeping;
+
   readonly #leases: TermLeases;
 
   readonly #scheduler: Scheduler;
 
-  readonly #workerList: KeyedFollower;
+  readonly #workerList: WorkerList;
 
   readonly #links = new Map<string, WorkerLink>();
 
@@ -88,17 +72,17 @@
 
   #isResigning = false;
 
+  /** The newest record of this node itself that was written. */
+  #told = { number: 0, sentMs: -Infinity };
+
   #end: () => void = () => {};
 
   readonly #ended = new Promise<void>((resolve) => {
     this.#end = resolve;
   });
 
-  #writtenMs = -Infinity;
-
-  #learnedMs = steadyMs() + LEARNED_EVERY_MS;
-
-  #forgetMs = steadyMs() + FORGET_EVERY_MS;
+  /** When this node last wrote; its claim counts. */
+  #writtenMs = steadyMs();
 
   constructor(
     record: LeaderRecord,
@@ -108,6 +92,7 @@
     log: NodeLog,
     table: WorkTable,
     config: ConfigWatch,
+    faults = new FaultLog(log),
   ) {
     this.#record = record;
     this.#port = port;
@@ -116,16 +101,12 @@
     this.#table = table;
     this.#config = config;
     this.#writer = new LeaderWriter(port.workLog, log, claim);
-    this.#workerList = new KeyedFollower(port.workerLog, log, {
-      name: 'workers',
-      waitMs: 1_000,
-      gapMs: WORKER_LIST_GAP_MS,
-    });
+    this.#housekeeping = new Housekeeping(table, settings.keepStateMs);
     this.#linkStarter = new LinkStarter(this.#stopping.signal, (err) =>
       this.#failed('worker-link', err),
     );
     this.#leaseMs = Math.min(LEASE_MS, settings.maxLeaseMs);
-    this.#leases = new TermLeases(record, this.#leaseMs, this.#writer, table.formerLeases);
+    this.#leases = new TermLeases(record, this.#writer, table.formerLeases);
     this.#scheduler = new Scheduler(
       {
         leaseMs: surelyOverMs(this.#leaseMs),
@@ -136,6 +117,8 @@
       steadyMs(),
       (event, fields) => log.emit('info', event, fields),
     );
+    const link = (id: string): void => this.#link(id);
+    this.#workerList = new WorkerList(port, log, config, this.#scheduler, link, faults);
   }
 
   get token(): number {
@@ -161,7 +144,6 @@
     this.#subscriptions.push(
       this.#table.changes$.subscribe((change) => this.#workChanged(change)),
       this.#config.changes$.subscribe(() => this.#takeQueues()),
-      this.#workerList.messages$.subscribe((message) => this.#workerMessage(message)),
     );
     this.#workerList.run().catch((err) => this.#failed('worker-list', err));
     while (!this.#stopping.signal.aborted) await this.#round();
@@ -238,15 +220,24 @@
       key: progressKey(job.spec.id),
       value: job.encode(),
     }));
-    writes.push(...this.#forgotten(), ...this.#learned());
+    const forgotten = this.#housekeeping.forgotten();
+    writes.push(...forgotten, ...this.#housekeeping.learned(this.#scheduler.learned));
     const isQuiet = steadyMs() - this.#writtenMs >= LEADER_WRITE_MS;
     const resigns = this.#isResigning;
-    const { silent, isComplete } = this.#silentWorkers();
-    const isNews = this.#leases.hasNews(silent, isComplete);
-    const tells = resigns || isNews || (writes.length === 0 && isQuiet);
+    const { silent, isComplete } = silentWorkers(
+      this.#scheduler.workers.values(),
+      this.#links,
+      this.#workerList.isLoaded,
+      steadyMs(),
+    );
+    const isNews = this.#leases.noteSilent(silent, isComplete);
+    // Deleted records of callers are no sign of this node's life: its own goes with them.
+    const isSign = forgotten.length > 0 || (writes.length === 0 && isQuiet);
+    const tells = resigns || isNews || isSign;
     if (tells) {
-      const value = encodeLeader(this.#leases.record(resigns, steadyMs()));
-      writes.push({ key: leaderKey(), value });
+      const rec = this.#leases.record(resigns, steadyMs());
+      this.#told = { number: rec.number, sentMs: steadyMs() };
+      writes.push({ key: leaderKey(), value: encodeLeader(rec) });
     }
     const starts = this.#sendStops(decisions.orders);
     if (writes.length > 0) {
@@ -301,28 +292,6 @@
     return starts;
   }
 
-  /**
-   * Workers on which something runs and that do not answer this node, or never did. The list is not
-   * complete while others may still give their first answer.
-   */
-  #silentWorkers(): { silent: WorkerState[]; isComplete: boolean } {
-    const nowMs = steadyMs();
-    const silent: WorkerState[] = [];
-    let isComplete = true;
-    for (const worker of this.#scheduler.workers.values()) {
-      const link = this.#links.get(worker.entry.id);
-      if (worker.runs.size > 0 && !worker.fenced) {
-        const isAsked = link ? link.isOverdue(nowMs) : this.#isListLoaded;
-        if (isAsked) silent.push(worker);
-        else isComplete = false;
-      } else if (worker.runs.size > 0) {
-        const isLost = link?.isLost ?? true;
-        if (isLost && nowMs - worker.answeredMs > SILENT_WORKER_MS) silent.push(worker);
-      }
-    }
-    return { silent, isComplete };
-  }
-
   #waitMs(): number {
     const dueMs = this.#scheduler.nextDueMs();
     if (dueMs === undefined) return ROUND_MS;
@@ -336,11 +305,20 @@
 
   #send(order: Order): void {
     const link = this.#links.get(order.worker);
-    if (link) link.order(order).catch((err) => this.#failed('order', err));
-    else this.#scheduler.answered(order, 'unknown', steadyMs(), steadyMs());
+    if (!link) {
+      this.#scheduler.answered(order, 'unknown', steadyMs(), steadyMs());
+      return;
+    }
+    link.order(order).catch((err) => {
+      this.#failed('order', err);
+      // Without any answer the task would be taken to be on its way to the worker for ever.
+      const settledMs = steadyMs() + surelyOverMs(START_WINDOW_MS);
+      this.#scheduler.answered(order, 'unknown', steadyMs(), settledMs);
+    });
   }
 
-  #takeOn({ spec, progress, cancelled }: StoredJob): void {
+  #takeOn({ spec, progress, isUnsure, cancelled }: StoredJob): void {
+    if (isUnsure) return;
     const job = progress === undefined ? new JobProgress(spec) : JobProgress.decode(spec, progress);
     this.#scheduler.addJob(job);
     if (cancelled) this.#scheduler.cancel(spec.id, Date.now());
@@ -350,6 +328,7 @@
     switch (change.kind) {
       case 'leader':
         if (change.leader.epoch > this.token) this.fenced('', 'newer-leader-record');
+        else this.#ownRecordRead(change.leader);
         break;
       case 'accepted':
         this.#takeOn(this.#table.jobs.get(change.id)!);
@@ -357,12 +336,25 @@
       case 'cancelled':
         this.#scheduler.cancel(change.id, Date.now());
         break;
+      case 'unsure':
+        this.#scheduler.restate(change.id);
+        break;
       default:
         this.#scheduler.dropJob(change.id);
     }
     this.#wakeUp();
   }
 
+  /**
+   * What was read back is stored. Where the store carries appends out and its answers are lost,
+   * leases could else be given no more after some seconds, and all that runs would end.
+   */
+  #ownRecordRead({ epoch, number }: LeaderRecord): void {
+    if (epoch !== this.token || number !== this.#told.number) return;
+    this.#writer.readBack(this.#told.sentMs);
+    this.#leases.recordStored();
+  }
+
   #takeQueues(): void {
     const config = this.#config.current;
     if (!config) return;
@@ -370,45 +362,6 @@
     this.#wakeUp();
   }
 
-  #workerMessage(message: FollowerMessage): void {
-    if (message.kind === 'record') this.#workerRecord(message.rec);
-    else if (message.kind === 'reset') this.#listedBefore = new Set(this.#links.keys());
-    else {
-      this.#isListLoaded = true;
-      this.#unlistAbsent();
-    }
-  }
-
-  #unlistAbsent(): void {
-    if (this.#listedBefore) {
-      // What a fresh list does not name is not listed any more.
-      for (const id of this.#listedBefore) this.#scheduler.unlistWorker(id);
-      this.#listedBefore = undefined;
-    }
-  }
-
-  #listedBefore: Set<string> | undefined;
-
-  #isListLoaded = false;
-
-  #workerRecord(rec: KeyedRecord): void {
-    const id = this.#port.workerIdOf(rec);
-    if (id === undefined) return;
-    this.#listedBefore?.delete(id);
-    if (rec.value === undefined) {
-      this.#log.emit('info', 'worker-unlisted', { worker: id });
-      this.#scheduler.unlistWorker(id);
-      return;
-    }
-    try {
-      const entry = this.#port.decodeWorker(rec);
-      this.#scheduler.listWorker(entry, steadyMs());
-      this.#link(entry.id);
-    } catch (err) {
-      this.#failed('worker-entry', err);
-    }
-  }
-
   #link(id: string): void {
     const worker = this.#scheduler.workers.get(id);
     if (!worker || this.#links.has(id)) return;
@@ -432,28 +385,6 @@
     this.#port.workers.forget(link.address);
   }
 
-  #learned(): KeyedWrite[] {
-    if (steadyMs() < this.#learnedMs) return [];
-    this.#learnedMs = steadyMs() + LEARNED_EVERY_MS;
-    return [{ key: learnedKey(), value: encodeLearned(this.#scheduler.learned) }];
-  }
-
-  /** Deletions of the records of jobs whose state may be forgotten. */
-  #forgotten(): KeyedWrite[] {
-    if (steadyMs() < this.#forgetMs) return [];
-    this.#forgetMs = steadyMs() + FORGET_EVERY_MS;
-    const beforeMs = Date.now() - this.#settings.keepStateMs - FORGET_SLACK_MS;
-    const writes: KeyedWrite[] = [];
-    for (const { spec, state, endedMs } of this.#table.jobs.values()) {
-      if (isFinal(state) && endedMs < beforeMs) {
-        for (const key of [progressKey, cancelKey, jobKey]) {
-          writes.push({ key: key(spec.id), value: undefined });
-        }
-      }
-    }
-    return writes;
-  }
-
   #failed(part: string, err: unknown): void {
     const reason = err instanceof Error ? (err.stack ?? err.message) : String(err);
     this.#log.emit('error', 'part-failed', { part, reason });
--- a/packages/runtime/src/internal/leadership.ts
+++ b/packages/runtime/src/internal/leadership.ts
@@ -5,6 +5,7 @@
 import type { AppendOutcome } from '../keyed-log.js';
 import type { ConfigWatch } from './config-watch.js';
 import { delay, steadyMs } from './delay.js';
+import { FaultLog } from './fault-log.js';
 import type { KeyedFollower } from './keyed-follower.js';
 import type { StoredClaim } from './leader-writer.js';
 import { LEADER_WRITER } from './leader-writer.js';
@@ -15,6 +16,7 @@
   CONFIRMED_LEASE_MS,
   LEADER_SILENT_MS,
   SLOW_LEADER_SILENT_MS,
+  UNTOLD_LEASE_MS,
   surelyOverMs,
 } from './timing.js';
 import type { LeaderRecord } from './work-records.js';
@@ -47,6 +49,15 @@
 /** Sequence numbers of claims are drawn below this, so that two claims of one epoch differ. */
 const MAX_FIRST_SEQUENCE = 1_000_000_000;
 
+/** By how much the next claim is higher where the epoch that the store knows cannot be read. */
+const EPOCH_LEAP = 16;
+
+/** A claim that the store has refused, as it knew this epoch or a higher one. */
+interface RefusedClaim {
+  readonly epoch: number;
+  /** On the steady clock. */
+  readonly atMs: number;
+}
 /**
  * How long a node waits after a claim before it sends another, by what the store said, in
  * milliseconds; a leader's record that is read ends the wait. A claim that is stored, or stands
@@ -88,11 +99,15 @@
 
   readonly #config: ConfigWatch;
 
+  readonly #faults: FaultLog;
+
   readonly #stopping = new AbortController();
 
   /** Claims that were sent, by their nonce: one without an answer may be stored seconds later. */
   readonly #claims = new Map<string, Claim>();
 
+  #refused: RefusedClaim | undefined;
+
   #term: LeaderTerm | undefined;
 
   readonly #startedMs = steadyMs();
@@ -113,6 +128,7 @@
     table: WorkTable,
     follower: KeyedFollower,
     config: ConfigWatch,
+    faults = new FaultLog(log),
   ) {
     this.#port = port;
     this.#settings = settings;
@@ -120,6 +136,7 @@
     this.#table = table;
     this.#follower = follower;
     this.#config = config;
+    this.#faults = faults;
     table.changes$.subscribe((change) => {
       if (change.kind === 'leader') this.#leaderSeen(change.leader);
     });
@@ -177,13 +194,14 @@
     if (!this.#isRoleFree() || !(await this.#isSureOfSilence())) return;
     const before = this.#table.leader;
     const record = {
-      epoch: (before?.epoch ?? 0) + 1,
+      epoch: this.#nextEpoch(before),
       node: this.#settings.node,
       nonce: randomBytes(6).toString('hex'),
       resigned: false,
       leasesMs: CLAIM_LEASE_MS,
       formerMs: this.#formerMs(before),
       silent: {},
+      number: 0,
     };
     this.#table.formerLeases.claiming(record.nonce);
     const sequence = randomInt(MAX_FIRST_SEQUENCE);
@@ -199,11 +217,26 @@
       outcome: result.outcome,
       reason: result.reason,
     });
+    if (result.outcome === 'fenced' || result.outcome === 'out-of-sequence') {
+      this.#refused = { epoch: record.epoch, atMs: steadyMs() };
+    }
     this.#nextClaimMs = steadyMs() + CLAIM_PAUSE_MS[result.outcome];
     // What became of an unanswered claim shows in the log, as does that of every other.
     this.#follower.hurry();
   }
 
+  /**
+   * One more than the leader's. Where the store refuses that, the record of a later leader is about
+   * to be read; but if a read since has found none, that record cannot be read, and the store would
+   * refuse the same epoch for ever. A much higher one passes the store's after a claim or two.
+   */
+  #nextEpoch(leader: LeaderRecord | undefined): number {
+    const next = (leader?.epoch ?? 0) + 1;
+    const refused = this.#refused;
+    if (!refused || refused.epoch < next || this.#follower.freshMs < refused.atMs) return next;
+    return refused.epoch * EPOCH_LEAP;
+  }
+
   /**
    * Asks the store once more whether the leader has written nothing. The view may be fresh from a
    * read that was answered as the store fell silent: then it is the store that the leader has lost,
@@ -226,10 +259,13 @@
 
   /**
    * How long leases may last after the claim is stored, seconds after it was sent maybe: as long as
-   * if the present scheduling node had renewed them until then.
+   * if the present scheduling node had renewed them until then. One whose record cannot be read may
+   * have given the longest.
    */
   #formerMs(present: LeaderRecord | undefined): number {
-    const presentMs = surelyOverMs(Math.max(present?.leasesMs ?? 0, CONFIRMED_LEASE_MS));
+    const unreadMs = this.#refused ? UNTOLD_LEASE_MS : 0;
+    const leasesMs = present?.leasesMs ?? unreadMs;
+    const presentMs = surelyOverMs(Math.max(leasesMs, CONFIRMED_LEASE_MS));
     return Math.max(presentMs, this.#table.formerLeases.allEndMs - steadyMs());
   }
 
@@ -246,6 +282,7 @@
       this.#log,
       this.#table,
       this.#config,
+      this.#faults,
     );
     this.#term = term;
     this.#follower.setGap(LEADER_GAP_MS);
--- a/packages/runtime/src/test/lease-bounds_test.ts
+++ b/packages/runtime/src/test/lease-bounds_test.ts
@@ -44,7 +44,7 @@
     this.confirmedMs = sentMs;
     const writer = { confirmedMs: sentMs };
     Object.defineProperty(writer, 'confirmedMs', { get: () => this.confirmedMs });
-    this.leases = new TermLeases(claim, LEASE_MS, writer, former);
+    this.leases = new TermLeases(claim, writer, former);
     for (const id of WORKERS) {
       this.endsMs.set(id, former.namedEndMs.get(id) ?? former.generalEndMs);
     }
@@ -55,6 +55,13 @@
   }
 }
 
+/** The node reads its own record, whose answer is still missing. */
+function readBack(term: Term): void {
+  if (!term.pending?.rec) return;
+  Object.assign(term, { confirmedMs: Math.max(term.confirmedMs, term.pending.sentMs) });
+  term.leases.recordStored();
+}
+
 /** A store, workers and scheduling nodes that come one after the other and may not know it yet. */
 class World {
   #nowMs = 10_000;
@@ -85,6 +92,7 @@
     else if (!term || term.isOver) return;
     else if (kind === 'write') this.#write(term, b);
     else if (kind === 'renew') this.#renew(term, worker);
+    else if (kind === 'read-back') readBack(term);
     else term.silent.add(worker);
   }
 
@@ -93,7 +101,7 @@
     for (; reader.next < this.#log.length; reader.next += 1) {
       const rec = this.#log[reader.next];
       if (rec) reader.former.recordRead(rec, this.#nowMs);
-      else reader.former.wordRead(this.#nowMs);
+      else reader.former.heartbeatRead(this.#nowMs);
     }
   }
 
@@ -131,6 +139,7 @@
       leasesMs: CLAIM_LEASE_MS,
       formerMs: Math.max(surelyOverMs(CONFIRMED_LEASE_MS), former.allEndMs - sentMs),
       silent: {},
+      number: 0,
     };
     former.claiming(claim.nonce);
     this.#nowMs += lateMs;
@@ -147,7 +156,7 @@
       return;
     }
     if (!term.pending) {
-      const isNews = term.leases.hasNews(term.silentWorkers(), b !== 1);
+      const isNews = term.leases.noteSilent(term.silentWorkers(), b !== 1);
       const resigns = b > 7;
       const isRecord = isNews || resigns || b === 0;
       const rec = isRecord ? term.leases.record(resigns, this.#nowMs) : undefined;
@@ -200,7 +209,7 @@
 
 /** Each as likely as it is often here. */
 const KINDS = [
-  ...['wait', 'wait', 'read', 'read', 'claim', 'restart', 'reload', 'silent'],
+  ...['wait', 'wait', 'read', 'read', 'claim', 'restart', 'reload', 'read-back', 'silent'],
   ...['write', 'write', 'write', 'renew', 'renew', 'renew'],
 ];
 
@@ -234,6 +243,7 @@
     leasesMs,
     formerMs: 0,
     silent,
+    number: 0,
   });
   const former = new FormerLeases('n9', 0);
   former.recordRead(record(1, CONFIRMED_LEASE_MS, { w1: 5_000 }), 1_000);
