--- a/packages/runtime/src/internal/former-leases.ts
+++ b/packages/runtime/src/internal/former-leases.ts
@@ -6,7 +6,7 @@
  * what their records say. A node that takes the role over waits so long before it starts elsewhere
  * what may still run on a worker that it cannot ask.
  *
- * Without the records' word each change of the scheduling node would begin the wait anew, also for
+ * Without these records each change of the scheduling node would begin the wait anew, also for
  * a worker that was lost long before: its tasks would be away for as long as the role passes on.
  * All times are on this node's steady clock. A record is read later than it was sent, so every
  * bound errs to the late side.
--- a/packages/runtime/src/test/lease-bounds_test.ts
+++ b/packages/runtime/src/test/lease-bounds_test.ts
@@ -72,7 +72,7 @@
 
   readonly #terms: Term[] = [];
 
-  /** Everything stored: a record of the scheduling node, or some other word of it. */
+  /** Everything stored: a record of the scheduling node itself, or any other that it wrote. */
   readonly #log: (LeaderRecord | undefined)[] = [];
 
   /** Each node's own reading of the log: how far, and what follows from it. */
