A scheduling node tells its load each second

Cause: a node that decides for too long, one that is short of processor time and one whose appends aren't answered looked alike in log and metrics: leases lapse, another node takes over. Change: TermLoad logs term-load once a second (rounds, time of deciding, processor time, lateness, longest append, reports, workers not reached, how long leases may still be given); the metrics redwingcrank_scheduler_* say the same. No change of logic.

--- a/packages/runtime/src/internal/leader-term.ts
+++ b/packages/runtime/src/internal/leader-term.ts
@@ -13,6 +13,8 @@
 import { LinkStarter } from './link-starter.js';
 import { silentWorkers } from './silent-workers.js';
 import { TermLeases } from './term-leases.js';
+import type { TermView } from './term-load.js';
+import { TermLoad } from './term-load.js';
 import {
   GATHER_MS,
   LEADER_WRITE_MS,
@@ -54,6 +56,8 @@
 
   readonly #leases: TermLeases;
 
+  readonly #load: TermLoad;
+
   readonly #scheduler: Scheduler;
 
   readonly #workerList: WorkerList;
@@ -106,6 +110,7 @@
       this.#failed('worker-link', err),
     );
     this.#leaseMs = Math.min(LEASE_MS, settings.maxLeaseMs);
+    this.#load = new TermLoad(log, record.epoch);
     this.#leases = new TermLeases(record, this.#writer, table.formerLeases);
     this.#scheduler = new Scheduler(
       {
@@ -146,6 +151,9 @@
       this.#config.changes$.subscribe(() => this.#takeQueues()),
     );
     this.#workerList.run().catch((err) => this.#failed('worker-list', err));
+    this.#load
+      .run(() => this.#view(), this.#stopping.signal)
+      .catch((err) => this.#failed('term-load', err));
     while (!this.#stopping.signal.aborted) await this.#round();
     this.#close();
   }
@@ -183,6 +191,7 @@
   }
 
   reported(worker: string, report: WorkerReport, askedMs: number): void {
+    this.#load.reported();
     const isFirst = !this.#scheduler.workers.get(worker)?.fenced;
     this.#scheduler.report(worker, report, askedMs, steadyMs());
     // Most reports change nothing. With hundreds of workers a round for each of them would take a
@@ -215,7 +224,9 @@
     this.#isWoken = false;
     if (this.#stopping.signal.aborted) return;
     this.#unlinkGone();
-    const decisions = this.#scheduler.decide(steadyMs(), Date.now());
+    const askedMs = steadyMs();
+    const decisions = this.#scheduler.decide(askedMs, Date.now());
+    this.#load.decided(steadyMs() - askedMs);
     const writes: KeyedWrite[] = decisions.changed.map((job) => ({
       key: progressKey(job.spec.id),
       value: job.encode(),
@@ -267,9 +278,11 @@
   async #write(writes: readonly KeyedWrite[]): Promise<boolean> {
     const over = new AbortController();
     const looking = this.#sendStopsUntil(AbortSignal.any([over.signal, this.#stopping.signal]));
+    this.#load.appendSent();
     try {
       return await this.#writer.write(writes);
     } finally {
+      this.#load.appendEnded();
       over.abort();
       await looking;
     }
@@ -292,6 +305,18 @@
     return starts;
   }
 
+  #view(): TermView {
+    const nowMs = steadyMs();
+    let unreached = 0;
+    let quietMs = 0;
+    for (const { runs, fenced, answeredMs } of this.#scheduler.workers.values()) {
+      if (runs.size > 0 && !fenced) unreached += 1;
+      else if (runs.size > 0) quietMs = Math.max(quietMs, nowMs - answeredMs);
+    }
+    const leaseLeftMs = this.#leases.limitMs('', nowMs);
+    return { jobs: this.#scheduler.jobs.size, unreached, quietMs, leaseLeftMs };
+  }
+
   #waitMs(): number {
     const dueMs = this.#scheduler.nextDueMs();
     if (dueMs === undefined) return ROUND_MS;
--- a/packages/runtime/src/internal/node-metrics.ts
+++ b/packages/runtime/src/internal/node-metrics.ts
@@ -5,6 +5,34 @@
 /** Bounds in seconds: an order usually takes a few milliseconds, an answer that is late half a second. */
 const BUCKETS = [0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 2.5];
 
+/** By field of the line in which a scheduling node tells its load: the gauge and what it says. */
+const LOAD_GAUGES: Readonly<Record<string, { readonly name: string; readonly help: string }>> = {
+  cpuMs: {
+    name: 'redwingcrank_scheduler_cpu_seconds',
+    help: 'Processor time used in the last second or so while scheduling.',
+  },
+  lateMs: {
+    name: 'redwingcrank_scheduler_late_seconds',
+    help: 'How late the newest look at the clock came, for want of processor time.',
+  },
+  longestDecideMs: {
+    name: 'redwingcrank_scheduler_longest_round_seconds',
+    help: 'The longest round of decisions in the last second or so.',
+  },
+  appendMs: {
+    name: 'redwingcrank_scheduler_longest_append_seconds',
+    help: 'The longest append in the last second or so; one under way counts.',
+  },
+  quietMs: {
+    name: 'redwingcrank_scheduler_quietest_worker_seconds',
+    help: 'The longest time for which a worker with runs has not answered.',
+  },
+  leaseLeftMs: {
+    name: 'redwingcrank_scheduler_lease_left_seconds',
+    help: 'For how long leases may be given by what the store has confirmed.',
+  },
+};
+
 /** What is read from the node when the metrics are asked for. */
 export interface NodeState {
   readonly isLeading: boolean;
@@ -29,6 +57,8 @@
 
   readonly #submits: Histogram;
 
+  readonly #load = new Map<string, Gauge>();
+
   constructor(log: NodeLog, state: () => NodeState) {
     const registers = [this.#registry];
     this.#events = new Counter({
@@ -51,6 +81,9 @@
       buckets: BUCKETS,
       registers,
     });
+    for (const [field, { name, help }] of Object.entries(LOAD_GAUGES)) {
+      this.#load.set(field, new Gauge({ name, help, registers }));
+    }
     addGauges(registers, log, state);
     log.observe((event, fields) => this.#count(event, fields));
   }
@@ -65,8 +98,15 @@
     this.#events.inc({ event, outcome });
     const seconds = Number(fields.tookMs) / 1_000;
     if (event === 'order') this.#orders.observe({ kind: String(fields.kind), outcome }, seconds);
+    if (event === 'term-load') this.#loaded(fields);
+    if (event === 'term-end') this.#loaded({});
     if (event === 'submit') this.#submits.observe({ outcome }, seconds);
   }
+
+  /** A node that does not schedule any more shows no load. */
+  #loaded(fields: LogFields): void {
+    for (const [field, gauge] of this.#load) gauge.set(Number(fields[field] ?? 0) / 1_000);
+  }
 }
 
 function addGauges(registers: Registry[], log: NodeLog, state: () => NodeState): void {
--- /dev/null
+++ b/packages/runtime/src/internal/term-load.ts
@@ -0,0 +1,104 @@
+import type { NodeLog } from '../node-log.js';
+import { delay, steadyMs } from './delay.js';
+
+/** How often a scheduling node tells how it fares, in milliseconds: one line costs 0.1 ms. */
+const TELL_MS = 1_000;
+
+/** What the term itself knows, read when its load is told. */
+export interface TermView {
+  readonly jobs: number;
+  /** Workers on which something runs, or may, and that have not answered this node yet. */
+  readonly unreached: number;
+  /** The longest time for which any reached worker with runs has not answered, in milliseconds. */
+  readonly quietMs: number;
+  /** For how long leases may be given from now, in milliseconds; 0 or less: none are. */
+  readonly leaseLeftMs: number;
+}
+
+/**
+ * How a scheduling node fares, one line a second. A node that decides for seconds on end, that is
+ * short of processor time or whose appends are not answered looks alike from outside: leases lapse
+ * and another node takes over. These figures tell the three apart.
+ */
+export class TermLoad {
+  readonly #log: NodeLog;
+
+  readonly #epoch: number;
+
+  #rounds = 0;
+
+  #decideMs = 0;
+
+  #longestDecideMs = 0;
+
+  #appendMs = 0;
+
+  #appendSentMs: number | undefined;
+
+  #reports = 0;
+
+  constructor(log: NodeLog, epoch: number) {
+    this.#log = log;
+    this.#epoch = epoch;
+  }
+
+  /** A round of decisions took so long, without its append. */
+  decided(tookMs: number): void {
+    this.#rounds += 1;
+    this.#decideMs += tookMs;
+    this.#longestDecideMs = Math.max(this.#longestDecideMs, tookMs);
+  }
+
+  appendSent(): void {
+    this.#appendSentMs = steadyMs();
+  }
+
+  appendEnded(): void {
+    this.#appendMs = this.#longestAppendMs(steadyMs());
+    this.#appendSentMs = undefined;
+  }
+
+  /** A worker has answered a renewal. */
+  reported(): void {
+    this.#reports += 1;
+  }
+
+  /** Tells once a second, until the signal is given. */
+  async run(view: () => TermView, signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      const sinceMs = steadyMs();
+      const usage = process.cpuUsage();
+      await delay(TELL_MS, signal);
+      if (!signal.aborted) this.#tell(sinceMs, usage, view());
+    }
+  }
+
+  #tell(sinceMs: number, usage: NodeJS.CpuUsage, view: TermView): void {
+    const nowMs = steadyMs();
+    const { user, system } = process.cpuUsage(usage);
+    this.#log.emit('info', 'term-load', {
+      epoch: this.#epoch,
+      lateMs: Math.round(nowMs - sinceMs - TELL_MS),
+      cpuMs: Math.round((user + system) / 1_000),
+      rounds: this.#rounds,
+      decideMs: Math.round(this.#decideMs),
+      longestDecideMs: Math.round(this.#longestDecideMs),
+      appendMs: Math.round(this.#longestAppendMs(nowMs)),
+      reports: this.#reports,
+      jobs: view.jobs,
+      unreached: view.unreached,
+      quietMs: Math.round(view.quietMs),
+      leaseLeftMs: Math.round(view.leaseLeftMs),
+    });
+    this.#rounds = 0;
+    this.#decideMs = 0;
+    this.#longestDecideMs = 0;
+    this.#appendMs = 0;
+    this.#reports = 0;
+  }
+
+  /** The append that is under way counts with the time that it has taken so far. */
+  #longestAppendMs(nowMs: number): number {
+    return Math.max(this.#appendMs, nowMs - (this.#appendSentMs ?? nowMs));
+  }
+}
--- /dev/null
+++ b/packages/runtime/src/test/term-load_test.ts
@@ -0,0 +1,58 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { LogFields } from '../node-log.js';
+import { NodeLog } from '../node-log.js';
+import { NodeMetrics } from '../internal/node-metrics.js';
+import { TermLoad } from '../internal/term-load.js';
+
+const VIEW = { jobs: 7, unreached: 3, quietMs: 1_500.4, leaseLeftMs: -20 };
+
+const STATE = { isLeading: true, viewAgeMs: 0, jobs: new Map(), faults: [] };
+
+function busy(ms: number): void {
+  const endMs = performance.now() + ms;
+  while (performance.now() < endMs);
+}
+
+test('a node that is deaf for seconds says so, and what kept it', async () => {
+  // Leases lapse on hundreds of workers. The node that schedules had decided for over a second and
+  // done nothing else; its store was slow as well. One line must tell both, and the metrics with it.
+  const log = new NodeLog('n1', 'silent');
+  const metrics = new NodeMetrics(log, () => STATE);
+  const stopping = new AbortController();
+  const load = new TermLoad(log, 4);
+  const told = new Promise<LogFields>((resolve) => {
+    const emit = log.emit.bind(log);
+    log.emit = (level, event, fields = {}) => {
+      emit(level, event, fields);
+      if (event === 'term-load') resolve(fields);
+    };
+  });
+  const running = load.run(() => VIEW, stopping.signal);
+  load.appendSent();
+  busy(1_300);
+  load.decided(1_300);
+  load.decided(5);
+  load.reported();
+  const fields = await told;
+  stopping.abort();
+  await running;
+  const { rounds, longestDecideMs, reports, epoch, unreached, quietMs, leaseLeftMs } = fields;
+  assert.deepEqual(
+    { rounds, longestDecideMs, reports, epoch, unreached, quietMs, leaseLeftMs },
+    {
+      rounds: 2,
+      longestDecideMs: 1_300,
+      reports: 1,
+      epoch: 4,
+      unreached: 3,
+      quietMs: 1_500,
+      leaseLeftMs: -20,
+    },
+  );
+  assert.ok(Number(fields.lateMs) >= 290, `lateMs=${fields.lateMs}`);
+  assert.ok(Number(fields.appendMs) >= 1_290, `appendMs=${fields.appendMs}`);
+  assert.match(await metrics.text(), /redwingcrank_scheduler_longest_round_seconds 1\.3\n/);
+  log.emit('info', 'term-end', { epoch: 4 });
+  assert.match(await metrics.text(), /redwingcrank_scheduler_longest_round_seconds 0\n/);
+});
