Rounds are divided, and leave the node as much time as they take

Cause: a round placed all that waited, and sent all its starts, in one piece, and the next followed at once. A leader with a third of a core renewed no lease and wrote no record of its own meanwhile. Change: a round looks for places for 30 ms and orders no more starts than go out in a second; `decide` tells that it was cut short, and the term asks for another. `PlacingTurns` keeps steps without a place from taking the time of every round. `RoundPacing` leaves as much time after a round as it took (250 ms at most), `StartSender` sends 16 starts at a time. Stops, acknowledgements and leases that are over are outside the limits. The fuzzer's leader may start one task a round, so that its rounds are cut short.

--- a/packages/experiments/src/rounds/command.ts
+++ b/packages/experiments/src/rounds/command.ts
@@ -1,4 +1,5 @@
 import type { Argv } from 'yargs';
+import type { RoundLimits } from '@redwingcrank/jobs';
 import { Output } from '@redwingcrank/cli';
 import { roundCosts } from './round-costs.js';
 
@@ -27,12 +28,17 @@
           default: true,
           describe: 'Compile the code first; a new leader has not',
         })
+        .option('placing-ms', {
+          type: 'number',
+          describe: 'The limit of a round; none if left out',
+        })
         .option('json', { type: 'boolean', default: false }),
-    ({ workers, waiting, warm, json }) => {
+    ({ workers, waiting, warm, placingMs, json }) => {
+      const limits = placingMs === undefined ? undefined : limitsOf(placingMs);
       if (warm) roundCosts(100, 100);
       const rows = workers.flatMap((count) =>
         waiting.map((jobs) => {
-          const row = roundCosts(count, jobs);
+          const row = roundCosts(count, jobs, limits);
           const rounded = Object.entries(row).map(([key, value]) => [
             key,
             Number(value.toFixed(1)),
@@ -44,3 +50,7 @@
     },
   );
 }
+
+function limitsOf(placingMs: number): RoundLimits {
+  return { placingMs, starts: Infinity, clockMs: () => performance.now() };
+}
--- a/packages/experiments/src/rounds/round-costs.ts
+++ b/packages/experiments/src/rounds/round-costs.ts
@@ -1,3 +1,4 @@
+import type { RoundLimits } from '@redwingcrank/jobs';
 import { RoundsWorld } from './rounds-world.js';
 
 /** What rounds of decisions cost at one size of the cluster. */
@@ -27,25 +28,26 @@
 }
 
 /** Decides until nothing more finds a place. */
-export function roundCosts(workers: number, waiting: number): RoundRow {
+export function roundCosts(workers: number, waiting: number, limits?: RoundLimits): RoundRow {
   const world = new RoundsWorld(workers, waiting);
   world.looks = 0;
   let rounds = 0;
   let starts = 0;
   let longestMs = 0;
   let allMs = 0;
-  for (let last = -1; last !== 0 && rounds < MAX_ROUNDS;) {
+  for (let hasMore = true; hasMore && rounds < MAX_ROUNDS;) {
     const beganMs = cpuMs();
-    last = world.round();
+    const { starts: started, isCutShort } = world.round(limits);
     const tookMs = cpuMs() - beganMs;
-    starts += last;
+    hasMore = started > 0 || isCutShort;
+    starts += started;
     rounds += 1;
     allMs += tookMs;
     longestMs = Math.max(longestMs, tookMs);
   }
   const { looks } = world;
   const beganMs = cpuMs();
-  for (let i = 0; i < FULL_ROUNDS; i += 1) world.round();
+  for (let i = 0; i < FULL_ROUNDS; i += 1) world.round(limits);
   const fullMs = (cpuMs() - beganMs) / FULL_ROUNDS;
   const startMicros = (allMs * 1_000) / Math.max(1, starts);
   return { workers, waiting, rounds, starts, looks, longestMs, startMicros, fullMs };
--- a/packages/experiments/src/rounds/rounds-world.ts
+++ b/packages/experiments/src/rounds/rounds-world.ts
@@ -1,4 +1,4 @@
-import type { JobSpec, StepSpec, WorkerEntry } from '@redwingcrank/jobs';
+import type { JobSpec, RoundLimits, StepSpec, WorkerEntry } from '@redwingcrank/jobs';
 import { JobProgress, PLAIN_STEP, Scheduler, taskName } from '@redwingcrank/jobs';
 
 const TIMING = {
@@ -106,11 +106,12 @@
     for (let i = 0; i < waiting; i += 1) this.#submitShort(i);
   }
 
-  /** One round; returns how many starts it came to. */
-  round(): number {
+  /** One round; returns how many starts it came to, and whether there may be room for more. */
+  round(limits?: RoundLimits): { starts: number; isCutShort: boolean } {
     this.#nowMs += 20;
-    const { orders } = this.scheduler.decide(this.#nowMs, this.#nowMs);
-    return orders.filter(({ kind }) => kind === 'start').length;
+    const { orders, isCutShort } = this.scheduler.decide(this.#nowMs, this.#nowMs, limits);
+    const starts = orders.filter(({ kind }) => kind === 'start').length;
+    return { starts, isCutShort };
   }
 
   /** Starts what lasts, and has every worker tell of it often enough to know its load. */
--- a/packages/fuzz/src/jobs/jobs-world.ts
+++ b/packages/fuzz/src/jobs/jobs-world.ts
@@ -17,6 +17,12 @@
 /** So many workers there are always: what is gone is replaced. */
 const WORKERS = 3;
 
+/**
+ * So many rounds at most follow one that was cut short, at once: more than tasks wait. Where no
+ * lease may be given starts come back at once, and would be ordered again without end.
+ */
+const FOLLOWING_ROUNDS = 40;
+
 const NODES = ['n1', 'n2', 'n3'];
 
 /** So many lasting tasks at most, so that one worker has room for them all. */
@@ -158,13 +164,17 @@
   }
 
   /** Decides, stores and sends, or repeats the append that got no answer. */
-  round(leader: ModelLeader, fate: AppendFate): void {
+  round(leader: ModelLeader, fate: AppendFate, following = FOLLOWING_ROUNDS): void {
     if (!this.#takesAppends(leader)) return;
     const append = leader.unanswered ?? leader.decide(this.#nowMs, false);
     if (fate !== 'answered') this.coverage.hit(`append-${fate}`);
     if (fate !== 'lost') this.#store(append);
     Object.assign(leader, { unanswered: fate === 'answered' ? undefined : append });
-    if (fate === 'answered') leader.stored(append, this.#nowMs);
+    if (fate !== 'answered') return;
+    leader.stored(append, this.#nowMs);
+    if (!append.isCutShort || following === 0) return;
+    this.coverage.hit('cut-short');
+    this.round(leader, fate, following - 1);
   }
 
   /** The leader gives its role up; that it is stored it does not hear. */
--- a/packages/fuzz/src/jobs/model-leader.ts
+++ b/packages/fuzz/src/jobs/model-leader.ts
@@ -39,6 +39,8 @@
   readonly sentMs: number;
   readonly starts: readonly Order[];
   readonly acks: ReadonlyMap<string, number>;
+  /** Another round follows at once. */
+  readonly isCutShort: boolean;
 }
 
 interface ClockReading {
@@ -55,6 +57,9 @@
   targetLatencyMs: 0,
 };
 
+/** Rounds that have more to start are cut short. */
+const FEW_STARTS = { placingMs: Infinity, starts: 1, clockMs: () => 0 };
+
 /**
  * One term of a scheduling node: the scheduler of the nodes, and what they may promise and tell of
  * leases, with calls in place of sockets.
@@ -115,7 +120,8 @@
 
   /** Decides, sends the stops, and returns what is to be appended; with it may resign. */
   decide(nowMs: number, resigns: boolean): Append {
-    const { changed, orders, acks } = this.scheduler.decide(nowMs, nowMs);
+    const decisions = this.scheduler.decide(nowMs, nowMs, FEW_STARTS);
+    const { changed, orders, acks, isCutShort } = decisions;
     const { silent, isComplete } = this.#silentWorkers(nowMs);
     const isNews = this.#leases.noteSilent(silent, isComplete);
     const tells = resigns || isNews || changed.length === 0;
@@ -123,7 +129,7 @@
     const progress = changed.map((job) => ({ id: job.spec.id, text: job.encode() }));
     const starts = orders.filter(({ kind }) => kind === 'start');
     for (const order of orders) if (order.kind !== 'start') this.#send(order, nowMs, false);
-    return { progress, rec, sentMs: nowMs, starts, acks };
+    return { progress, rec, sentMs: nowMs, starts, acks, isCutShort };
   }
 
   /** Sends the stops that are due; an append may be under way. */
--- a/packages/fuzz/src/targets/jobs.ts
+++ b/packages/fuzz/src/targets/jobs.ts
@@ -77,6 +77,7 @@
     'append-unanswered',
     'append-lost',
     'renew-late',
+    'cut-short',
     ...LOSSES.map((loss) => `lost: ${loss}`),
   ];
 
--- a/packages/jobs/src/internal/task-placer.ts
+++ b/packages/jobs/src/internal/task-placer.ts
@@ -4,33 +4,69 @@
 import { taskName } from '../task-ref.js';
 import type { ClusterState } from './cluster-state.js';
 import type { PlacementPolicy } from './placement.js';
+import { PlacingTurns } from './placing-turns.js';
 import type { KindPlaces } from './round-places.js';
 import { RoundPlaces } from './round-places.js';
+import type { RoundLimits } from './round-limits.js';
+import { RoundBudget } from './round-limits.js';
 import { newRun } from './runs.js';
 import type { WaitingStep } from './waiting-steps.js';
 import { byUrgency, waitingStepsOf } from './waiting-steps.js';
 import type { WorkerState } from './worker-state.js';
 
+/**
+ * - `placed`: every task that can be started now has a place.
+ * - `placeless`: a task found no place.
+ * - `cut-short`: the limits of the round ended it.
+ */
+type StepOutcome = 'placed' | 'placeless' | 'cut-short';
+
 /** Gives waiting tasks to workers. */
 export class TaskPlacer {
   readonly #state: ClusterState;
 
   readonly #placement: PlacementPolicy;
 
+  readonly #turns = new PlacingTurns();
+
   constructor(state: ClusterState, placement: PlacementPolicy) {
     this.#state = state;
     this.#placement = placement;
   }
 
-  /** Binds what can be started now to workers, the most urgent first. */
-  placeAll(nowMs: number): void {
-    const waiting = [...this.#waitingSteps()].sort(byUrgency);
+  /**
+   * Binds what can be started now to workers, the most urgent first. Returns whether the limits
+   * ended it while there may be room for more.
+   */
+  placeAll(nowMs: number, limits: RoundLimits): boolean {
+    const waiting = this.#turns.inOrder([...this.#waitingSteps()].sort(byUrgency));
+    // From here on: with thousands of waiting steps the sorting takes its time as well.
+    const budget = new RoundBudget(limits);
     const places = new RoundPlaces(this.#state.workers.values(), this.#placement, nowMs);
-    for (const step of waiting) {
+    const placeless: WaitingStep[] = [];
+    for (const [count, step] of waiting.entries()) {
+      // One step at least is tried, however late it is.
+      const mayGoOn = budget.hasStarts && (count === 0 || budget.hasTime);
+      if (!mayGoOn) return this.#cutShort(budget, count, placeless);
       const ofKind = places.of(step.spec, step.queue.pool);
-      if (step.spec.gang) this.#placeGang(step, ofKind, nowMs);
-      else this.#placeTasks(step, ofKind, nowMs);
+      const outcome = step.spec.gang
+        ? this.#placeGang(step, ofKind, budget, nowMs)
+        : this.#placeTasks(step, ofKind, budget, nowMs);
+      if (outcome === 'placeless') placeless.push(step);
+      if (outcome === 'cut-short') {
+        this.#cutShort(budget, count, placeless);
+        return true;
+      }
     }
+    this.#turns.beginAnew();
+    return false;
+  }
+
+  /** Returns whether any step is left that was not tried. */
+  #cutShort(budget: RoundBudget, count: number, placeless: readonly WaitingStep[]): boolean {
+    if (budget.hasStarts) return this.#turns.cutShort(count, placeless);
+    this.#turns.beginAnew();
+    return true;
   }
 
   *#waitingSteps(): Generator<WaitingStep> {
@@ -44,22 +80,37 @@
     }
   }
 
-  #placeTasks(step: WaitingStep, places: KindPlaces, nowMs: number): void {
+  #placeTasks(
+    step: WaitingStep,
+    places: KindPlaces,
+    budget: RoundBudget,
+    nowMs: number,
+  ): StepOutcome {
+    let started = 0;
     for (let index = 0; index < step.tasks.length; index += 1) {
       const task = step.tasks[index]!;
       if (task.phase === 'waiting') {
+        if (started > 0 && !(budget.hasStarts && budget.hasTime)) return 'cut-short';
         const ref = { ...step.ref, index };
         const worker = places.choose({ ref, spec: step.spec, avoid: task.worker });
         // The tasks of a step are alike: where one finds no place, the next finds none either.
-        if (!worker) return;
+        if (!worker) return 'placeless';
         this.#bind(step, ref, task, worker, task.run + 1, nowMs);
+        budget.started(1);
+        started += 1;
       }
     }
+    return 'placed';
   }
 
   /** All members or none: a part of a gang would hold its room and wait in vain. */
-  #placeGang(step: WaitingStep, places: KindPlaces, nowMs: number): void {
-    if (step.tasks.some(({ phase }) => phase !== 'waiting')) return;
+  #placeGang(
+    step: WaitingStep,
+    places: KindPlaces,
+    budget: RoundBudget,
+    nowMs: number,
+  ): StepOutcome {
+    if (step.tasks.some(({ phase }) => phase !== 'waiting')) return 'placed';
     const run = Math.max(...step.tasks.map((task) => task.run)) + 1;
     const placed: [TaskRef, WorkerState][] = [];
     for (let index = 0; index < step.tasks.length; index += 1) {
@@ -72,13 +123,15 @@
     }
     for (const [ref, worker] of placed) worker.remove(taskName(ref));
     if (placed.length > 0) places.roomReturned();
-    if (placed.length < step.tasks.length) return;
+    if (placed.length < step.tasks.length) return 'placeless';
     const { checkpoint } = step.tasks[0]!;
     for (const [ref, worker] of placed) {
       const task = step.tasks[ref.index]!;
       task.checkpoint = checkpoint;
       this.#bind(step, ref, task, worker, run, nowMs);
     }
+    budget.started(placed.length);
+    return 'placed';
   }
 
   #bind(
--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -11,6 +11,8 @@
 import type { PlacementPolicy } from './internal/placement.js';
 import { MostLeftOver } from './internal/placement.js';
 import type { PressWeights } from './internal/press-model.js';
+import type { RoundLimits } from './internal/round-limits.js';
+import { NO_LIMITS } from './internal/round-limits.js';
 import { ReportReader } from './internal/report-reader.js';
 import { boundTasks, findTask, newRun, unlistedEntry } from './internal/runs.js';
 import { TailModel } from './internal/tail-model.js';
@@ -18,6 +20,7 @@
 import type { WorkerRun, WorkerState } from './internal/worker-state.js';
 
 export type { Note, SchedulerTiming } from './internal/cluster-state.js';
+export type { RoundLimits } from './internal/round-limits.js';
 
 /** How long a worker that had no room is left alone, in ms: until its next ends are known. */
 const FULL_PAUSE_MS = 200;
@@ -29,6 +32,8 @@
   readonly orders: readonly Order[];
   /** By worker: ends that may be acknowledged once the changes are stored. */
   readonly acks: ReadonlyMap<string, number>;
+  /** The limits ended the placing while there may be room for more: another round is due soon. */
+  readonly isCutShort: boolean;
 }
 
 /**
@@ -187,13 +192,14 @@
 
   /**
    * Everything that follows from what was handed in since the last call. The stops among the orders
-   * need not wait for the changes to be stored.
+   * need not wait for the changes to be stored. The limits hold for the placing of waiting tasks
+   * alone: stops, ends and leases that are over wait for no later round.
    */
-  decide(nowMs: number, timeOfDayMs: number): Decisions {
+  decide(nowMs: number, timeOfDayMs: number, limits: RoundLimits = NO_LIMITS): Decisions {
     this.#state.timeOfDayMs = timeOfDayMs;
     this.#expireSilent(nowMs);
     this.#openDue(timeOfDayMs);
-    this.#placer.placeAll(nowMs);
+    const isCutShort = this.#placer.placeAll(nowMs, limits);
     this.#stopUnwanted(nowMs);
     this.#closeCompleted(timeOfDayMs);
     const decisions = {
@@ -202,6 +208,7 @@
       acks: new Map(
         [...this.#state.endsProcessed].map((worker) => [worker.entry.id, worker.processedEnd]),
       ),
+      isCutShort,
     };
     this.#state.changed.clear();
     this.#state.orders = [];
--- a/packages/runtime/src/internal/leader-term.ts
+++ b/packages/runtime/src/internal/leader-term.ts
@@ -11,10 +11,10 @@
 import type { StoredClaim } from './leader-writer.js';
 import { LeaderWriter } from './leader-writer.js';
 import { LinkStarter } from './link-starter.js';
+import { RoundPacing } from './round-pacing.js';
 import { silentWorkers } from './silent-workers.js';
 import { TermLeases } from './term-leases.js';
 import {
-  GATHER_MS,
   LEADER_WRITE_MS,
   LEASE_MS,
   ROUND_MS,
@@ -66,9 +66,7 @@
 
   readonly #stopping = new AbortController();
 
-  #wake = new AbortController();
-
-  #isWoken = false;
+  readonly #pacing = new RoundPacing(this.#stopping.signal, (order) => this.#send(order));
 
   #isResigning = false;
 
@@ -152,7 +150,7 @@
 
   stop(): void {
     this.#stopping.abort();
-    this.#wake.abort();
+    this.#pacing.wake();
     this.#writer.stop();
   }
 
@@ -162,7 +160,7 @@
    */
   async resign(): Promise<void> {
     this.#isResigning = true;
-    this.#wakeUp();
+    this.#pacing.wake();
     await this.#ended;
   }
 
@@ -187,18 +185,18 @@
     this.#scheduler.report(worker, report, askedMs, steadyMs());
     // Most reports change nothing. With hundreds of workers a round for each of them would take a
     // third of a core, and orders would lie for seconds on a node that has no more.
-    if (isFirst || this.#scheduler.hasNews) this.#wakeUp();
+    if (isFirst || this.#scheduler.hasNews) this.#pacing.wake();
   }
 
   answered(order: Order, outcome: OrderOutcome, settledMs: number): void {
     this.#scheduler.answered(order, outcome, steadyMs(), settledMs);
-    if (outcome !== 'done') this.#wakeUp();
+    if (outcome !== 'done') this.#pacing.wake();
   }
 
   gone(worker: string, why: string): void {
     this.#scheduler.workerGone(worker, steadyMs(), why);
     this.#unlink(worker);
-    this.#wakeUp();
+    this.#pacing.wake();
   }
 
   /** A worker has seen a higher token: another node schedules. */
@@ -209,13 +207,11 @@
   }
 
   async #round(): Promise<void> {
-    if (!this.#isWoken) await delay(this.#waitMs(), this.#wake.signal);
-    await delay(GATHER_MS, this.#stopping.signal);
-    this.#wake = new AbortController();
-    this.#isWoken = false;
+    await this.#pacing.next(() => this.#waitMs());
     if (this.#stopping.signal.aborted) return;
     this.#unlinkGone();
-    const decisions = this.#scheduler.decide(steadyMs(), Date.now());
+    const beganMs = steadyMs();
+    const decisions = this.#scheduler.decide(beganMs, Date.now(), this.#pacing.limits);
     const writes: KeyedWrite[] = decisions.changed.map((job) => ({
       key: progressKey(job.spec.id),
       value: job.encode(),
@@ -240,6 +236,7 @@
       writes.push({ key: leaderKey(), value: encodeLeader(rec) });
     }
     const starts = this.#sendStops(decisions.orders);
+    this.#pacing.worked(beganMs);
     if (writes.length > 0) {
       const sentMs = steadyMs();
       if (!(await this.#write(writes))) {
@@ -256,7 +253,8 @@
     }
     this.#scheduler.acknowledge(decisions.acks);
     for (const id of decisions.acks.keys()) this.#links.get(id)?.acknowledged();
-    for (const order of starts) this.#send(order);
+    this.#pacing.send(starts);
+    if (decisions.isCutShort) this.#pacing.wakeWithRoom();
   }
 
   /**
@@ -298,11 +296,6 @@
     return Math.max(1, Math.min(ROUND_MS, dueMs - Date.now()));
   }
 
-  #wakeUp(): void {
-    this.#isWoken = true;
-    this.#wake.abort();
-  }
-
   #send(order: Order): void {
     const link = this.#links.get(order.worker);
     if (!link) {
@@ -342,7 +335,7 @@
       default:
         this.#scheduler.dropJob(change.id);
     }
-    this.#wakeUp();
+    this.#pacing.wake();
   }
 
   /**
@@ -359,7 +352,7 @@
     const config = this.#config.current;
     if (!config) return;
     this.#scheduler.setQueues(config.queues);
-    this.#wakeUp();
+    this.#pacing.wake();
   }
 
   #link(id: string): void {
--- /dev/null
+++ b/packages/runtime/src/internal/start-sender.ts
@@ -0,0 +1,79 @@
+import type { Order } from '@redwingcrank/jobs';
+import { delay, steadyMs } from './delay.js';
+import { UNSENT_STARTS_MS } from './timing.js';
+
+/** So many starts are sent at once, as many as links are begun. */
+const STARTS_AT_ONCE = 16;
+
+/** After these the node leaves this many times what they took: to answers, renewals and records. */
+const REST = 2;
+
+/** What a start is taken to cost before one was sent, the rest after it included, in milliseconds. */
+const FIRST_GUESS_MS = 4;
+
+/** How much the newest starts count in what a start is taken to cost. */
+const NEWEST = 0.2;
+
+/**
+ * Sends starts a few at a time. All those of a round at once kept a slow node from its renewals and
+ * its own record for as long as they took, and it was taken for dead.
+ */
+export class StartSender {
+  readonly #signal: AbortSignal;
+
+  readonly #send: (order: Order) => void;
+
+  #waiting: Order[] = [];
+
+  #isBusy = false;
+
+  #eachMs = FIRST_GUESS_MS;
+
+  #emptied: () => void = () => {};
+
+  constructor(signal: AbortSignal, send: (order: Order) => void) {
+    this.#signal = signal;
+    this.#send = send;
+  }
+
+  /** How many more starts can be taken on so that none waits for too long. */
+  get room(): number {
+    return Math.max(0, this.#most - this.#waiting.length);
+  }
+
+  get #most(): number {
+    return Math.max(STARTS_AT_ONCE, Math.floor(UNSENT_STARTS_MS / this.#eachMs));
+  }
+
+  send(orders: readonly Order[]): void {
+    this.#waiting.push(...orders);
+    if (!this.#isBusy) this.#drain();
+  }
+
+  /**
+   * Calls back when a round is worth its time again: at once where half the room is free, else when
+   * no start waits any more.
+   */
+  whenRoom(then: () => void): void {
+    if (this.room >= this.#most / 2) then();
+    else this.#emptied = then;
+  }
+
+  async #drain(): Promise<void> {
+    this.#isBusy = true;
+    while (this.#waiting.length > 0 && !this.#signal.aborted) {
+      const beganMs = steadyMs();
+      const orders = this.#waiting.splice(0, STARTS_AT_ONCE);
+      for (const order of orders) this.#send(order);
+      const tookMs = steadyMs() - beganMs;
+      if (this.#waiting.length > 0) await delay(REST * tookMs, this.#signal);
+      // A busy node is back later than it wanted.
+      const eachMs = Math.max((1 + REST) * tookMs, steadyMs() - beganMs) / orders.length;
+      this.#eachMs += NEWEST * (eachMs - this.#eachMs);
+    }
+    this.#isBusy = false;
+    const then = this.#emptied;
+    this.#emptied = () => {};
+    then();
+  }
+}
--- a/packages/runtime/src/internal/timing.ts
+++ b/packages/runtime/src/internal/timing.ts
@@ -108,3 +108,23 @@
 
 /** Inputs that arrive within this time are decided on together. */
 export const GATHER_MS = 3;
+
+/**
+ * A round looks for places no longer than this. It is one piece of work: meanwhile no lease is
+ * renewed and no stop is sent. On a node with a third of a core its other parts take as long again,
+ * and both together a third of the time in which the node's own record is due.
+ */
+export const PLACING_MS = 30;
+
+/**
+ * After a round the node leaves as much time to its links and records as the round took, and this
+ * at most: the next one writes the node's own record. With rounds that follow each other at once, a
+ * node with a third of a core reached eight workers a second, and the leases of the others ended.
+ */
+export const MAX_ROUND_REST_MS = 250;
+
+/**
+ * Starts that are ordered and not sent yet take no longer than this to send. What turns out to be
+ * urgent stands behind them.
+ */
+export const UNSENT_STARTS_MS = 1_000;
