Large nodes claim the role before much smaller ones

Cause: the wait before a claim was one draw for all nodes, so the role fell to one of the many small nodes, which reach hundreds of workers too slowly. Change: the wait depends on the node's processor time (cpu_share x cores, a missing figure counts as 0.25). A node with less than half of the largest known waits 0.45 s longer, 0.9 s with a slow store or without a leader on record, and does not claim at once for its earlier life. The leader's record tells its size and the largest known: where none was larger nobody waits. Claims without a leader on record are preceded by a read too. A claim that may be stored yet is followed by the next one without that wait: with it late-claim_test failed, as its second claim came too late.

--- a/packages/fuzz/src/records/sound-records.ts
+++ b/packages/fuzz/src/records/sound-records.ts
@@ -35,6 +35,8 @@
   formerMs: 0,
   silent: { w1: 900 },
   number: 0,
+  cores: 1.35,
+  largestCores: 1.35,
 };
 
 const LEARNED = { web: { batch: 0.4 }, feed: { batch: 1.2 } };
--- a/packages/runtime/src/internal/leadership.ts
+++ b/packages/runtime/src/internal/leadership.ts
@@ -3,6 +3,7 @@
 import type { NodeSettings } from '../node-settings.js';
 import type { PlatformPort } from '../platform-port.js';
 import type { AppendOutcome } from '../keyed-log.js';
+import { ClaimOrder } from './claim-order.js';
 import type { ConfigWatch } from './config-watch.js';
 import { delay, steadyMs } from './delay.js';
 import { FaultLog } from './fault-log.js';
@@ -102,6 +103,8 @@
 
   readonly #faults: FaultLog;
 
+  readonly #order: ClaimOrder;
+
   readonly #stopping = new AbortController();
 
   /** Claims that were sent, by their nonce: one without an answer may be stored seconds later. */
@@ -109,6 +112,9 @@
 
   #refused: RefusedClaim | undefined;
 
+  /** The newest claim got no answer, and no leader has shown since. */
+  #isUnanswered = false;
+
   #term: LeaderTerm | undefined;
 
   readonly #startedMs = steadyMs();
@@ -138,6 +144,7 @@
     this.#follower = follower;
     this.#config = config;
     this.#faults = faults;
+    this.#order = new ClaimOrder(settings.cores);
     table.changes$.subscribe((change) => {
       if (change.kind === 'leader') this.#leaderSeen(change.leader);
     });
@@ -168,30 +175,36 @@
       return false;
     }
     const { leader, leaderSeenMs } = this.#table;
-    if (!leader || leader.resigned || this.#wasLeader(leader)) return true;
+    if (!leader || leader.resigned || this.#mayReturn(leader)) return true;
     // After a silence of the store this node may read again before the leader can write again.
     // Counted from its last record it would be taken for dead just then, having lost nothing.
     const silentMs = nowMs - Math.max(leaderSeenMs, this.#startedMs, this.#blindMs);
     return silentMs > this.#silentLimitMs() + this.#patienceMs;
   }
 
+  get #isRegular(): boolean {
+    return this.#table.leaderGapMs <= REGULAR_GAP_MS;
+  }
+
   #silentLimitMs(): number {
-    const isRegular = this.#table.leaderGapMs <= REGULAR_GAP_MS;
-    return isRegular ? LEADER_SILENT_MS : SLOW_LEADER_SILENT_MS;
+    return this.#isRegular ? LEADER_SILENT_MS : SLOW_LEADER_SILENT_MS;
   }
 
   /**
    * The leader on record is an earlier life of this node, so it is certainly over. After all nodes
-   * have lost power at once every other one waits for that leader in vain.
+   * have lost power at once every other one waits for that leader in vain. A small node waits with
+   * them all the same: larger ones may live, and take its earlier life for dead only later.
    */
-  #wasLeader({ node }: LeaderRecord): boolean {
-    return node === this.#settings.node;
+  #mayReturn({ node }: LeaderRecord): boolean {
+    return node === this.#settings.node && !this.#order.isBehind;
   }
 
   async #claimRole(): Promise<void> {
     const { leader } = this.#table;
-    const spreadMs = leader && this.#wasLeader(leader) ? 0 : randomInt(CLAIM_SPREAD_MS);
-    await delay(spreadMs, this.#stopping.signal);
+    const mayReturn = leader !== undefined && this.#mayReturn(leader);
+    const free = { leader, isRegular: this.#isRegular, hasClaimed: this.#isUnanswered };
+    const waitMs = mayReturn ? 0 : this.#order.waitMs(free);
+    await delay(waitMs, this.#stopping.signal);
     if (!this.#isRoleFree() || !(await this.#isSureOfSilence())) return;
     const before = this.#table.leader;
     const record = {
@@ -203,6 +216,8 @@
       formerMs: this.#formerMs(before),
       silent: {},
       number: 0,
+      cores: this.#order.cores,
+      largestCores: this.#order.largestCores,
     };
     this.#table.formerLeases.claiming(record.nonce);
     const sequence = randomInt(MAX_FIRST_SEQUENCE);
@@ -221,6 +236,7 @@
     if (result.outcome === 'fenced' || result.outcome === 'out-of-sequence') {
       this.#refused = { epoch: record.epoch, atMs: steadyMs() };
     }
+    this.#isUnanswered = result.outcome === 'unknown';
     this.#nextClaimMs = steadyMs() + CLAIM_PAUSE_MS[result.outcome];
     // What became of an unanswered claim shows in the log, as does that of every other.
     this.#follower.hurry();
@@ -242,12 +258,13 @@
    * Asks the store once more whether the leader has written nothing. The view may be fresh from a
    * read that was answered as the store fell silent: then it is the store that the leader has lost,
    * and a claim, stored when it is back, would replace a node that goes on working. A store that
-   * answers now would have taken the leader's records.
+   * answers now would have taken the leader's records. A claim of another node shows as well.
    */
   async #isSureOfSilence(): Promise<boolean> {
     const { leader } = this.#table;
     const { next } = this.#follower;
-    if (!leader || leader.resigned || this.#wasLeader(leader) || next === undefined) return true;
+    const isOver = leader && (leader.resigned || this.#mayReturn(leader));
+    if ((isOver && !this.#order.isBehind) || next === undefined) return true;
     try {
       const { records } = await this.#port.workLog.read(next, 0);
       return this.#isRoleFree() && !records.some(({ key }) => isLeaderKey(key));
@@ -272,6 +289,8 @@
 
   #leaderSeen(leader: LeaderRecord): void {
     this.#nextClaimMs = -Infinity;
+    this.#isUnanswered = false;
+    this.#order.leaderSeen(leader);
     const claim = this.#claims.get(leader.nonce);
     if (!claim || leader.resigned || this.#term) return;
     this.#claims.clear();
--- a/packages/runtime/src/internal/timing.ts
+++ b/packages/runtime/src/internal/timing.ts
@@ -76,6 +76,16 @@
 /** Claims of several nodes are spread over this time, so that the first one is seen by the rest. */
 export const CLAIM_SPREAD_MS = 400;
 
+/** The same of large nodes, which are few, and read a leader's last record at different times. */
+export const LARGE_CLAIM_SPREAD_MS = 60;
+
+/**
+ * Much smaller nodes claim so much later than large ones. A large node reads the leader's last record
+ * up to 260 ms after a small one, looks up to 100 ms later whether the role is free, and draws up to
+ * 60 ms; 30 ms are left for its claim to be stored.
+ */
+export const CLAIM_ORDER_MS = 450;
+
 /** A start that has not reached its worker within this time takes no effect there any more. */
 export const START_WINDOW_MS = 1_500;
 
--- a/packages/runtime/src/internal/work-records.ts
+++ b/packages/runtime/src/internal/work-records.ts
@@ -39,6 +39,10 @@
   readonly silent: Readonly<Record<string, number>>;
   /** Counts the records of this term; the claim has 0. */
   readonly number: number;
+  /** Processor time of the node, in cores; absent where it does not tell. */
+  readonly cores?: number;
+  /** The same of the largest node that it has heard of, itself counted; absent without the other. */
+  readonly largestCores?: number;
 }
 
 /** For records of nodes that do not tell of their leases yet. */
@@ -95,7 +99,12 @@
   if (!isTime(formerMs)) return wrongType('formerMs');
   if (!isTable(silent, isTime)) return wrongType('silent');
   if (!isTime(number)) return wrongType('number');
-  return { value: { epoch, node, nonce, resigned, leasesMs, formerMs, silent, number } };
+  const { cores, largestCores } = rec;
+  if (cores !== undefined && !isTime(cores)) return wrongType('cores');
+  if (largestCores !== undefined && !isTime(largestCores)) return wrongType('largestCores');
+  const told = { epoch, node, nonce, resigned, leasesMs, formerMs, silent, number };
+  if (cores === undefined || largestCores === undefined) return { value: told };
+  return { value: { ...told, cores, largestCores } };
 }
 
 export function encodeLearned(weights: PressWeights): string {
--- a/packages/runtime/src/node-settings.ts
+++ b/packages/runtime/src/node-settings.ts
@@ -2,6 +2,8 @@
 export interface NodeSettings {
   readonly node: string;
   readonly dataCentre: string;
+  /** Its processor time, in cores; undefined where the platform does not tell. */
+  readonly cores: number | undefined;
   /** The longest lease that a worker grants, in milliseconds. */
   readonly maxLeaseMs: number;
   /** How long a stop may take, in milliseconds. */
--- a/packages/runtime/src/test/broken-work-records_test.ts
+++ b/packages/runtime/src/test/broken-work-records_test.ts
@@ -26,6 +26,8 @@
   formerMs: 0,
   silent: { w1: 900 },
   number: 0,
+  cores: 1.35,
+  largestCores: 1.35,
 };
 
 /** Values that are neither a job, nor progress, nor a leader, nor weights. */
@@ -42,6 +44,8 @@
   { ...LEADER, formerMs: -1 },
   { ...LEADER, silent: [] },
   { ...LEADER, silent: { w1: 'soon' }, number: 0 },
+  { ...LEADER, cores: '1.35' },
+  { ...LEADER, largestCores: null },
 ];
 
 let table: WorkTable;
--- a/packages/runtime/src/test/fixtures.ts
+++ b/packages/runtime/src/test/fixtures.ts
@@ -18,6 +18,7 @@
   return {
     node,
     dataCentre: 'a',
+    cores: undefined,
     maxLeaseMs: 6_000,
     stopTimeoutMs: 500,
     keepStateMs: 120_000,
