A small leader hands the role on to a much larger node

Cause: a node kept the scheduling role whoever else lived. A small leader that came to it while no large node was there stayed, deaf for seconds at a time. Change: a node with over twice the leader's processor time that has followed it for 8 s writes an offer (a keyed record); the leader, in office for 8 s, resigns and names it; the others leave it the claim for 0.8 s. Sizes at least double with each hand-over, so none goes back. No offers while a read takes over 0.15 s. After one that came to nothing none is heeded for a minute, then two. How workers' leases fare when hundreds are to be reached anew was not measured.

--- a/packages/fuzz/src/records/sound-records.ts
+++ b/packages/fuzz/src/records/sound-records.ts
@@ -1,7 +1,12 @@
 import type { JobSpec } from '@redwingcrank/jobs';
 import { JobProgress, PLAIN_STEP } from '@redwingcrank/jobs';
 import { SOUND_CONFIG, SOUND_ENTRY } from '@redwingcrank/platform/fuzzing';
-import { encodeJob, encodeLeader, encodeLearned } from '@redwingcrank/runtime/work-table';
+import {
+  encodeJob,
+  encodeLeader,
+  encodeLearned,
+  encodeOffer,
+} from '@redwingcrank/runtime/work-table';
 
 /** What a node reads: records of the store, and answers of workers. */
 export type RecordKind =
@@ -13,6 +18,7 @@
   | 'cancel'
   | 'leader'
   | 'learned'
+  | 'offer'
   | 'report'
   | 'order-answer';
 
@@ -60,6 +66,8 @@
       return of(`c/${id}`, '1');
     case 'leader':
       return of('leader', encodeLeader({ ...LEADER, epoch: 1 + (which % IDS) }));
+    case 'offer':
+      return of('offer', encodeOffer({ node: 'n2', cores: 1.35, epoch: 1 + (which % IDS) }));
     default:
       return of('learned', encodeLearned(LEARNED));
   }
--- a/packages/fuzz/src/targets/store-records.ts
+++ b/packages/fuzz/src/targets/store-records.ts
@@ -34,7 +34,7 @@
     ...Array<'worker'>(4).fill('worker'),
     ...Array<'report'>(2).fill('report'),
     ...Array<'progress'>(2).fill('progress'),
-    ...(['config', 'wave', 'job', 'cancel', 'leader', 'learned', 'order-answer'] as const),
+    ...(['config', 'wave', 'job', 'cancel', 'leader', 'learned', 'offer', 'order-answer'] as const),
   ),
   which: fc.nat({ max: 8 }),
   mutations: fc.array(fc.oneof(mutation, nearlySoundMutation), { maxLength: MAX_MUTATIONS }),
--- a/packages/runtime/src/internal/claim-order.ts
+++ b/packages/runtime/src/internal/claim-order.ts
@@ -60,6 +60,11 @@
     return this.cores * MUCH < cores;
   }
 
+  /** Whether this node should rather schedule than one of so many cores. */
+  isMuchLarger(cores: number): boolean {
+    return cores * MUCH < this.cores;
+  }
+
   leaderSeen({ cores = 0, largestCores = 0 }: LeaderRecord): void {
     this.#isTold = cores > 0;
     this.#largestCores = Math.max(this.#largestCores, cores, largestCores);
--- a/packages/runtime/src/internal/leader-term.ts
+++ b/packages/runtime/src/internal/leader-term.ts
@@ -157,10 +157,11 @@
   }
 
   /**
-   * Gives the role up with the next write, so that another node need not wait for this one's
+   * Gives the role up with the next write, so that another node, or the successor, need not wait for
    * silence. Until that is stored this node goes on: with a slow store, work would stand still.
    */
-  async resign(): Promise<void> {
+  async resign(successor?: string): Promise<void> {
+    this.#leases.successor = successor;
     this.#isResigning = true;
     this.#wakeUp();
     await this.#ended;
--- a/packages/runtime/src/internal/leadership.ts
+++ b/packages/runtime/src/internal/leadership.ts
@@ -7,6 +7,7 @@
 import type { ConfigWatch } from './config-watch.js';
 import { delay, steadyMs } from './delay.js';
 import { FaultLog } from './fault-log.js';
+import { HandOver } from './hand-over.js';
 import type { KeyedFollower } from './keyed-follower.js';
 import type { StoredClaim } from './leader-writer.js';
 import { LEADER_WRITER } from './leader-writer.js';
@@ -16,12 +17,13 @@
   CLAIM_SPREAD_MS,
   CONFIRMED_LEASE_MS,
   LEADER_SILENT_MS,
+  QUICK_STORE_MS,
   SLOW_LEADER_SILENT_MS,
   UNTOLD_LEASE_MS,
   surelyOverMs,
 } from './timing.js';
-import type { LeaderRecord } from './work-records.js';
-import { encodeLeader, isLeaderKey, leaderKey } from './work-records.js';
+import type { LeaderRecord, OfferRecord } from './work-records.js';
+import { encodeLeader, encodeOffer, isLeaderKey, leaderKey, offerKey } from './work-records.js';
 import type { WorkTable } from './work-table.js';
 
 /** How often a node looks whether the scheduling role is free, in milliseconds. */
@@ -105,6 +107,8 @@
 
   readonly #order: ClaimOrder;
 
+  readonly #handOver: HandOver;
+
   readonly #stopping = new AbortController();
 
   /** Claims that were sent, by their nonce: one without an answer may be stored seconds later. */
@@ -145,9 +149,11 @@
     this.#config = config;
     this.#faults = faults;
     this.#order = new ClaimOrder(settings.cores);
+    this.#handOver = new HandOver(settings.node, this.#order);
     table.changes$.subscribe((change) => {
       if (change.kind === 'leader') this.#leaderSeen(change.leader);
     });
+    table.offers$.subscribe((offer) => this.#offerSeen(offer));
   }
 
   get isLeading(): boolean {
@@ -158,6 +164,7 @@
     while (!this.#stopping.signal.aborted) {
       await delay(LOOK_MS, this.#stopping.signal);
       if (this.#isRoleFree()) await this.#claimRole();
+      else this.#offerWhenDue();
     }
   }
 
@@ -175,7 +182,8 @@
       return false;
     }
     const { leader, leaderSeenMs } = this.#table;
-    if (!leader || leader.resigned || this.#mayReturn(leader)) return true;
+    if (leader?.resigned) return nowMs >= this.#handOver.leftUntilMs(leader, leaderSeenMs);
+    if (!leader || this.#mayReturn(leader)) return true;
     // After a silence of the store this node may read again before the leader can write again.
     // Counted from its last record it would be taken for dead just then, having lost nothing.
     const silentMs = nowMs - Math.max(leaderSeenMs, this.#startedMs, this.#blindMs);
@@ -195,8 +203,44 @@
    * have lost power at once every other one waits for that leader in vain. A small node waits with
    * them all the same: larger ones may live, and take its earlier life for dead only later.
    */
-  #mayReturn({ node }: LeaderRecord): boolean {
-    return node === this.#settings.node && !this.#order.isBehind;
+  #mayReturn(leader: LeaderRecord): boolean {
+    if (this.#handOver.isSuccessor(leader)) return true;
+    const isOwn = leader.node === this.#settings.node && !this.#handOver.hasGiven(leader);
+    return isOwn && !this.#order.isBehind;
+  }
+
+  /** Offers to take the role of a smaller leader, where it is time and the store is quick. */
+  #offerWhenDue(): void {
+    const nowMs = steadyMs();
+    const offer = this.#handOver.due(nowMs);
+    const { next, freshMs } = this.#follower;
+    if (!offer || next === undefined || nowMs - freshMs > MAX_VIEW_AGE_MS || this.#term) return;
+    this.#handOver.offerSeen(offer, nowMs);
+    this.#offer(offer, next).catch((err) => this.#log.emit('info', 'offer-put-off', reasonOf(err)));
+  }
+
+  async #offer(offer: OfferRecord, next: number): Promise<void> {
+    const askedMs = steadyMs();
+    await this.#port.workLog.read(next, 0);
+    const tookMs = Math.round(steadyMs() - askedMs);
+    if (tookMs > QUICK_STORE_MS || this.#stopping.signal.aborted) {
+      this.#log.emit('info', 'offer-put-off', { reason: 'slow-store', tookMs });
+      return;
+    }
+    const { outcome } = await this.#port.workLog.append([
+      { key: offerKey(), value: encodeOffer(offer) },
+    ]);
+    this.#log.emit('info', 'offer', { epoch: offer.epoch, cores: offer.cores, outcome });
+  }
+
+  #offerSeen(offer: OfferRecord): void {
+    const nowMs = steadyMs();
+    this.#handOver.offerSeen(offer, nowMs);
+    if (!this.#term || !this.#handOver.isAccepted(offer, nowMs)) return;
+    const { node, cores, epoch } = offer;
+    this.#log.emit('info', 'hand-over', { epoch, successor: node, cores });
+    this.#handOver.given(epoch);
+    this.#term.resign(node);
   }
 
   async #claimRole(): Promise<void> {
@@ -269,8 +313,7 @@
       const { records } = await this.#port.workLog.read(next, 0);
       return this.#isRoleFree() && !records.some(({ key }) => isLeaderKey(key));
     } catch (err) {
-      const reason = err instanceof Error ? err.message : String(err);
-      this.#log.emit('info', 'claim-put-off', { reason });
+      this.#log.emit('info', 'claim-put-off', reasonOf(err));
       return false;
     }
   }
@@ -291,6 +334,9 @@
     this.#nextClaimMs = -Infinity;
     this.#isUnanswered = false;
     this.#order.leaderSeen(leader);
+    if (this.#handOver.leaderSeen(leader, steadyMs())) {
+      this.#log.emit('warn', 'hand-over-missed', { epoch: leader.epoch, leader: leader.node });
+    }
     const claim = this.#claims.get(leader.nonce);
     if (!claim || leader.resigned || this.#term) return;
     this.#claims.clear();
@@ -322,3 +368,7 @@
     this.#patienceMs = CLAIM_SPREAD_MS;
   }
 }
+
+function reasonOf(err: unknown): { readonly reason: string } {
+  return { reason: err instanceof Error ? err.message : String(err) };
+}
--- a/packages/runtime/src/internal/term-leases.ts
+++ b/packages/runtime/src/internal/term-leases.ts
@@ -40,6 +40,9 @@
 
   #written: ReadonlySet<string> = new Set();
 
+  /** For whom the role is given up. */
+  successor: string | undefined;
+
   constructor(
     claim: LeaderRecord,
     writer: Pick<LeaderWriter, 'confirmedMs'>,
@@ -92,6 +95,7 @@
       formerMs: Math.max(0, Math.ceil(this.#former.allEndMs - nowMs)),
       silent,
       number: this.#number,
+      ...(resigns && this.successor !== undefined ? { successor: this.successor } : {}),
     };
   }
 
--- a/packages/runtime/src/internal/timing.ts
+++ b/packages/runtime/src/internal/timing.ts
@@ -86,6 +86,34 @@
  */
 export const CLAIM_ORDER_MS = 450;
 
+/**
+ * A leader hands the role on, and is offered that, this long after its claim at the earliest: leases
+ * of the term before are over or renewed by then, so no worker goes two changes without a renewal.
+ */
+export const HAND_OVER_AFTER_MS = 8_000;
+
+/**
+ * After a hand-over that its successor did not take up no offer is heeded for so long, and after each
+ * further one for so much longer: such an offer may be anybody's record, and each costs the time of
+ * a claim.
+ */
+export const HAND_OVER_MISSED_MS = 60_000;
+
+/** A larger node repeats its offer, or follows another's, no sooner than this. */
+export const OFFER_EVERY_MS = 5_000;
+
+/** Offers of several nodes are spread over this time, so that the first is seen by the rest. */
+export const OFFER_SPREAD_MS = 2_000;
+
+/** With a store that takes longer than this for a read no node offers to take the role. */
+export const QUICK_STORE_MS = 150;
+
+/**
+ * So long all others leave the claim to the successor that a leader has named. It reads that up to
+ * 260 ms late, looks up to 100 ms later, and the others read its claim up to 260 ms after that.
+ */
+export const SUCCESSOR_MS = 800;
+
 /** A start that has not reached its worker within this time takes no effect there any more. */
 export const START_WINDOW_MS = 1_500;
 
--- a/packages/runtime/src/internal/work-records.ts
+++ b/packages/runtime/src/internal/work-records.ts
@@ -4,7 +4,7 @@
 import { UNTOLD_LEASE_MS, surelyOverMs } from './timing.js';
 
 /** Which kinds of records the work log holds. Their keys are one letter, a slash and the job. */
-export type WorkRecordKind = 'job' | 'progress' | 'cancel' | 'leader' | 'learned';
+export type WorkRecordKind = 'job' | 'progress' | 'cancel' | 'leader' | 'learned' | 'offer';
 
 const LETTERS: Readonly<Record<string, WorkRecordKind>> = {
   j: 'job',
@@ -16,6 +16,8 @@
 
 const LEARNED_KEY = 'learned';
 
+const OFFER_KEY = 'offer';
+
 /** Says which node schedules. */
 export interface LeaderRecord {
   /** The fencing token of its orders, and the epoch of its appends. */
@@ -43,6 +45,17 @@
   readonly cores?: number;
   /** The same of the largest node that it has heard of, itself counted; absent without the other. */
   readonly largestCores?: number;
+  /** For whom the node has given up the role. */
+  readonly successor?: string;
+}
+
+/** A node offers to take the role of a smaller leader. */
+export interface OfferRecord {
+  readonly node: string;
+  /** Its processor time, in cores. */
+  readonly cores: number;
+  /** The leader's. */
+  readonly epoch: number;
 }
 
 /** For records of nodes that do not tell of their leases yet. */
@@ -63,9 +76,12 @@
 
 export const learnedKey = (): string => LEARNED_KEY;
 
+export const offerKey = (): string => OFFER_KEY;
+
 export function parseKey(key: string): { kind: WorkRecordKind; id: string } | undefined {
   if (key === LEADER_KEY) return { kind: 'leader', id: '' };
   if (key === LEARNED_KEY) return { kind: 'learned', id: '' };
+  if (key === OFFER_KEY) return { kind: 'offer', id: '' };
   const kind = LETTERS[key.charAt(0)];
   if (!kind || key.charAt(1) !== '/') return undefined;
   return { kind, id: key.slice(2) };
@@ -99,12 +115,28 @@
   if (!isTime(formerMs)) return wrongType('formerMs');
   if (!isTable(silent, isTime)) return wrongType('silent');
   if (!isTime(number)) return wrongType('number');
-  const { cores, largestCores } = rec;
+  const { cores, largestCores, successor } = rec;
   if (cores !== undefined && !isTime(cores)) return wrongType('cores');
   if (largestCores !== undefined && !isTime(largestCores)) return wrongType('largestCores');
+  if (successor !== undefined && typeof successor !== 'string') return wrongType('successor');
   const told = { epoch, node, nonce, resigned, leasesMs, formerMs, silent, number };
-  if (cores === undefined || largestCores === undefined) return { value: told };
-  return { value: { ...told, cores, largestCores } };
+  const sizes = cores === undefined || largestCores === undefined ? {} : { cores, largestCores };
+  return { value: { ...told, ...sizes, ...(successor === undefined ? {} : { successor }) } };
+}
+
+export function encodeOffer(rec: OfferRecord): string {
+  return JSON.stringify(rec);
+}
+
+/** Who offers to take the role, according to a record. */
+export function decodeOffer(text: string): Decoded<OfferRecord> {
+  const rec = parseObject<OfferRecord>(text);
+  if (!rec) return { fault: { reason: 'unreadable', field: 'value' } };
+  const { node, cores, epoch } = rec;
+  if (typeof node !== 'string') return wrongType('node');
+  if (!isTime(cores)) return wrongType('cores');
+  if (!isEpoch(epoch)) return wrongType('epoch');
+  return { value: { node, cores, epoch } };
 }
 
 export function encodeLearned(weights: PressWeights): string {
--- a/packages/runtime/src/internal/work-table.ts
+++ b/packages/runtime/src/internal/work-table.ts
@@ -7,8 +7,8 @@
 import type { FaultLog } from './fault-log.js';
 import { FormerLeases } from './former-leases.js';
 import { decodeJob } from './job-record.js';
-import type { LeaderRecord } from './work-records.js';
-import { decodeLeader, decodeLearned, parseKey } from './work-records.js';
+import type { LeaderRecord, OfferRecord } from './work-records.js';
+import { decodeLeader, decodeLearned, decodeOffer, parseKey } from './work-records.js';
 
 /** A job as the store has it. */
 export interface StoredJob {
@@ -59,6 +59,9 @@
 
   readonly changes$ = new Subject<WorkChange>();
 
+  /** Offers of nodes to take the leader's role. */
+  readonly offers$ = new Subject<OfferRecord>();
+
   /** The table of the node of this name; what it cannot use it tells the log of faults. */
   constructor(node: string, faults?: FaultLog) {
     this.formerLeases = new FormerLeases(node, steadyMs());
@@ -110,6 +113,9 @@
       case 'learned':
         this.#applyLearned(rec);
         break;
+      case 'offer':
+        this.#applyOffer(rec);
+        break;
       case 'job':
         this.#applyJob(key.id, rec);
         break;
@@ -176,6 +182,11 @@
     this.#wordOf(rec, learned !== undefined);
   }
 
+  #applyOffer(rec: KeyedRecord): void {
+    const offer = this.#decoded(rec, decodeOffer);
+    if (offer) this.offers$.next(offer);
+  }
+
   /**
    * Of what only the scheduling node writes. A record that cannot be used may be anybody's, and is no
    * sign that the node lives; it may be the node's too, and leases have been renewed since.
--- a/packages/runtime/src/test/broken-work-records_test.ts
+++ b/packages/runtime/src/test/broken-work-records_test.ts
@@ -46,6 +46,7 @@
   { ...LEADER, silent: { w1: 'soon' }, number: 0 },
   { ...LEADER, cores: '1.35' },
   { ...LEADER, largestCores: null },
+  { ...LEADER, successor: 7 },
 ];
 
 let table: WorkTable;
