--- a/packages/runtime/src/internal/leadership.ts
+++ b/packages/runtime/src/internal/leadership.ts
@@ -3,9 +3,11 @@
 import type { NodeSettings } from '../node-settings.js';
 import type { PlatformPort } from '../platform-port.js';
 import type { AppendOutcome } from '../keyed-log.js';
+import { ClaimOrder } from './claim-order.js';
 import type { ConfigWatch } from './config-watch.js';
 import { delay, steadyMs } from './delay.js';
 import { FaultLog } from './fault-log.js';
+import { HandOver } from './hand-over.js';
 import type { KeyedFollower } from './keyed-follower.js';
 import type { StoredClaim } from './leader-writer.js';
 import { LEADER_WRITER } from './leader-writer.js';
@@ -15,12 +17,13 @@
   CLAIM_SPREAD_MS,
   CONFIRMED_LEASE_MS,
   LEADER_SILENT_MS,
+  QUICK_STORE_MS,
   SLOW_LEADER_SILENT_MS,
   UNTOLD_LEASE_MS,
   surelyOverMs,
 } from './timing.js';
-import type { LeaderRecord } from './work-records.js';
-import { encodeLeader, isLeaderKey, leaderKey } from './work-records.js';
+import type { LeaderRecord, OfferRecord } from './work-records.js';
+import { encodeLeader, encodeOffer, isLeaderKey, leaderKey, offerKey } from './work-records.js';
 import type { WorkTable } from './work-table.js';
 
 /** How often a node looks whether the scheduling role is free, in milliseconds. */
@@ -102,6 +105,10 @@
 
   readonly #faults: FaultLog;
 
+  readonly #order: ClaimOrder;
+
+  readonly #handOver: HandOver;
+
   readonly #stopping = new AbortController();
 
   /** Claims that were sent, by their nonce: one without an answer may be stored seconds later. */
@@ -109,6 +116,9 @@
 
   #refused: RefusedClaim | undefined;
 
+  /** The newest claim got no answer, and no leader has shown since. */
+  #isUnanswered = false;
+
   #term: LeaderTerm | undefined;
 
   readonly #startedMs = steadyMs();
@@ -138,9 +148,12 @@
     this.#follower = follower;
     this.#config = config;
     this.#faults = faults;
+    this.#order = new ClaimOrder(settings.cores);
+    this.#handOver = new HandOver(settings.node, this.#order);
     table.changes$.subscribe((change) => {
       if (change.kind === 'leader') this.#leaderSeen(change.leader);
     });
+    table.offers$.subscribe((offer) => this.#offerSeen(offer));
   }
 
   get isLeading(): boolean {
@@ -151,6 +164,7 @@
     while (!this.#stopping.signal.aborted) {
       await delay(LOOK_MS, this.#stopping.signal);
       if (this.#isRoleFree()) await this.#claimRole();
+      else this.#offerWhenDue();
     }
   }
 
@@ -168,30 +182,73 @@
       return false;
     }
     const { leader, leaderSeenMs } = this.#table;
-    if (!leader || leader.resigned || this.#wasLeader(leader)) return true;
+    if (leader?.resigned) return nowMs >= this.#handOver.leftUntilMs(leader, leaderSeenMs);
+    if (!leader || this.#mayReturn(leader)) return true;
     // After a silence of the store this node may read again before the leader can write again.
     // Counted from its last record it would be taken for dead just then, having lost nothing.
     const silentMs = nowMs - Math.max(leaderSeenMs, this.#startedMs, this.#blindMs);
     return silentMs > this.#silentLimitMs() + this.#patienceMs;
   }
 
+  get #isRegular(): boolean {
+    return this.#table.leaderGapMs <= REGULAR_GAP_MS;
+  }
+
   #silentLimitMs(): number {
-    const isRegular = this.#table.leaderGapMs <= REGULAR_GAP_MS;
-    return isRegular ? LEADER_SILENT_MS : SLOW_LEADER_SILENT_MS;
+    return this.#isRegular ? LEADER_SILENT_MS : SLOW_LEADER_SILENT_MS;
   }
 
   /**
    * The leader on record is an earlier life of this node, so it is certainly over. After all nodes
-   * have lost power at once every other one waits for that leader in vain.
+   * have lost power at once every other one waits for that leader in vain. A small node waits with
+   * them all the same: larger ones may live, and take its earlier life for dead only later.
    */
-  #wasLeader({ node }: LeaderRecord): boolean {
-    return node === this.#settings.node;
+  #mayReturn(leader: LeaderRecord): boolean {
+    if (this.#handOver.isSuccessor(leader)) return true;
+    const isOwn = leader.node === this.#settings.node && !this.#handOver.hasGiven(leader);
+    return isOwn && !this.#order.isBehind;
+  }
+
+  /** Offers to take the role of a smaller leader, where it is time and the store is quick. */
+  #offerWhenDue(): void {
+    const nowMs = steadyMs();
+    const offer = this.#handOver.due(nowMs);
+    const { next, freshMs } = this.#follower;
+    if (!offer || next === undefined || nowMs - freshMs > MAX_VIEW_AGE_MS || this.#term) return;
+    this.#handOver.offerSeen(offer, nowMs);
+    this.#offer(offer, next).catch((err) => this.#log.emit('info', 'offer-put-off', reasonOf(err)));
+  }
+
+  async #offer(offer: OfferRecord, next: number): Promise<void> {
+    const askedMs = steadyMs();
+    await this.#port.workLog.read(next, 0);
+    const tookMs = Math.round(steadyMs() - askedMs);
+    if (tookMs > QUICK_STORE_MS || this.#stopping.signal.aborted) {
+      this.#log.emit('info', 'offer-put-off', { reason: 'slow-store', tookMs });
+      return;
+    }
+    const { outcome } = await this.#port.workLog.append([
+      { key: offerKey(), value: encodeOffer(offer) },
+    ]);
+    this.#log.emit('info', 'offer', { epoch: offer.epoch, cores: offer.cores, outcome });
+  }
+
+  #offerSeen(offer: OfferRecord): void {
+    const nowMs = steadyMs();
+    this.#handOver.offerSeen(offer, nowMs);
+    if (!this.#term || !this.#handOver.isAccepted(offer, nowMs)) return;
+    const { node, cores, epoch } = offer;
+    this.#log.emit('info', 'hand-over', { epoch, successor: node, cores });
+    this.#handOver.given(epoch);
+    this.#term.resign(node);
   }
 
   async #claimRole(): Promise<void> {
     const { leader } = this.#table;
-    const spreadMs = leader && this.#wasLeader(leader) ? 0 : randomInt(CLAIM_SPREAD_MS);
-    await delay(spreadMs, this.#stopping.signal);
+    const mayReturn = leader !== undefined && this.#mayReturn(leader);
+    const free = { leader, isRegular: this.#isRegular, hasClaimed: this.#isUnanswered };
+    const waitMs = mayReturn ? 0 : this.#order.waitMs(free);
+    await delay(waitMs, this.#stopping.signal);
     if (!this.#isRoleFree() || !(await this.#isSureOfSilence())) return;
     const before = this.#table.leader;
     const record = {
@@ -203,6 +260,8 @@
       formerMs: this.#formerMs(before),
       silent: {},
       number: 0,
+      cores: this.#order.cores,
+      largestCores: this.#order.largestCores,
     };
     this.#table.formerLeases.claiming(record.nonce);
     const sequence = randomInt(MAX_FIRST_SEQUENCE);
@@ -221,6 +280,7 @@
     if (result.outcome === 'fenced' || result.outcome === 'out-of-sequence') {
       this.#refused = { epoch: record.epoch, atMs: steadyMs() };
     }
+    this.#isUnanswered = result.outcome === 'unknown';
     this.#nextClaimMs = steadyMs() + CLAIM_PAUSE_MS[result.outcome];
     // What became of an unanswered claim shows in the log, as does that of every other.
     this.#follower.hurry();
@@ -242,18 +302,18 @@
    * Asks the store once more whether the leader has written nothing. The view may be fresh from a
    * read that was answered as the store fell silent: then it is the store that the leader has lost,
    * and a claim, stored when it is back, would replace a node that goes on working. A store that
-   * answers now would have taken the leader's records.
+   * answers now would have taken the leader's records. A claim of another node shows as well.
    */
   async #isSureOfSilence(): Promise<boolean> {
     const { leader } = this.#table;
     const { next } = this.#follower;
-    if (!leader || leader.resigned || this.#wasLeader(leader) || next === undefined) return true;
+    const isOver = leader && (leader.resigned || this.#mayReturn(leader));
+    if ((isOver && !this.#order.isBehind) || next === undefined) return true;
     try {
       const { records } = await this.#port.workLog.read(next, 0);
       return this.#isRoleFree() && !records.some(({ key }) => isLeaderKey(key));
     } catch (err) {
-      const reason = err instanceof Error ? err.message : String(err);
-      this.#log.emit('info', 'claim-put-off', { reason });
+      this.#log.emit('info', 'claim-put-off', reasonOf(err));
       return false;
     }
   }
@@ -272,6 +332,11 @@
 
   #leaderSeen(leader: LeaderRecord): void {
     this.#nextClaimMs = -Infinity;
+    this.#isUnanswered = false;
+    this.#order.leaderSeen(leader);
+    if (this.#handOver.leaderSeen(leader, steadyMs())) {
+      this.#log.emit('warn', 'hand-over-missed', { epoch: leader.epoch, leader: leader.node });
+    }
     const claim = this.#claims.get(leader.nonce);
     if (!claim || leader.resigned || this.#term) return;
     this.#claims.clear();
@@ -303,3 +368,7 @@
     this.#patienceMs = CLAIM_SPREAD_MS;
   }
 }
+
+function reasonOf(err: unknown): { readonly reason: string } {
+  return { reason: err instanceof Error ? err.message : String(err) };
+}
