--- a/packages/runtime/src/internal/keyed-follower.ts
+++ b/packages/runtime/src/internal/keyed-follower.ts
@@ -2,7 +2,7 @@
 import type { KeyedLog, KeyedRecord } from '../keyed-log.js';
 import { RecordsExpiredError } from '../keyed-log.js';
 import type { NodeLog } from '../node-log.js';
-import { delay, steadyMs } from './delay.js';
+import { Pause, steadyMs } from './delay.js';
 
 /** A follower's message: its view starts anew, one record of it, or it has caught up. */
 export type FollowerMessage =
@@ -36,7 +36,7 @@
 
   #gapMs: number;
 
-  #gap = new AbortController();
+  readonly #gap = new Pause();
 
   #next: number | undefined;
 
@@ -85,7 +85,7 @@
 
   /** Ends the present pause. */
   hurry(): void {
-    this.#gap.abort();
+    this.#gap.end();
   }
 
   /** From now on, how long to pause between reads, in milliseconds. */
@@ -96,7 +96,7 @@
 
   stop(): void {
     this.#stopping.abort();
-    this.#gap.abort();
+    this.#gap.end();
   }
 
   async #guarded(): Promise<void> {
@@ -171,10 +171,8 @@
   }
 
   async #pause(ms: number): Promise<void> {
-    if (ms === 0) return;
-    this.#gap = new AbortController();
-    if (this.#stopping.signal.aborted) return;
-    await delay(ms, this.#gap.signal);
+    if (ms === 0 || this.#stopping.signal.aborted) return;
+    await this.#gap.wait(ms);
   }
 }
 
--- a/packages/runtime/src/internal/leader-term.ts
+++ b/packages/runtime/src/internal/leader-term.ts
@@ -5,7 +5,7 @@
 import type { NodeLog } from '../node-log.js';
 import type { NodeSettings } from '../node-settings.js';
 import type { PlatformPort } from '../platform-port.js';
-import { delay, steadyMs } from './delay.js';
+import { Pause, delay, steadyMs } from './delay.js';
 import { FaultLog } from './fault-log.js';
 import { Housekeeping } from './housekeeping.js';
 import type { StoredClaim } from './leader-writer.js';
@@ -66,7 +66,7 @@
 
   readonly #stopping = new AbortController();
 
-  #wake = new AbortController();
+  readonly #idle = new Pause();
 
   #isWoken = false;
 
@@ -152,7 +152,7 @@
 
   stop(): void {
     this.#stopping.abort();
-    this.#wake.abort();
+    this.#idle.end();
     this.#writer.stop();
   }
 
@@ -209,9 +209,8 @@
   }
 
   async #round(): Promise<void> {
-    if (!this.#isWoken) await delay(this.#waitMs(), this.#wake.signal);
+    if (!this.#isWoken) await this.#idle.wait(this.#waitMs());
     await delay(GATHER_MS, this.#stopping.signal);
-    this.#wake = new AbortController();
     this.#isWoken = false;
     if (this.#stopping.signal.aborted) return;
     this.#unlinkGone();
@@ -265,20 +264,24 @@
    * the lasting tasks that nobody stopped there.
    */
   async #write(writes: readonly KeyedWrite[]): Promise<boolean> {
-    const over = new AbortController();
-    const looking = this.#sendStopsUntil(AbortSignal.any([over.signal, this.#stopping.signal]));
+    const appended = new Pause();
+    const state = { isUnderWay: true };
+    const looking = this.#sendStopsWhile(state, appended);
     try {
       return await this.#writer.write(writes);
     } finally {
-      over.abort();
+      state.isUnderWay = false;
+      appended.end();
       await looking;
     }
   }
 
-  async #sendStopsUntil(signal: AbortSignal): Promise<void> {
-    while (!signal.aborted) {
-      await delay(STOP_LOOK_MS, signal);
-      if (!signal.aborted) this.#sendStops(this.#scheduler.decideStops(steadyMs()));
+  async #sendStopsWhile(append: { isUnderWay: boolean }, appended: Pause): Promise<void> {
+    while (append.isUnderWay && !this.#stopping.signal.aborted) {
+      await appended.wait(STOP_LOOK_MS);
+      if (append.isUnderWay && !this.#stopping.signal.aborted) {
+        this.#sendStops(this.#scheduler.decideStops(steadyMs()));
+      }
     }
   }
 
@@ -300,7 +303,7 @@
 
   #wakeUp(): void {
     this.#isWoken = true;
-    this.#wake.abort();
+    this.#idle.end();
   }
 
   #send(order: Order): void {
--- a/packages/runtime/src/internal/worker-link.ts
+++ b/packages/runtime/src/internal/worker-link.ts
@@ -2,7 +2,7 @@
 import { taskName } from '@redwingcrank/jobs';
 import type { NodeLog } from '../node-log.js';
 import type { RenewResult, TaskWorkers, WorkerAddress } from '../task-workers.js';
-import { delay, steadyMs } from './delay.js';
+import { Pause, delay, steadyMs } from './delay.js';
 import {
   IDLE_RENEW_WAIT_MS,
   RENEW_RETRY_MS,
@@ -64,7 +64,7 @@
 
   #startedMs = Infinity;
 
-  #acked = new AbortController();
+  readonly #ackWait = new Pause();
 
   constructor(
     entry: WorkerEntry,
@@ -101,11 +101,12 @@
 
   stop(): void {
     this.#stopping.abort();
+    this.#ackWait.end();
   }
 
   /** Ends that this worker has listed may be acknowledged now. */
   acknowledged(): void {
-    this.#acked.abort();
+    this.#ackWait.end();
   }
 
   /** Sends an order until it is answered or it is of no more use, and tells what came of it. */
@@ -220,8 +221,7 @@
   async #untilAcked({ ended }: WorkerReport): Promise<void> {
     const last = ended.at(-1);
     if (!last || this.#listener.ackedEnd(this.id) >= last.number) return;
-    this.#acked = new AbortController();
-    await delay(ACK_WAIT_MS, AbortSignal.any([this.#acked.signal, this.#stopping.signal]));
+    if (!this.#stopping.signal.aborted) await this.#ackWait.wait(ACK_WAIT_MS);
   }
 
   #found(): void {
