--- a/packages/runtime/src/internal/leader-term.ts
+++ b/packages/runtime/src/internal/leader-term.ts
@@ -5,7 +5,7 @@
 import type { NodeLog } from '../node-log.js';
 import type { NodeSettings } from '../node-settings.js';
 import type { PlatformPort } from '../platform-port.js';
-import { delay, steadyMs } from './delay.js';
+import { Pause, steadyMs } from './delay.js';
 import { FaultLog } from './fault-log.js';
 import { Housekeeping } from './housekeeping.js';
 import type { StoredClaim } from './leader-writer.js';
@@ -274,22 +274,26 @@
    * the lasting tasks that nobody stopped there.
    */
   async #write(writes: readonly KeyedWrite[]): Promise<boolean> {
-    const over = new AbortController();
-    const looking = this.#sendStopsUntil(AbortSignal.any([over.signal, this.#stopping.signal]));
+    const appended = new Pause();
+    const state = { isUnderWay: true };
+    const looking = this.#sendStopsWhile(state, appended);
     this.#load.appendSent();
     try {
       return await this.#writer.write(writes);
     } finally {
       this.#load.appendEnded();
-      over.abort();
+      state.isUnderWay = false;
+      appended.end();
       await looking;
     }
   }
 
-  async #sendStopsUntil(signal: AbortSignal): Promise<void> {
-    while (!signal.aborted) {
-      await delay(STOP_LOOK_MS, signal);
-      if (!signal.aborted) this.#sendStops(this.#scheduler.decideStops(steadyMs()));
+  async #sendStopsWhile(append: { isUnderWay: boolean }, appended: Pause): Promise<void> {
+    while (append.isUnderWay && !this.#stopping.signal.aborted) {
+      await appended.wait(STOP_LOOK_MS);
+      if (append.isUnderWay && !this.#stopping.signal.aborted) {
+        this.#sendStops(this.#scheduler.decideStops(steadyMs()));
+      }
     }
   }
 
--- a/packages/runtime/src/internal/round-pacing.ts
+++ b/packages/runtime/src/internal/round-pacing.ts
@@ -1,5 +1,5 @@
 import type { Order, RoundLimits } from '@redwingcrank/jobs';
-import { delay, steadyMs } from './delay.js';
+import { Pause, delay, steadyMs } from './delay.js';
 import { StartSender } from './start-sender.js';
 import { GATHER_MS, MAX_ROUND_REST_MS, PLACING_MS } from './timing.js';
 
@@ -13,7 +13,7 @@
 
   readonly #starts: StartSender;
 
-  #wake = new AbortController();
+  readonly #idle = new Pause();
 
   #isWoken = false;
 
@@ -29,17 +29,16 @@
 
   /** Waits until the next round is asked for or due, and until it may begin. */
   async next(dueInMs: () => number): Promise<void> {
-    if (!this.#isWoken) await delay(dueInMs(), this.#wake.signal);
+    if (!this.#isWoken) await this.#idle.wait(dueInMs());
     const restMs = Math.min(this.#tookMs, MAX_ROUND_REST_MS) - (steadyMs() - this.#endedMs);
     await delay(Math.max(GATHER_MS, restMs), this.#signal);
-    this.#wake = new AbortController();
     this.#isWoken = false;
   }
 
   /** Asks for a round. */
   wake(): void {
     this.#isWoken = true;
-    this.#wake.abort();
+    this.#idle.end();
   }
 
   /** What the next round may place. */
--- a/packages/runtime/src/test/virtual-fleet.ts
+++ b/packages/runtime/src/test/virtual-fleet.ts
@@ -1,6 +1,5 @@
 import crypto from 'node:crypto';
 import { syncBuiltinESMExports } from 'node:module';
-import timers from 'node:timers/promises';
 import type { TestContext } from 'node:test';
 import { ConfigWatch } from '../internal/config-watch.js';
 import { KeyedFollower } from '../internal/keyed-follower.js';
@@ -27,6 +26,10 @@
 /** Turns of the event loop until all that a timer has set off is done. */
 const TURNS = 2;
 
+const DRAW_PRIME = 2 ** 31 - 1;
+
+const DRAW_FACTOR = 48_271;
+
 interface Timer {
   readonly dueMs: number;
   readonly fire: () => void;
@@ -46,9 +49,9 @@
 
   constructor(context: TestContext) {
     const { mock } = context;
-    const sleep = (ms: number, _: undefined, { signal }: { signal: AbortSignal }): Promise<void> =>
-      this.#sleep(ms, signal);
-    mock.method(timers, 'setTimeout', sleep as unknown as typeof timers.setTimeout);
+    const wait = (fire: () => void, ms: number): Timer => this.#add(ms, fire);
+    mock.method(globalThis, 'setTimeout', wait as unknown as typeof setTimeout);
+    mock.method(globalThis, 'clearTimeout', (timer: unknown) => this.#remove(timer));
     mock.method(performance, 'now', () => this.#nowMs);
     mock.method(crypto, 'randomInt', (below: number) => this.draw(below));
     syncBuiltinESMExports();
@@ -64,16 +67,16 @@
 
   /** Draws from now on depend on this alone. */
   seed(seed: number): void {
-    this.#state = seed;
+    this.#state = seed % DRAW_PRIME;
+    // The first draws of neighbouring seeds are alike.
+    for (let i = 0; i < 10; i += 1) this.draw(1);
   }
 
   /** A whole number from 0, below a bound. */
   draw(below: number): number {
-    // The generator is mulberry32.
-    this.#state = (this.#state + 0x6d2b79f5) | 0;
-    let mixed = Math.imul(this.#state ^ (this.#state >>> 15), 1 | this.#state);
-    mixed = (mixed + Math.imul(mixed ^ (mixed >>> 7), 61 | mixed)) ^ mixed;
-    return Math.floor((((mixed ^ (mixed >>> 14)) >>> 0) / 2 ** 32) * below);
+    // A multiplicative generator modulo a prime: enough to draw waits.
+    this.#state = (this.#state * DRAW_FACTOR) % DRAW_PRIME;
+    return Math.floor((this.#state / DRAW_PRIME) * below);
   }
 
   async pass(ms: number): Promise<void> {
@@ -100,20 +103,8 @@
     });
   }
 
-  #sleep(ms: number, signal: AbortSignal): Promise<void> {
-    if (signal.aborted) return Promise.reject(signal.reason);
-    return new Promise((resolve, reject) => {
-      let timer: Timer | undefined;
-      const aborted = (): void => {
-        this.#timers = this.#timers.filter((other) => other !== timer);
-        reject(signal.reason);
-      };
-      timer = this.#add(ms, () => {
-        signal.removeEventListener('abort', aborted);
-        resolve();
-      });
-      signal.addEventListener('abort', aborted, { once: true });
-    });
+  #remove(timer: unknown): void {
+    this.#timers = this.#timers.filter((other) => other !== timer);
   }
 
   #add(ms: number, fire: () => void): Timer {
