Figures of rounds in code that is not compiled yet

Cause: a new leader with a third of a core has hardly time to compile; warm figures did not show what its rounds cost.

--- a/packages/runtime/src/internal/timing.ts
+++ b/packages/runtime/src/internal/timing.ts
@@ -111,8 +111,8 @@
 
 /**
  * A round looks for places no longer than this. It is one piece of work: meanwhile no lease is
- * renewed and no stop is sent. On a node with a third of a core its other parts take as long again,
- * and both together a third of the time in which the node's own record is due.
+ * renewed and no stop is sent. On a node with a third of a core its other parts take up to three
+ * times as long, and all together half of the time in which the node's own record is due.
  */
 export const PLACING_MS = 30;
 
