A partition of its own for callers' jobs, so that a slow store ends no lease

Cause: the store carries out one append of a partition after another and refuses what would wait for two seconds. The records of the scheduling node were in that queue with the jobs of all nodes: with a store 60 times slower than usual none was confirmed, and all leases were over 7.6 s later. Change: jobs and cancels go to partition 1, what the scheduling node writes stays in partition 0. WorkFollower reads both: the callers' one is loaded after the other, so that no job is found without its progress; a term starts when each job that was begun is known; the progress of a job is deleted once the deletion of the job was read; each log is loaded anew without forgetting what the other said. A view that is being loaded counts as old, so that no job is denied meanwhile. Four faults put into the compiled code (both loaded at once, no wait for jobs, progress forgotten at a load, progress deleted first) each fail a test of work-follower_test. Runtime: 39 tests pass. Platform: 54 tests of 17 files pass; the six files without processes were not run.

--- a/packages/runtime/src/internal/keyed-follower.ts
+++ b/packages/runtime/src/internal/keyed-follower.ts
@@ -40,6 +40,9 @@
 
   #next: number | undefined;
 
+  /** How often the view was given up for a new one. */
+  #reloads = 0;
+
   #freshMs = -Infinity;
 
   #isLost = false;
@@ -88,6 +91,14 @@
     this.#gap.abort();
   }
 
+  /** Starts anew with the newest record of each key. */
+  reload(): void {
+    this.#reloads += 1;
+    this.#next = undefined;
+    this.#freshMs = -Infinity;
+    this.hurry();
+  }
+
   /** From now on, how long to pause between reads, in milliseconds. */
   setGap(gapMs: number): void {
     this.#gapMs = gapMs;
@@ -115,8 +126,11 @@
 
   async #load(): Promise<void> {
     const askedMs = steadyMs();
+    const reloads = this.#reloads;
     let page = await this.#source.newest('');
     const { end } = page;
+    // Until all pages are there, what is missing says nothing.
+    this.#freshMs = -Infinity;
     this.messages$.next({ kind: 'reset' });
     let { records } = page;
     this.#tell(records);
@@ -125,6 +139,7 @@
       records = page.records;
       this.#tell(records);
     }
+    if (reloads !== this.#reloads) return;
     // Read on from the first page's end: what changed while the pages came is read again.
     this.#next = end;
     this.#freshMs = askedMs;
@@ -134,7 +149,9 @@
   async #read(from: number): Promise<void> {
     // After an outage the store is asked at once: a wait there would keep the view old for longer.
     const waitMs = this.#isLost ? 0 : this.#settings.waitMs;
+    const reloads = this.#reloads;
     const { records, next, end, asOfMs } = await this.#source.read(from, waitMs);
+    if (reloads !== this.#reloads) return;
     this.#tell(records);
     this.#next = next;
     if (next >= end) {
--- a/packages/runtime/src/internal/leader-term.ts
+++ b/packages/runtime/src/internal/leader-term.ts
@@ -101,7 +101,7 @@
     this.#table = table;
     this.#config = config;
     this.#writer = new LeaderWriter(port.workLog, log, claim);
-    this.#housekeeping = new Housekeeping(table, settings.keepStateMs);
+    this.#housekeeping = new Housekeeping(table, port.jobLog, settings.keepStateMs);
     this.#linkStarter = new LinkStarter(this.#stopping.signal, (err) =>
       this.#failed('worker-link', err),
     );
--- a/packages/runtime/src/internal/leadership.ts
+++ b/packages/runtime/src/internal/leadership.ts
@@ -7,6 +7,7 @@
 import { delay, steadyMs } from './delay.js';
 import { FaultLog } from './fault-log.js';
 import type { KeyedFollower } from './keyed-follower.js';
+import type { WorkFollower } from './work-follower.js';
 import type { StoredClaim } from './leader-writer.js';
 import { LEADER_WRITER } from './leader-writer.js';
 import { LeaderTerm } from './leader-term.js';
@@ -26,12 +27,6 @@
 /** How often a node looks whether the scheduling role is free, in milliseconds. */
 const LOOK_MS = 100;
 
-/** The pause between reads of the scheduling node, in milliseconds: new jobs wait for them. */
-const LEADER_GAP_MS = 25;
-
-/** The same on nodes that only follow: each read costs processor time and a call. */
-export const FOLLOW_GAP_MS = 250;
-
 /**
  * A view this old says nothing about whether the leader is silent, in milliseconds: it may be the
  * store that is. While nothing is written, the pause between two reads and the wait of the second
@@ -96,6 +91,8 @@
 
   readonly #table: WorkTable;
 
+  readonly #work: WorkFollower;
+
   readonly #follower: KeyedFollower;
 
   readonly #config: ConfigWatch;
@@ -127,7 +124,7 @@
     settings: NodeSettings,
     log: NodeLog,
     table: WorkTable,
-    follower: KeyedFollower,
+    work: WorkFollower,
     config: ConfigWatch,
     faults = new FaultLog(log),
   ) {
@@ -135,7 +132,8 @@
     this.#settings = settings;
     this.#log = log;
     this.#table = table;
-    this.#follower = follower;
+    this.#work = work;
+    this.#follower = work.roles;
     this.#config = config;
     this.#faults = faults;
     table.changes$.subscribe((change) => {
@@ -286,20 +284,21 @@
       this.#faults,
     );
     this.#term = term;
-    this.#follower.setGap(LEADER_GAP_MS);
+    this.#work.setLeading(true);
     // The term starts after this record has been told to everyone, with the table up to it.
     setImmediate(() => this.#runTerm(term));
   }
 
   async #runTerm(term: LeaderTerm): Promise<void> {
     try {
+      await this.#work.whenWhole(this.#stopping.signal);
       await term.run();
     } catch (err) {
       const reason = err instanceof Error ? (err.stack ?? err.message) : String(err);
       this.#log.emit('error', 'term-failed', { reason });
     }
     this.#term = undefined;
-    this.#follower.setGap(FOLLOW_GAP_MS);
+    this.#work.setLeading(false);
     this.#patienceMs = CLAIM_SPREAD_MS;
   }
 }
--- a/packages/runtime/src/internal/work-table.ts
+++ b/packages/runtime/src/internal/work-table.ts
@@ -8,7 +8,7 @@
 import { FormerLeases } from './former-leases.js';
 import { decodeJob } from './job-record.js';
 import type { LeaderRecord } from './work-records.js';
-import { decodeLeader, decodeLearned, parseKey } from './work-records.js';
+import { decodeLeader, decodeLearned, parseKey, progressKey } from './work-records.js';
 
 /** A job as the store has it. */
 export interface StoredJob {
@@ -31,14 +31,19 @@
 
 const UNFIT: RecordFault = { reason: 'unreadable', field: 'value' };
 
-/** Records of a job that came before it: pages of a load are in no particular order. */
+/**
+ * Records of a job that came before it: its progress is read from another log, and pages of a load
+ * are in no particular order.
+ */
 interface EarlyRecords {
   progress?: KeyedRecord;
+  /** A record after it could not be read. */
+  isUnsure?: boolean;
   cancel?: KeyedRecord;
 }
 
 /**
- * Everything in the work log, as every node holds it: it answers callers from it, and whoever
+ * Everything in the logs of work, as every node holds it: it answers callers from it, and whoever
  * takes over scheduling starts from it. Only stored facts stand here. A record that cannot
  * be used changes nothing, but that a job may become unsure by it.
  */
@@ -49,6 +54,9 @@
 
   readonly #early = new Map<string, EarlyRecords>();
 
+  /** Jobs that are deleted, and their progress is not. */
+  readonly #outlived = new Set<string>();
+
   #leader: LeaderRecord | undefined;
 
   #leaderSeenMs = -Infinity;
@@ -91,12 +99,42 @@
     return this.#learned;
   }
 
+  /** Whether progress was read of jobs that were not. */
+  get hasEarlyProgress(): boolean {
+    return [...this.#early.values()].some(({ progress, isUnsure }) => progress ?? isUnsure);
+  }
+
+  /** Jobs that are deleted, and their progress is not. */
+  get outlived(): Iterable<string> {
+    return this.#outlived;
+  }
+
+  /**
+   * What scheduling nodes wrote is told anew. Jobs keep the progress that they have: without it they
+   * would seem to be new until the record of each is read.
+   */
   reset(): void {
-    this.#jobs.clear();
-    this.#early.clear();
+    for (const [id, { cancel }] of this.#early) {
+      if (cancel) this.#early.set(id, { cancel });
+      else this.#early.delete(id);
+    }
     this.formerLeases.viewBroken();
   }
 
+  /** What callers asked for is told anew; progress is not, and waits for its jobs. */
+  resetJobs(): void {
+    for (const [id, { cancel: _cancel, ...early }] of this.#early) {
+      if (early.progress) this.#early.set(id, early);
+      else this.#early.delete(id);
+    }
+    for (const [id, { progress, isUnsure }] of this.#jobs) {
+      if (progress === undefined && !isUnsure) continue;
+      const rec = progress === undefined ? undefined : { key: progressKey(id), value: progress };
+      this.#early.set(id, { ...(rec && { progress: rec }), isUnsure });
+    }
+    this.#jobs.clear();
+  }
+
   apply(rec: KeyedRecord): void {
     const key = parseKey(rec.key);
     if (!key) {
@@ -198,8 +236,7 @@
   #applyJob(id: string, rec: KeyedRecord): void {
     const spec = this.#decoded(rec, (text) => decodeJob(id, text));
     if (!spec) {
-      const isDeletion = rec.value === undefined && !rec.fault;
-      if (isDeletion && this.#jobs.delete(id)) this.changes$.next({ kind: 'deleted', id });
+      if (rec.value === undefined && !rec.fault) this.#deleteJob(id);
       return;
     }
     // A submission that was sent twice is one job: the first stands.
@@ -212,27 +249,50 @@
       isUnsure: false,
       cancelled: false,
     });
-    const { progress, cancel } = this.#early.get(id) ?? {};
+    this.#outlived.delete(id);
+    const { progress, isUnsure, cancel } = this.#early.get(id) ?? {};
     this.#early.delete(id);
-    if (progress) this.#applyProgress(id, progress);
+    if (progress) this.#useProgress(id, this.#jobs.get(id)!, progress);
+    if (isUnsure) this.#becomesUnsure(id, this.#jobs.get(id)!);
     if (cancel) this.#applyCancel(id, cancel);
     this.changes$.next({ kind: 'accepted', id });
   }
 
+  #deleteJob(id: string): void {
+    const job = this.#jobs.get(id);
+    if (!job) return;
+    this.#jobs.delete(id);
+    if (job.progress !== undefined || job.isUnsure) this.#outlived.add(id);
+    this.changes$.next({ kind: 'deleted', id });
+  }
+
   #applyProgress(id: string, rec: KeyedRecord): void {
     const job = this.#jobs.get(id);
-    if (!job) {
-      this.#keepEarly(id, rec, { progress: rec });
-      this.#wordOf(rec, !rec.fault);
+    if (job) {
+      this.#wordOf(rec, this.#useProgress(id, job, rec));
       return;
     }
+    if (rec.value === undefined && !rec.fault) this.#progressDeleted(id);
+    else this.#keepEarly(id, rec, { progress: rec, isUnsure: false });
+    this.#wordOf(rec, !rec.fault);
+  }
+
+  #progressDeleted(id: string): void {
+    this.#outlived.delete(id);
+    const { cancel } = this.#early.get(id) ?? {};
+    if (cancel) this.#early.set(id, { cancel });
+    else this.#early.delete(id);
+  }
+
+  /** Whether the record could be used; a deletion leaves the job as it is. */
+  #useProgress(id: string, job: StoredJob, rec: KeyedRecord): boolean {
     const newest = this.#decoded(rec, (text) => {
       const state = JobProgress.decodeState(job.spec, text);
       return state ? { value: { ...state, progress: text } } : { fault: UNFIT };
     });
     if (newest) this.#progressed(id, job, newest);
     else if (rec.value !== undefined || rec.fault) this.#becomesUnsure(id, job);
-    this.#wordOf(rec, newest !== undefined);
+    return newest !== undefined;
   }
 
   #progressed(id: string, job: StoredJob, newest: Partial<StoredJob>): void {
--- a/packages/runtime/src/node.ts
+++ b/packages/runtime/src/node.ts
@@ -1,8 +1,8 @@
-import { KeyedFollower } from './internal/keyed-follower.js';
-import { FOLLOW_GAP_MS, Leadership } from './internal/leadership.js';
+import { Leadership } from './internal/leadership.js';
 import { ConfigWatch } from './internal/config-watch.js';
 import { FaultLog } from './internal/fault-log.js';
 import type { NodeState } from './internal/node-metrics.js';
+import { WorkFollower } from './internal/work-follower.js';
 import { WorkTable, shownState } from './internal/work-table.js';
 import type { QueueRoute } from './cluster-config.js';
 import { JobService } from './job-service.js';
@@ -11,9 +11,6 @@
 import type { PlatformPort } from './platform-port.js';
 import { delay, steadyMs } from './internal/delay.js';
 
-/** How long a read of the work log waits at the store, in milliseconds. */
-const READ_WAIT_MS = 400;
-
 /** A node whose view is older than this had better get no new callers, in milliseconds. */
 const READY_VIEW_AGE_MS = 1_500;
 
@@ -32,7 +29,7 @@
 
   readonly #config: ConfigWatch;
 
-  readonly #follower: KeyedFollower;
+  readonly #work: WorkFollower;
 
   readonly #leadership: Leadership;
 
@@ -45,41 +42,33 @@
     this.#faults = new FaultLog(log);
     this.#table = new WorkTable(settings.node, this.#faults);
     this.#config = new ConfigWatch(port, log, this.#faults);
-    this.#follower = new KeyedFollower(port.workLog, log, {
-      name: 'work',
-      waitMs: READ_WAIT_MS,
-      gapMs: FOLLOW_GAP_MS,
-    });
-    this.#follower.messages$.subscribe((message) => {
-      if (message.kind === 'reset') this.#table.reset();
-      if (message.kind === 'record') this.#table.apply(message.rec);
-    });
+    this.#work = new WorkFollower(port, log, this.#table);
     this.#leadership = new Leadership(
       port,
       settings,
       log,
       this.#table,
-      this.#follower,
+      this.#work,
       this.#config,
       this.#faults,
     );
-    const { table, follower } = { table: this.#table, follower: this.#follower };
+    const { table, work } = { table: this.#table, work: this.#work };
     const view = {
       table,
       get freshMs() {
-        return follower.freshMs;
+        return work.freshMs;
       },
       get isLost() {
-        return follower.isLost;
+        return work.isLost;
       },
-      lost$: follower.lost$,
+      lost$: work.lost$,
     };
-    this.jobs = new JobService(view, port.workLog, log);
+    this.jobs = new JobService(view, port.jobLog, log);
   }
 
   start(): void {
     this.#run('config', this.#config.follower.run());
-    this.#run('work', this.#follower.run());
+    this.#run('work', this.#work.run());
     this.#run('leadership', this.#leadership.run());
   }
 
@@ -87,8 +76,8 @@
   get isReady(): boolean {
     if (this.#isStopping || this.#config.current === undefined) return false;
     // It takes no job until a read succeeds again, so new callers had better go elsewhere.
-    if (this.#follower.isLost) return false;
-    return steadyMs() - this.#follower.freshMs < READY_VIEW_AGE_MS;
+    if (this.#work.isLost) return false;
+    return steadyMs() - this.#work.freshMs < READY_VIEW_AGE_MS;
   }
 
   /**
@@ -98,7 +87,7 @@
   async whenLoaded(): Promise<void> {
     const { follower } = this.#config;
     const endMs = steadyMs() + LOAD_WAIT_MS;
-    while (steadyMs() < endMs && !(this.#follower.isLoaded && follower.isLoaded)) {
+    while (steadyMs() < endMs && !(this.#work.isLoaded && follower.isLoaded)) {
       await delay(LOAD_LOOK_MS, new AbortController().signal);
     }
   }
@@ -119,7 +108,7 @@
       const state = shownState(job);
       jobs.set(state, (jobs.get(state) ?? 0) + 1);
     }
-    const viewAgeMs = steadyMs() - this.#follower.freshMs;
+    const viewAgeMs = steadyMs() - this.#work.freshMs;
     return {
       isLeading: this.#leadership.isLeading,
       viewAgeMs,
--- a/packages/runtime/src/platform-port.ts
+++ b/packages/runtime/src/platform-port.ts
@@ -6,8 +6,13 @@
 
 /** What the platform gives a node, in this project's words. */
 export interface PlatformPort {
-  /** Jobs, their progress, and who schedules. */
+  /** Who schedules, and how far jobs are: what the scheduling node writes. */
   readonly workLog: KeyedLog;
+  /**
+   * Jobs and their cancels: what callers ask for. Its appends must not wait for those of `workLog`,
+   * nor those for them.
+   */
+  readonly jobLog: KeyedLog;
   /** What workers say of themselves. */
   readonly workerLog: KeyedLog;
   /** What operators write. */
--- a/packages/runtime/src/test/leader-term_test.ts
+++ b/packages/runtime/src/test/leader-term_test.ts
@@ -69,6 +69,7 @@
   const workLog = new EmptyLog();
   const port: PlatformPort = {
     workLog,
+    jobLog: new EmptyLog(),
     workerLog: new EmptyLog(),
     operatorLog: new EmptyLog(),
     workers: new NoWorkers(),
--- a/packages/runtime/src/test/leadership_test.ts
+++ b/packages/runtime/src/test/leadership_test.ts
@@ -2,9 +2,9 @@
 import { test } from 'node:test';
 import { delay } from '../internal/delay.js';
 import { ConfigWatch } from '../internal/config-watch.js';
-import { KeyedFollower } from '../internal/keyed-follower.js';
 import { Leadership } from '../internal/leadership.js';
 import { encodeLeader, leaderKey } from '../internal/work-records.js';
+import { WorkFollower } from '../internal/work-follower.js';
 import { WorkTable } from '../internal/work-table.js';
 import type { AppendResult, KeyedWrite, NewestPage, ReadResult } from '../keyed-log.js';
 import { KeyedLog, StoreUnavailableError } from '../keyed-log.js';
@@ -62,17 +62,14 @@
 
 /** A node that follows a store in which the leader has written nothing since it was loaded. */
 class FollowingNode {
-  readonly #follower: KeyedFollower;
+  readonly #follower: WorkFollower;
 
   readonly #leadership: Leadership;
 
   constructor(store: KeyedLog) {
     const table = new WorkTable('n2');
-    const follower = new KeyedFollower(store, LOG, { name: 'work', waitMs: 400, gapMs: 250 });
-    follower.messages$.subscribe((message) => {
-      if (message.kind === 'record') table.apply(message.rec);
-    });
-    const port = { workLog: store, operatorLog: store } as unknown as PlatformPort;
+    const port = { workLog: store, jobLog: store, operatorLog: store } as unknown as PlatformPort;
+    const follower = new WorkFollower(port, LOG, table);
     const config = new ConfigWatch(port, LOG);
     this.#follower = follower;
     this.#leadership = new Leadership(port, SETTINGS, LOG, table, follower, config);
--- a/packages/runtime/src/test/new-term_test.ts
+++ b/packages/runtime/src/test/new-term_test.ts
@@ -106,6 +106,7 @@
   const log = new NodeLog('n1', 'silent');
   const port: PlatformPort = {
     workLog: new SlowLog(),
+    jobLog: new SlowLog(),
     workerLog: new SlowLog([{ key: WORKER_ENTRY.id, value: 'x' }]),
     operatorLog: new SlowLog(),
     workers,
--- /dev/null
+++ b/packages/runtime/src/test/work-follower_test.ts
@@ -0,0 +1,251 @@
+import assert from 'node:assert/strict';
+import { afterEach, beforeEach, test } from 'node:test';
+import type { JobSpec } from '@redwingcrank/jobs';
+import { JobProgress, PLAIN_STEP } from '@redwingcrank/jobs';
+import type {
+  AppendResult,
+  KeyedRecord,
+  KeyedWrite,
+  NewestPage,
+  ReadResult,
+} from '../keyed-log.js';
+import { KeyedLog, RecordsExpiredError } from '../keyed-log.js';
+import { NodeLog } from '../node-log.js';
+import { delay, steadyMs } from '../internal/delay.js';
+import { Housekeeping } from '../internal/housekeeping.js';
+import { encodeJob } from '../internal/job-record.js';
+import { jobKey, progressKey } from '../internal/work-records.js';
+import { WorkFollower } from '../internal/work-follower.js';
+import { WorkTable } from '../internal/work-table.js';
+
+const pause = (ms: number): Promise<void> => delay(ms, new AbortController().signal);
+
+/** How long a test waits at most for what must happen, in milliseconds. */
+const UNTIL_MS = 3_000;
+
+/** Jobs to forget are looked for within this time, in milliseconds. */
+const FORGET_MS = 5_050;
+
+async function until(holds: () => boolean): Promise<void> {
+  for (const endMs = steadyMs() + UNTIL_MS; !holds(); await pause(5)) {
+    assert.ok(steadyMs() < endMs, 'waited in vain');
+  }
+}
+
+/** A log in memory that can be held up. */
+class MemoryLog extends KeyedLog {
+  readonly records: KeyedRecord[] = [];
+
+  /** Records before this offset can be read no more but as the newest of their keys. */
+  #first = 0;
+
+  /** While set, reads are not answered. */
+  isHeld = false;
+
+  override async append(records: readonly KeyedWrite[]): Promise<AppendResult> {
+    this.records.push(...records);
+    return { outcome: 'appended', reason: '' };
+  }
+
+  override async read(from: number, waitMs: number): Promise<ReadResult> {
+    const endMs = steadyMs() + waitMs;
+    while (this.isHeld || (this.records.length <= from && steadyMs() < endMs)) await pause(5);
+    if (from < this.#first) throw new RecordsExpiredError('expired');
+    const records = this.records.slice(from);
+    const end = this.records.length;
+    return { records, next: end, end, asOfMs: steadyMs() };
+  }
+
+  override async newest(): Promise<NewestPage> {
+    while (this.isHeld) await pause(5);
+    const newest = new Map(this.records.map((rec) => [rec.key, rec]));
+    const records = [...newest.values()].filter(({ value }) => value !== undefined);
+    return { records, hasMore: false, end: this.records.length };
+  }
+
+  /** All records so far expire, but for the newest of each key. */
+  expire(): void {
+    this.#first = this.records.length;
+  }
+
+  keys(): string[] {
+    return this.records.map(({ key, value }) => (value === undefined ? `-${key}` : key));
+  }
+}
+
+const ID = '00000000000000aa';
+
+const JOB: JobSpec = {
+  id: ID,
+  queue: 'q',
+  payload: 'p',
+  steps: [{ ...PLAIN_STEP, lasting: true }],
+  acceptedMs: 0,
+};
+
+const JOB_RECORD = { key: jobKey(ID), value: encodeJob(JOB) };
+
+const JOB_DELETED = { key: jobKey(ID), value: undefined };
+
+const PROGRESS_DELETED = { key: progressKey(ID), value: undefined };
+
+function progressRecord(isOver = false): KeyedWrite {
+  const job = new JobProgress(JOB);
+  job.openDue(Date.now());
+  job.begin();
+  if (isOver) job.finish('cancelled', 1);
+  return { key: progressKey(ID), value: job.encode() };
+}
+
+let logs: { workLog: MemoryLog; jobLog: MemoryLog };
+
+let table: WorkTable;
+
+let follower: WorkFollower;
+
+/** Each state in which a reader of the table could find the job. */
+let states: Set<string>;
+
+let running: Promise<void>;
+
+beforeEach(() => {
+  logs = { workLog: new MemoryLog(), jobLog: new MemoryLog() };
+  table = new WorkTable('n1');
+  follower = new WorkFollower(logs, new NodeLog('n1', 'silent'), table);
+  states = new Set();
+  table.changes$.subscribe(() => {
+    const job = table.jobs.get(ID);
+    if (job) states.add(job.state);
+  });
+});
+
+afterEach(async () => {
+  Object.assign(logs.workLog, { isHeld: false });
+  Object.assign(logs.jobLog, { isHeld: false });
+  follower.stop();
+  await running;
+});
+
+function follow(): void {
+  running = follower.run();
+}
+
+test('a job that is deleted while a node loads the logs is never taken for a new one', async () => {
+  // The job is over and deleted, its progress after it, while a node starts. With the job from before
+  // and what is left of its progress from after, the node would know it as one that never began,
+  // and would start its tasks once more if the role fell to it.
+  await logs.jobLog.append([JOB_RECORD]);
+  await logs.workLog.append([progressRecord(true)]);
+  logs.workLog.isHeld = true;
+  follow();
+  await pause(50);
+  await logs.jobLog.append([JOB_DELETED]);
+  await logs.workLog.append([PROGRESS_DELETED]);
+  logs.workLog.isHeld = false;
+  await until(() => follower.isLoaded);
+  assert.deepEqual([...states], []);
+});
+
+test('a new scheduling node waits for jobs that the one before has begun', async () => {
+  // The scheduling node has read a job, and stored where its task runs. The node that follows it has
+  // read this and not the job, as the callers' log answers later. A worker lists the task; as that of
+  // a job that nobody knows it would be stopped.
+  follow();
+  await until(() => follower.isLoaded);
+  logs.jobLog.isHeld = true;
+  await pause(1_100);
+  await logs.jobLog.append([JOB_RECORD]);
+  await logs.workLog.append([progressRecord()]);
+  await until(() => table.hasEarlyProgress);
+  let isWhole = false;
+  const whole = follower.whenWhole(new AbortController().signal).then(() => {
+    isWhole = true;
+  });
+  await pause(200);
+  assert.equal(isWhole, false);
+  logs.jobLog.isHeld = false;
+  await whole;
+  assert.equal(table.jobs.get(ID)?.state, 'running');
+  assert.deepEqual([...states], ['running']);
+});
+
+test('progress of a deleted job does not hold up a new scheduling node', async () => {
+  // A node starts between the deletions of a job and of its progress, and gets the role. There is no
+  // job to wait for; it must see that from the callers' log, or nobody would schedule.
+  await logs.workLog.append([progressRecord(true)]);
+  follow();
+  await until(() => follower.isLoaded);
+  follower.setLeading(true);
+  const sinceMs = steadyMs();
+  await follower.whenWhole(new AbortController().signal);
+  assert.ok(steadyMs() - sinceMs < 1_000);
+});
+
+/** Cuts a follower off from one log until records of it have expired. */
+async function loadAnew(expired: MemoryLog): Promise<void> {
+  await logs.jobLog.append([JOB_RECORD]);
+  await logs.workLog.append([progressRecord()]);
+  follow();
+  await until(() => follower.isLoaded);
+  expired.isHeld = true;
+  await expired.append([
+    { key: 'x', value: '1' },
+    { key: 'x', value: '2' },
+  ]);
+  expired.expire();
+  // When the view was complete, each time that a load found the job missing.
+  const missingMs: number[] = [];
+  let loadCount = 0;
+  logs.jobLog.newest = async (): Promise<NewestPage> => {
+    await pause(50);
+    if (!table.jobs.has(ID)) missingMs.push(follower.freshMs);
+    loadCount += 1;
+    return MemoryLog.prototype.newest.call(logs.jobLog);
+  };
+  expired.isHeld = false;
+  await until(() => loadCount > 0 && follower.isLoaded && table.jobs.has(ID));
+  assert.deepEqual([...states], ['running']);
+  assert.ok(missingMs.every((freshMs) => freshMs === -Infinity));
+}
+
+test('jobs keep their progress when records of the scheduling node have expired', async () => {
+  // A node was cut off from that log alone, and loads it anew. Jobs that lost their progress with it
+  // would run again.
+  await loadAnew(logs.workLog);
+});
+
+test('jobs keep their progress when records of callers have expired', async () => {
+  // The same with the other log: the progress of its jobs is not told again. A job that is not told
+  // yet must not be denied to a caller who knows better.
+  await loadAnew(logs.jobLog);
+});
+
+test('the progress of a job to forget is deleted after the job itself', async (t) => {
+  // The callers' log takes nothing for a while, as the store is slow. Progress that is deleted before
+  // its job leaves a job that seems new to whoever loads the logs.
+  await logs.jobLog.append([JOB_RECORD]);
+  await logs.workLog.append([progressRecord(true)]);
+  follow();
+  await until(() => follower.isLoaded);
+  const append = t.mock.method(logs.jobLog, 'append', async () => ({
+    outcome: 'refused',
+    reason: 'busy',
+  }));
+  const housekeeping = new Housekeeping(table, logs.jobLog, 0);
+  const forget = async (): Promise<readonly KeyedWrite[]> => {
+    const writes = housekeeping.forgotten();
+    await logs.workLog.append(writes);
+    return writes;
+  };
+  await pause(FORGET_MS);
+  assert.deepEqual(await forget(), []);
+  assert.equal(append.mock.callCount(), 1);
+  append.mock.restore();
+  await pause(FORGET_MS);
+  assert.deepEqual(await forget(), []);
+  await until(() => !table.jobs.has(ID));
+  await pause(FORGET_MS);
+  assert.deepEqual(await forget(), [PROGRESS_DELETED]);
+  await until(() => [...table.outlived].length === 0);
+  assert.deepEqual(logs.jobLog.keys(), [JOB_RECORD.key, `-c/${ID}`, `-${JOB_RECORD.key}`]);
+});
--- a/packages/runtime/src/test/worker-list_test.ts
+++ b/packages/runtime/src/test/worker-list_test.ts
@@ -77,6 +77,7 @@
 function portOf(log: KeyedLog): PlatformPort {
   return {
     workLog: log,
+    jobLog: log,
     workerLog: log,
     operatorLog: log,
     workers: undefined as never,
