--- a/packages/runtime/src/internal/leadership.ts
+++ b/packages/runtime/src/internal/leadership.ts
@@ -9,6 +9,7 @@
 import { FaultLog } from './fault-log.js';
 import { HandOver } from './hand-over.js';
 import type { KeyedFollower } from './keyed-follower.js';
+import type { WorkFollower } from './work-follower.js';
 import type { StoredClaim } from './leader-writer.js';
 import { LEADER_WRITER } from './leader-writer.js';
 import { LeaderTerm } from './leader-term.js';
@@ -29,12 +30,6 @@
 /** How often a node looks whether the scheduling role is free, in milliseconds. */
 const LOOK_MS = 100;
 
-/** The pause between reads of the scheduling node, in milliseconds: new jobs wait for them. */
-const LEADER_GAP_MS = 25;
-
-/** The same on nodes that only follow: each read costs processor time and a call. */
-export const FOLLOW_GAP_MS = 250;
-
 /**
  * A view this old says nothing about whether the leader is silent, in milliseconds: it may be the
  * store that is. While nothing is written, the pause between two reads and the wait of the second
@@ -99,6 +94,8 @@
 
   readonly #table: WorkTable;
 
+  readonly #work: WorkFollower;
+
   readonly #follower: KeyedFollower;
 
   readonly #config: ConfigWatch;
@@ -137,7 +134,7 @@
     settings: NodeSettings,
     log: NodeLog,
     table: WorkTable,
-    follower: KeyedFollower,
+    work: WorkFollower,
     config: ConfigWatch,
     faults = new FaultLog(log),
   ) {
@@ -145,7 +142,8 @@
     this.#settings = settings;
     this.#log = log;
     this.#table = table;
-    this.#follower = follower;
+    this.#work = work;
+    this.#follower = work.roles;
     this.#config = config;
     this.#faults = faults;
     this.#order = new ClaimOrder(settings.cores);
@@ -351,20 +349,21 @@
       this.#faults,
     );
     this.#term = term;
-    this.#follower.setGap(LEADER_GAP_MS);
+    this.#work.setLeading(true);
     // The term starts after this record has been told to everyone, with the table up to it.
     setImmediate(() => this.#runTerm(term));
   }
 
   async #runTerm(term: LeaderTerm): Promise<void> {
     try {
+      await this.#work.whenWhole(this.#stopping.signal);
       await term.run();
     } catch (err) {
       const reason = err instanceof Error ? (err.stack ?? err.message) : String(err);
       this.#log.emit('error', 'term-failed', { reason });
     }
     this.#term = undefined;
-    this.#follower.setGap(FOLLOW_GAP_MS);
+    this.#work.setLeading(false);
     this.#patienceMs = CLAIM_SPREAD_MS;
   }
 }
--- a/packages/runtime/src/test/many-waiting_test.ts
+++ b/packages/runtime/src/test/many-waiting_test.ts
@@ -196,6 +196,7 @@
   const ids = Array.from({ length: WORKERS }, (_, i) => `w${i}`);
   const port: PlatformPort = {
     workLog: new QuickLog([], () => records.given()),
+    jobLog: new QuickLog(),
     workerLog: new QuickLog(ids.map((key) => ({ key, value: 'x' }))),
     operatorLog: new QuickLog([{ key: 'config', value: 'x' }]),
     workers,
