--- a/packages/runtime/src/internal/leader-term.ts
+++ b/packages/runtime/src/internal/leader-term.ts
@@ -157,8 +157,8 @@
   }
 
   /**
-   * Gives the role up with the next write, so that another node, or the successor, need not wait for
-   * silence. Until that is stored this node goes on: with a slow store, work would stand still.
+   * Gives the role up, maybe to a successor, with the next write: nobody need wait for a silence.
+   * Until that is stored this node goes on: with a slow store, work would stand still.
    */
   async resign(successor?: string): Promise<void> {
     this.#leases.successor = successor;
