A new leader reaches workers with lasting tasks first

Cause: links began in the order of the list, so a small leader came to workers with lasting tasks at its end only after their leases were over. Change: links to workers on which lasting tasks run begin first, then those on which anything does. The time to the last lease of a small leader on a large fleet was not measured.

--- a/packages/runtime/src/internal/leader-term.ts
+++ b/packages/runtime/src/internal/leader-term.ts
@@ -366,10 +366,9 @@
   #link(id: string): void {
     const worker = this.#scheduler.workers.get(id);
     if (!worker || this.#links.has(id)) return;
-    const { entry } = worker;
-    const link = new WorkerLink(entry, this.#port.workers, this, this.#log, this.#leaseMs);
+    const link = new WorkerLink(worker.entry, this.#port.workers, this, this.#log, this.#leaseMs);
     this.#links.set(id, link);
-    this.#linkStarter.start(link);
+    this.#linkStarter.start(link, worker);
   }
 
   #unlinkGone(): void {
--- a/packages/runtime/src/internal/link-starter.ts
+++ b/packages/runtime/src/internal/link-starter.ts
@@ -1,3 +1,4 @@
+import type { WorkerState } from '@redwingcrank/jobs';
 import { delay } from './delay.js';
 import type { WorkerLink } from './worker-link.js';
 
@@ -11,13 +12,23 @@
 
 const PAUSE_MS = 20;
 
-/** Begins links to workers a few at a time, so that the node has time for its other work. */
+/** Which links begin first. */
+type Urgency = 'lasting' | 'busy' | 'idle';
+
+/** What of a worker says how urgent its link is. */
+type Occupied = Pick<WorkerState, 'runs'>;
+
+/**
+ * Begins links to workers a few at a time, so that the node has time for its other work. Workers on
+ * which lasting tasks run come first, then those on which anything does: a node that takes over has
+ * some seconds until the leases there end, and a small one does not reach all workers by then.
+ */
 export class LinkStarter {
   readonly #failed: (err: unknown) => void;
 
   readonly #signal: AbortSignal;
 
-  #waiting: WorkerLink[] = [];
+  readonly #waiting: Readonly<Record<Urgency, WorkerLink[]>> = { lasting: [], busy: [], idle: [] };
 
   #isBusy = false;
 
@@ -27,17 +38,34 @@
     this.#failed = failed;
   }
 
-  start(link: WorkerLink): void {
-    this.#waiting.push(link);
+  /** Begins a link to the worker of this state when its turn comes. */
+  start(link: WorkerLink, worker: Occupied): void {
+    this.#waiting[urgencyOf(worker)].push(link);
     if (!this.#isBusy) this.#drain();
   }
 
   async #drain(): Promise<void> {
     this.#isBusy = true;
-    while (this.#waiting.length > 0 && !this.#signal.aborted) {
-      for (const link of this.#waiting.splice(0, LINKS_AT_ONCE)) link.run().catch(this.#failed);
+    while (!this.#signal.aborted) {
+      const next = this.#next();
+      if (next.length === 0) break;
+      for (const link of next) link.run().catch(this.#failed);
       await delay(PAUSE_MS, this.#signal);
     }
     this.#isBusy = false;
   }
+
+  #next(): WorkerLink[] {
+    const { lasting, busy, idle } = this.#waiting;
+    const next: WorkerLink[] = [];
+    for (const links of [lasting, busy, idle]) {
+      next.push(...links.splice(0, LINKS_AT_ONCE - next.length));
+    }
+    return next;
+  }
+}
+
+function urgencyOf({ runs }: Occupied): Urgency {
+  if (runs.size === 0) return 'idle';
+  return [...runs.values()].some(({ spec }) => spec.lasting) ? 'lasting' : 'busy';
 }
--- a/packages/runtime/src/test/link-starter_test.ts
+++ b/packages/runtime/src/test/link-starter_test.ts
@@ -3,6 +3,8 @@
 import { delay } from '../internal/delay.js';
 import { LinkStarter } from '../internal/link-starter.js';
 import type { WorkerLink } from '../internal/worker-link.js';
+import type { WorkerState } from '@redwingcrank/jobs';
+import { PLAIN_STEP } from '@redwingcrank/jobs';
 
 const LINKS = 160;
 
@@ -12,6 +14,14 @@
 /** A fifth of the silence after which a scheduling node is replaced, in milliseconds. */
 const MAX_HELD_UP_MS = 220;
 
+const IDLE: Pick<WorkerState, 'runs'> = { runs: new Map() };
+
+/** A worker on which one task runs. */
+function occupied(lasting: boolean): Pick<WorkerState, 'runs'> {
+  const run = { spec: { ...PLAIN_STEP, lasting } };
+  return { runs: new Map([['a', run]]) } as unknown as Pick<WorkerState, 'runs'>;
+}
+
 function busy(ms: number): void {
   const endMs = performance.now() + ms;
   while (performance.now() < endMs);
@@ -35,7 +45,7 @@
     heldUpMs = Math.max(heldUpMs, performance.now() - lastMs);
     lastMs = performance.now();
   }, 5);
-  for (let i = 0; i < LINKS; i += 1) starter.start(link);
+  for (let i = 0; i < LINKS; i += 1) starter.start(link, IDLE);
   while (begun < LINKS) await delay(10, stopping.signal);
   clearInterval(ticks);
   assert.ok(heldUpMs < MAX_HELD_UP_MS, `${heldUpMs} ms`);
@@ -51,9 +61,28 @@
     },
   } as unknown as WorkerLink;
   const starter = new LinkStarter(stopping.signal, (err) => assert.fail(String(err)));
-  for (let i = 0; i < LINKS; i += 1) starter.start(link);
+  for (let i = 0; i < LINKS; i += 1) starter.start(link, IDLE);
   stopping.abort();
   const before = begun;
   await delay(100, new AbortController().signal);
   assert.equal(begun, before);
 });
+
+test('a node that takes over reaches workers with lasting tasks first, then others that are busy', async () => {
+  // A small node takes many seconds for hundreds of workers. In the order of the list the leases of
+  // lasting tasks at its end are over before it has got there.
+  const stopping = new AbortController();
+  const begun: string[] = [];
+  const linkTo = (name: string): WorkerLink =>
+    ({ run: async () => begun.push(name) }) as unknown as WorkerLink;
+  const starter = new LinkStarter(stopping.signal, (err) => assert.fail(String(err)));
+  starter.start(linkTo('first'), IDLE);
+  for (let i = 0; i < LINKS; i += 1) {
+    starter.start(linkTo('idle'), IDLE);
+    starter.start(linkTo('busy'), occupied(false));
+    starter.start(linkTo('lasting'), occupied(true));
+  }
+  while (begun.length < 3 * LINKS + 1) await delay(10, stopping.signal);
+  assert.deepEqual(new Set(begun.slice(1, 1 + LINKS)), new Set(['lasting']));
+  assert.deepEqual(new Set(begun.slice(1 + LINKS, 1 + 2 * LINKS)), new Set(['busy']));
+});
