--- a/packages/runtime/src/internal/leadership.ts
+++ b/packages/runtime/src/internal/leadership.ts
@@ -183,7 +183,7 @@
     }
     const { leader, leaderSeenMs } = this.#table;
     if (leader?.resigned) return nowMs >= this.#handOver.leftUntilMs(leader, leaderSeenMs);
-    if (!leader || this.#mayReturn(leader)) return true;
+    if (!leader || this.#claimsAtOnce(leader)) return true;
     // After a silence of the store this node may read again before the leader can write again.
     // Counted from its last record it would be taken for dead just then, having lost nothing.
     const silentMs = nowMs - Math.max(leaderSeenMs, this.#startedMs, this.#blindMs);
@@ -199,11 +199,12 @@
   }
 
   /**
-   * The leader on record is an earlier life of this node, so it is certainly over. After all nodes
-   * have lost power at once every other one waits for that leader in vain. A small node waits with
-   * them all the same: larger ones may live, and take its earlier life for dead only later.
+   * Whether this node need not wait. The leader has named it as its successor; or the leader on
+   * record is an earlier life of this node, so it is certainly over, and after all nodes have lost
+   * power at once every other one waits for it in vain. A small node waits with them all the same:
+   * larger ones may live, and take its earlier life for dead only later.
    */
-  #mayReturn(leader: LeaderRecord): boolean {
+  #claimsAtOnce(leader: LeaderRecord): boolean {
     if (this.#handOver.isSuccessor(leader)) return true;
     const isOwn = leader.node === this.#settings.node && !this.#handOver.hasGiven(leader);
     return isOwn && !this.#order.isBehind;
@@ -245,9 +246,9 @@
 
   async #claimRole(): Promise<void> {
     const { leader } = this.#table;
-    const mayReturn = leader !== undefined && this.#mayReturn(leader);
+    const isAtOnce = leader !== undefined && this.#claimsAtOnce(leader);
     const free = { leader, isRegular: this.#isRegular, hasClaimed: this.#isUnanswered };
-    const waitMs = mayReturn ? 0 : this.#order.waitMs(free);
+    const waitMs = isAtOnce ? 0 : this.#order.waitMs(free);
     await delay(waitMs, this.#stopping.signal);
     if (!this.#isRoleFree() || !(await this.#isSureOfSilence())) return;
     const before = this.#table.leader;
@@ -307,7 +308,7 @@
   async #isSureOfSilence(): Promise<boolean> {
     const { leader } = this.#table;
     const { next } = this.#follower;
-    const isOver = leader && (leader.resigned || this.#mayReturn(leader));
+    const isOver = leader && (leader.resigned || this.#claimsAtOnce(leader));
     if ((isOver && !this.#order.isBehind) || next === undefined) return true;
     try {
       const { records } = await this.#port.workLog.read(next, 0);
