--- a/packages/runtime/src/internal/claim-order.ts
+++ b/packages/runtime/src/internal/claim-order.ts
@@ -1,5 +1,10 @@
 import { randomInt } from 'node:crypto';
-import { CLAIM_ORDER_MS, CLAIM_SPREAD_MS, LARGE_CLAIM_SPREAD_MS } from './timing.js';
+import {
+  CLAIM_ORDER_MS,
+  CLAIM_SPREAD_MS,
+  LARGE_CLAIM_SPREAD_MS,
+  LEADER_WRITE_MS,
+} from './timing.js';
 import type { LeaderRecord } from './work-records.js';
 
 /** A node that is not told its processor time counts as this small, in cores. */
@@ -11,11 +16,14 @@
 /** A node is much smaller than one that has more than so many times its processor time. */
 const MUCH = 2;
 
+/** A leader's records come no further apart than this with a quick store, in milliseconds. */
+const USUAL_GAP_MS = LEADER_WRITE_MS + 50;
+
 /** What a node sees of the role when it is free. */
 export interface FreeRole {
   readonly leader: LeaderRecord | undefined;
-  /** Whether the leader's records came at short distances, so that the store was quick. */
-  readonly isRegular: boolean;
+  /** How far apart the leader's records came lately, in milliseconds. */
+  readonly leaderGapMs: number;
   /** Whether a claim of this node was left without an answer, and may be stored yet. */
   readonly hasClaimed: boolean;
 }
@@ -71,15 +79,15 @@
   }
 
   /** How long to wait before a claim, in milliseconds; drawn anew each time. */
-  waitMs({ leader, isRegular, hasClaimed }: FreeRole): number {
+  waitMs({ leader, leaderGapMs, hasClaimed }: FreeRole): number {
     if (!this.isBehind || hasClaimed) {
       // Large nodes are few, and each draw beyond theirs would hold up the small ones.
       const isLarge = this.cores * MUCH >= USUAL_CORES;
       return randomInt(isLarge ? LARGE_CLAIM_SPREAD_MS : CLAIM_SPREAD_MS);
     }
-    // At the first start the larger ones may start a little later, and a slow store takes longer to
-    // show their claims.
-    const orderMs = leader && isRegular ? CLAIM_ORDER_MS : 2 * CLAIM_ORDER_MS;
-    return orderMs + randomInt(CLAIM_SPREAD_MS);
+    // At the first start the larger ones may start a little later. A store that was slower with the
+    // leader's records by some time is so with reading the last one and with storing a claim.
+    const slowMs = leader ? 2 * Math.max(0, leaderGapMs - USUAL_GAP_MS) : CLAIM_ORDER_MS;
+    return CLAIM_ORDER_MS + Math.min(slowMs, CLAIM_ORDER_MS) + randomInt(CLAIM_SPREAD_MS);
   }
 }
--- a/packages/runtime/src/internal/leadership.ts
+++ b/packages/runtime/src/internal/leadership.ts
@@ -190,12 +190,9 @@
     return silentMs > this.#silentLimitMs() + this.#patienceMs;
   }
 
-  get #isRegular(): boolean {
-    return this.#table.leaderGapMs <= REGULAR_GAP_MS;
-  }
-
   #silentLimitMs(): number {
-    return this.#isRegular ? LEADER_SILENT_MS : SLOW_LEADER_SILENT_MS;
+    const isRegular = this.#table.leaderGapMs <= REGULAR_GAP_MS;
+    return isRegular ? LEADER_SILENT_MS : SLOW_LEADER_SILENT_MS;
   }
 
   /**
@@ -247,7 +244,8 @@
   async #claimRole(): Promise<void> {
     const { leader } = this.#table;
     const isAtOnce = leader !== undefined && this.#claimsAtOnce(leader);
-    const free = { leader, isRegular: this.#isRegular, hasClaimed: this.#isUnanswered };
+    const { leaderGapMs } = this.#table;
+    const free = { leader, leaderGapMs, hasClaimed: this.#isUnanswered };
     const waitMs = isAtOnce ? 0 : this.#order.waitMs(free);
     await delay(waitMs, this.#stopping.signal);
     if (!this.#isRoleFree() || !(await this.#isSureOfSilence())) return;
