Test of a leader that dies while the store is slow: nobody takes over

Cause: a view older than 0.9 s is taken for a silence of the store, and the leader's silence is counted from its end. A read that waits 0.4 s, every 0.25 s, with 0.2 s or more for a call, makes every view that old.

--- a/packages/runtime/src/test/sized-takeover_test.ts
+++ b/packages/runtime/src/test/sized-takeover_test.ts
@@ -23,6 +23,9 @@
 /** The same where only small nodes live. */
 const SMALL_GOES_ON_MS = 2_400;
 
+/** While the store is slow: the longest lease of a worker, which the next leader must renew. */
+const SLOW_GOES_ON_MS = 6_000;
+
 /** After all nodes have lost power at once. */
 const POWER_BACK_MS = 4_000;
 
@@ -109,6 +112,21 @@
   assert.ok(tally.worstMs <= GOES_ON_MS, `${tally.worstMs}`);
 });
 
+test('a dead leader is replaced while the store takes 0.3 s for each call', async (t) => {
+  // Each view is then older than 0.9 s before the next answer comes. That was taken for a silence of the
+  // store, from the end of which the leader's silence was counted anew: nobody ever claimed.
+  const tally = await takeovers(t, async (fleet, count) => {
+    fleet.add('first', LARGE);
+    await fleet.time.until(() => fleet.leading !== undefined, 5_000);
+    await fleet.addMany(sizes(3, 9));
+    fleet.store.wayMs = 150;
+    await fleet.time.pass(6_000 + fleet.time.draw(500));
+    assert.equal(fleet.leading?.name, 'first');
+    await leaderDies(fleet, count);
+  });
+  assert.ok(tally.worstMs <= SLOW_GOES_ON_MS, `${tally.worstMs}`);
+});
+
 test('where only small nodes live one of them takes over hardly later', async (t) => {
   const tally = await takeovers(t, async (fleet, count) => {
     fleet.add('first', LARGE);
