--- a/packages/runtime/src/internal/leader-term.ts
+++ b/packages/runtime/src/internal/leader-term.ts
@@ -163,8 +163,8 @@
   }
 
   /**
-   * Gives the role up with the next write, so that another node, or the successor, need not wait for
-   * silence. Until that is stored this node goes on: with a slow store, work would stand still.
+   * Gives the role up, maybe to a successor, with the next write: nobody need wait for a silence.
+   * Until that is stored this node goes on: with a slow store, work would stand still.
    */
   async resign(successor?: string): Promise<void> {
     this.#leases.successor = successor;
@@ -387,10 +387,9 @@
   #link(id: string): void {
     const worker = this.#scheduler.workers.get(id);
     if (!worker || this.#links.has(id)) return;
-    const { entry } = worker;
-    const link = new WorkerLink(entry, this.#port.workers, this, this.#log, this.#leaseMs);
+    const link = new WorkerLink(worker.entry, this.#port.workers, this, this.#log, this.#leaseMs);
     this.#links.set(id, link);
-    this.#linkStarter.start(link);
+    this.#linkStarter.start(link, worker);
   }
 
   #unlinkGone(): void {
