Idle workers stay open for tasks between two of their answers

Cause: a renewal of a worker on which nothing runs waited two seconds there, and placement gives a worker nothing that has not answered for 1.8 s. So each idle worker was closed for a tenth of the time. A job that came just then waited for the worker's answer, which wakes no round as it brings no news, and then for the next round. After a takeover idle workers answer in step, so many are closed at once.

Change: such a renewal waits 1.6 s. What a lost worker costs is as before or less: it is missed 0.4 s sooner where nothing runs, and where something runs nothing changes.

The new test fails with the wait of two seconds.

--- a/packages/runtime/src/internal/timing.ts
+++ b/packages/runtime/src/internal/timing.ts
@@ -120,8 +120,12 @@
 /** How long one renewal waits at the worker for an end to report. */
 export const RENEW_WAIT_MS = 1_000;
 
-/** The same for a worker on which nothing runs. */
-export const IDLE_RENEW_WAIT_MS = 2_000;
+/**
+ * The same for a worker on which nothing runs. A worker gets no task once it has not answered for
+ * 1.8 s. With a wait of two seconds every idle one was closed for a tenth of the time, and a job that
+ * came just then began a quarter of a second late. What is left is for the calls, and a busy node.
+ */
+export const IDLE_RENEW_WAIT_MS = 1_600;
 
 /** The pause after a renewal that got no answer. */
 export const RENEW_RETRY_MS = 150;
--- /dev/null
+++ b/packages/runtime/src/test/idle-worker_test.ts
@@ -0,0 +1,76 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { JobProgress, PLAIN_STEP, Scheduler } from '@redwingcrank/jobs';
+import { NodeLog } from '../node-log.js';
+import type { OrderResult, RenewRequest, RenewResult } from '../task-workers.js';
+import { TaskWorkers } from '../task-workers.js';
+import { delay } from '../internal/delay.js';
+import { WorkerLink } from '../internal/worker-link.js';
+import { WORKER_ENTRY } from './fixtures.js';
+
+const LEASE_MS = 6_000;
+
+const TIMING = { leaseMs: LEASE_MS, inheritedLeaseMs: 0, standstillMs: 2_500, stopAgainMs: 1_200 };
+
+/** What a renewal takes beyond its wait: the calls, and a node that is busy, in milliseconds. */
+const LATE_MS = 190;
+
+/** A worker on which nothing runs; its renewals are answered at once. */
+class IdleWorker extends TaskWorkers {
+  readonly waitsMs: number[] = [];
+
+  override async renew(_worker: unknown, { waitMs }: RenewRequest): Promise<RenewResult> {
+    this.waitsMs.push(waitMs);
+    await delay(5, new AbortController().signal);
+    return { outcome: 'done', report: { clockMs: performance.now(), running: [], ended: [] } };
+  }
+
+  override async order(): Promise<OrderResult> {
+    return { outcome: 'unknown', reason: '' };
+  }
+
+  override forget(): void {}
+}
+
+/** The longest that a renewal of an idle worker waits there, in milliseconds. */
+async function longestWaitMs(): Promise<number> {
+  const worker = new IdleWorker();
+  const listener = {
+    token: 1,
+    leaseLimitMs: () => LEASE_MS,
+    ackedEnd: () => 0,
+    isBusy: () => false,
+    leaseSent: () => {},
+    reported: () => {},
+    answered: () => {},
+    gone: () => {},
+    fenced: () => {},
+  };
+  const log = new NodeLog('n1', 'silent');
+  const link = new WorkerLink(WORKER_ENTRY, worker, listener, log, LEASE_MS);
+  const running = link.run();
+  await delay(50, new AbortController().signal);
+  link.stop();
+  await running;
+  return Math.max(...worker.waitsMs);
+}
+
+test('an idle worker may be given a task at any time between two of its answers', async () => {
+  // Nothing runs on a worker, so its answers are far apart. A job comes just before the next one:
+  // taken for silent, the worker gets nothing until the round after it, a quarter of a second later.
+  const answerMs = (await longestWaitMs()) + LATE_MS;
+  const scheduler = new Scheduler(TIMING, 0, () => {});
+  scheduler.setQueues([
+    { name: 'q', pool: 'pool', priority: 0, maxAttempts: 3, stretch: 2, targetLatencyMs: 100 },
+  ]);
+  scheduler.listWorker(WORKER_ENTRY, 0);
+  scheduler.report(WORKER_ENTRY.id, { clockMs: 0, running: [], ended: [] }, 0, 0);
+  const steps = [{ ...PLAIN_STEP, cpuMilli: 500, memMb: 64, estimateMs: 40 }];
+  const spec = { id: '00000000000000aa', queue: 'q', payload: 'p', steps, acceptedMs: 0 };
+  scheduler.addJob(new JobProgress(spec));
+  const { orders } = scheduler.decide(answerMs, answerMs);
+  assert.deepEqual(
+    orders.map(({ kind, worker }) => [kind, worker]),
+    [['start', WORKER_ENTRY.id]],
+  );
+});
