A node that takes over greets the workers first on which something runs

Cause: links began in the order of the list. Workers on which nothing runs, hundreds where a cluster is not full, stood between those whose leases run out; and only when each of the latter has answered does the new leader's record tell of its leases.

Change: LinkStarter begins the busy ones first.

The new test fails with links in the order of the list (mutant on a scratch copy: all taken for idle).

--- a/packages/runtime/src/internal/leader-term.ts
+++ b/packages/runtime/src/internal/leader-term.ts
@@ -390,7 +390,7 @@
     const { entry } = worker;
     const link = new WorkerLink(entry, this.#port.workers, this, this.#log, this.#leaseMs);
     this.#links.set(id, link);
-    this.#linkStarter.start(link);
+    this.#linkStarter.start(link, worker.runs.size > 0);
   }
 
   #unlinkGone(): void {
--- a/packages/runtime/src/test/link-starter_test.ts
+++ b/packages/runtime/src/test/link-starter_test.ts
@@ -35,7 +35,7 @@
     heldUpMs = Math.max(heldUpMs, performance.now() - lastMs);
     lastMs = performance.now();
   }, 5);
-  for (let i = 0; i < LINKS; i += 1) starter.start(link);
+  for (let i = 0; i < LINKS; i += 1) starter.start(link, true);
   while (begun < LINKS) await delay(10, stopping.signal);
   clearInterval(ticks);
   assert.ok(heldUpMs < MAX_HELD_UP_MS, `${heldUpMs} ms`);
@@ -51,9 +51,27 @@
     },
   } as unknown as WorkerLink;
   const starter = new LinkStarter(stopping.signal, (err) => assert.fail(String(err)));
-  for (let i = 0; i < LINKS; i += 1) starter.start(link);
+  for (let i = 0; i < LINKS; i += 1) starter.start(link, true);
   stopping.abort();
   const before = begun;
   await delay(100, new AbortController().signal);
   assert.equal(begun, before);
 });
+
+test('workers on which something runs are greeted before all others', async () => {
+  // A node takes over. One worker in three runs something, and those are spread over the list. In the
+  // order of the list the last of them is reached when nearly all others have been, and on a small
+  // node their leases are over by then.
+  const stopping = new AbortController();
+  const begun: boolean[] = [];
+  const starter = new LinkStarter(stopping.signal, (err) => assert.fail(String(err)));
+  for (let i = 0; i < LINKS; i += 1) {
+    const isBusy = i % 3 === 0;
+    const run = async (): Promise<void> => {
+      begun.push(isBusy);
+    };
+    starter.start({ run } as unknown as WorkerLink, isBusy);
+  }
+  while (begun.length < LINKS) await delay(10, stopping.signal);
+  assert.equal(begun.lastIndexOf(true), begun.filter((isBusy) => isBusy).length - 1);
+});
