--- a/packages/runtime/src/internal/link-starter.ts
+++ b/packages/runtime/src/internal/link-starter.ts
@@ -30,7 +30,7 @@
 
   readonly #waiting: Readonly<Record<Urgency, WorkerLink[]>> = { lasting: [], busy: [], idle: [] };
 
-  #isBusy = false;
+  #isDraining = false;
 
   /** `failed` is told what ends a link's conversation other than its stop. */
   constructor(signal: AbortSignal, failed: (err: unknown) => void) {
@@ -41,18 +41,20 @@
   /** Begins a link to the worker of this state when its turn comes. */
   start(link: WorkerLink, worker: Occupied): void {
     this.#waiting[urgencyOf(worker)].push(link);
-    if (!this.#isBusy) this.#drain();
+    if (!this.#isDraining) this.#drain();
   }
 
   async #drain(): Promise<void> {
-    this.#isBusy = true;
+    this.#isDraining = true;
+    // The first links come one by one from a list that is being read: the whole page counts.
+    await delay(0, this.#signal);
     while (!this.#signal.aborted) {
       const next = this.#next();
       if (next.length === 0) break;
       for (const link of next) link.run().catch(this.#failed);
       await delay(PAUSE_MS, this.#signal);
     }
-    this.#isBusy = false;
+    this.#isDraining = false;
   }
 
   #next(): WorkerLink[] {
