A dead scheduling node is replaced although each call to the store takes long

Cause: a view older than 0.9 s says nothing about the leader. Between two reads of a log in which nobody writes it is 0.65 s old and two calls; from 150 ms a call on, every node took its view for too old once a cycle and counted the silence anew. With callers' jobs in the same partition reads came back sooner; with a partition of its own the log of a dead leader is always still. Change: the bound grows with what the newest four reads took, up to 3 s; where the view is older than 0.9 s the silence counts to the view, not to now. Fast stores are judged as before.

--- a/packages/runtime/src/internal/keyed-follower.ts
+++ b/packages/runtime/src/internal/keyed-follower.ts
@@ -18,6 +18,12 @@
   readonly gapMs: number;
 }
 
+/** Reads whose time counts for what is usual: some seconds of them. */
+const RECENT_READS = 4;
+
+/** What a view may be older beyond the time of its reads, in milliseconds. */
+const AGE_MARGIN_MS = 100;
+
 /** The pause after a failed read, in milliseconds: short, as an outage may end at any moment. */
 const RETRY_MS = 150;
 
@@ -47,6 +53,9 @@
 
   #isLost = false;
 
+  /** What the newest reads took beyond their wait at the store, in milliseconds. */
+  readonly #tookMs: number[] = [];
+
   readonly messages$ = new Subject<FollowerMessage>();
 
   /** Tells when reads begin to fail. */
@@ -74,6 +83,15 @@
     return this.#isLost;
   }
 
+  /**
+   * How old the view becomes where nothing is written, while reads are answered as lately: when the
+   * next one is, the newest that is known is from the wait of the one before.
+   */
+  get usualAgeMs(): number {
+    const { waitMs } = this.#settings;
+    return this.#gapMs + waitMs + 2 * Math.max(0, ...this.#tookMs) + AGE_MARGIN_MS;
+  }
+
   /** Where the view ends in the log; undefined before it is loaded. */
   get next(): number | undefined {
     return this.#next;
@@ -150,8 +168,10 @@
     // After an outage the store is asked at once: a wait there would keep the view old for longer.
     const waitMs = this.#isLost ? 0 : this.#settings.waitMs;
     const reloads = this.#reloads;
+    const sentMs = steadyMs();
     const { records, next, end, asOfMs } = await this.#source.read(from, waitMs);
     if (reloads !== this.#reloads) return;
+    this.#took(steadyMs() - sentMs - (records.length > 0 ? 0 : waitMs));
     this.#tell(records);
     this.#next = next;
     if (next >= end) {
@@ -160,6 +180,11 @@
     }
   }
 
+  #took(ms: number): void {
+    this.#tookMs.push(ms);
+    if (this.#tookMs.length > RECENT_READS) this.#tookMs.shift();
+  }
+
   #tell(records: readonly KeyedRecord[]): void {
     for (const rec of records) this.messages$.next({ kind: 'record', rec });
   }
--- a/packages/runtime/src/internal/leadership.ts
+++ b/packages/runtime/src/internal/leadership.ts
@@ -35,6 +35,12 @@
  */
 const MAX_VIEW_AGE_MS = 900;
 
+/**
+ * The same at most where reads take longer. With a store that takes 150 ms for a call every view is
+ * older than the other bound between two reads, and a dead leader was never replaced.
+ */
+const MAX_SLOW_VIEW_AGE_MS = 3_000;
+
 /**
  * Records of the leader that come no further apart than this are regular, in milliseconds: one of
  * its idle writes, the pause between two reads, and some tens of milliseconds for both calls.
@@ -161,7 +167,9 @@
     if (this.#stopping.signal.aborted || this.#term) return false;
     const nowMs = steadyMs();
     if (nowMs < this.#nextClaimMs) return false;
-    if (nowMs - this.#follower.freshMs > MAX_VIEW_AGE_MS) {
+    const { freshMs, usualAgeMs } = this.#follower;
+    const ageMs = nowMs - freshMs;
+    if (ageMs > Math.max(MAX_VIEW_AGE_MS, Math.min(usualAgeMs, MAX_SLOW_VIEW_AGE_MS))) {
       this.#blindMs = nowMs;
       return false;
     }
@@ -169,7 +177,9 @@
     if (!leader || leader.resigned || this.#wasLeader(leader)) return true;
     // After a silence of the store this node may read again before the leader can write again.
     // Counted from its last record it would be taken for dead just then, having lost nothing.
-    const silentMs = nowMs - Math.max(leaderSeenMs, this.#startedMs, this.#blindMs);
+    const sinceMs = Math.max(leaderSeenMs, this.#startedMs, this.#blindMs);
+    // What was written since a view that is older is not known: the silence counts up to there.
+    const silentMs = (ageMs > MAX_VIEW_AGE_MS ? freshMs : nowMs) - sinceMs;
     return silentMs > this.#silentLimitMs() + this.#patienceMs;
   }
 
