Starts that wait are looked at once more when they are sent

Cause: a start waits for its binding to be stored, for its turn, and for the answer to its first attempt; a cancel or a worker's leave-taking that was read meanwhile did not hold it back. Change: the link asks before each attempt whether the start is still due. One that is not, and was never sent, gives its task back at once.

--- a/packages/fuzz/src/jobs/model-leader.ts
+++ b/packages/fuzz/src/jobs/model-leader.ts
@@ -221,7 +221,8 @@
       mayRun,
     };
     if (order.kind === 'start') {
-      if (this.#leases.limitMs(worker, nowMs) < START_WINDOW_MS) {
+      const mayStart = this.#leases.limitMs(worker, nowMs) >= START_WINDOW_MS;
+      if (!mayStart || !this.scheduler.isDue(order)) {
         // Nothing was sent now, but an earlier attempt may be on its way.
         this.settle(sent, mayRun ? 'unknown' : 'too-late', nowMs);
         return;
--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -172,6 +172,19 @@
     if (order.kind === 'start') this.#startAnswered(worker, order, outcome, nowMs, settledMs);
   }
 
+  /**
+   * Whether an order is still to be sent. A start waits until it is stored and for its turn, seconds
+   * maybe; sent then all the same, it would begin what was cancelled, or on a worker that has said
+   * that it leaves. One that was never sent can be answered with `too-late`.
+   */
+  isDue(order: Order): boolean {
+    if (order.kind !== 'start') return true;
+    const worker = this.#state.workers.get(order.worker);
+    const run = worker?.runs.get(taskName(order.task));
+    if (!worker || run?.run !== order.run) return false;
+    return !worker.entry.draining && !this.#isUnwanted(worker, run);
+  }
+
   /** Whether `decide` would tell something that was handed in since its last call. */
   get hasNews(): boolean {
     const { changed, orders, endsProcessed } = this.#state;
--- a/packages/runtime/src/internal/leader-term.ts
+++ b/packages/runtime/src/internal/leader-term.ts
@@ -189,6 +189,10 @@
     this.#scheduler.leaseSent(worker, leaseEndMs);
   }
 
+  isDue(order: Order): boolean {
+    return this.#scheduler.isDue(order);
+  }
+
   reported(worker: string, report: WorkerReport, askedMs: number): void {
     this.#load.reported();
     const isFirst = !this.#scheduler.workers.get(worker)?.fenced;
--- a/packages/runtime/src/internal/worker-link.ts
+++ b/packages/runtime/src/internal/worker-link.ts
@@ -27,6 +27,8 @@
   /** Whether anything runs on the worker, or may. */
   isBusy(worker: string): boolean;
   leaseSent(worker: string, leaseEndMs: number): void;
+  /** Whether an order is still to be sent. */
+  isDue(order: Order): boolean;
   reported(worker: string, report: WorkerReport, askedMs: number): void;
   answered(order: Order, outcome: OrderOutcome, settledMs: number): void;
   gone(worker: string, why: string): void;
@@ -117,10 +119,10 @@
     for (let attempt = 0; attempt < START_ATTEMPTS && outcome === 'unknown'; attempt += 1) {
       if (this.#stopping.signal.aborted) return;
       const sentMs = steadyMs();
-      if (order.kind === 'start' && this.#listener.leaseLimitMs(this.id) < START_WINDOW_MS) {
-        // A node that was frozen and replaced would start here what the next one starts elsewhere.
+      const objection = this.#objection(order);
+      if (objection) {
         if (!mayRun) outcome = 'too-late';
-        this.#logOrder(order, outcome, 'no lease may be given', attempt, sentMs);
+        this.#logOrder(order, outcome, objection, attempt, sentMs);
         break;
       }
       const deadlineMs = this.#workerTime(sentMs) + START_WINDOW_MS;
@@ -149,6 +151,14 @@
     else this.#listener.answered(order, outcome, settledMs);
   }
 
+  /** Why a start must not be sent now, though it was decided on. */
+  #objection(order: Order): string | undefined {
+    if (order.kind !== 'start') return undefined;
+    // A node that was frozen and replaced would start here what the next one starts elsewhere.
+    if (this.#listener.leaseLimitMs(this.id) < START_WINDOW_MS) return 'no lease may be given';
+    return this.#listener.isDue(order) ? undefined : 'not due any more';
+  }
+
   #logOrder(
     order: Order,
     outcome: OrderOutcome,
--- a/packages/runtime/src/test/worker-link_test.ts
+++ b/packages/runtime/src/test/worker-link_test.ts
@@ -36,6 +36,7 @@
     leaseLimitMs: () => LEASE_MS,
     ackedEnd: () => 0,
     isBusy: () => true,
+    isDue: () => true,
     leaseSent: (_worker, leaseEndMs) => leases.push(leaseEndMs),
     reported: () => {},
     answered: () => {},
