Test of a takeover while callers' jobs cannot be read, failing

The new scheduling node knows progress of a job that it has not read, and waits for the callers' log before it writes a record of its own or renews a lease: 0 records in 1.1 s.

--- /dev/null
+++ b/packages/runtime/src/test/unread-jobs_test.ts
@@ -0,0 +1,107 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { JobSpec } from '@redwingcrank/jobs';
+import { JobProgress, PLAIN_STEP } from '@redwingcrank/jobs';
+import type {
+  AppendResult,
+  KeyedRecord,
+  KeyedWrite,
+  NewestPage,
+  ReadResult,
+} from '../keyed-log.js';
+import { KeyedLog } from '../keyed-log.js';
+import { NodeLog } from '../node-log.js';
+import type { PlatformPort } from '../platform-port.js';
+import { ConfigWatch } from '../internal/config-watch.js';
+import { delay } from '../internal/delay.js';
+import { Leadership } from '../internal/leadership.js';
+import { LEADER_SILENT_MS } from '../internal/timing.js';
+import { decodeLeader, leaderKey, progressKey } from '../internal/work-records.js';
+import { WorkFollower } from '../internal/work-follower.js';
+import { WorkTable } from '../internal/work-table.js';
+import { nodeSettings } from './fixtures.js';
+
+const LOG = new NodeLog('n1', 'silent');
+
+const pause = (ms: number): Promise<void> => delay(ms, new AbortController().signal);
+
+/** A log in memory that can become unreadable. */
+class MemoryLog extends KeyedLog {
+  readonly records: KeyedRecord[] = [];
+
+  isHeld = false;
+
+  override async append(records: readonly KeyedWrite[]): Promise<AppendResult> {
+    this.records.push(...records);
+    return { outcome: 'appended', reason: '' };
+  }
+
+  override async read(from: number, waitMs: number): Promise<ReadResult> {
+    const endMs = performance.now() + waitMs;
+    while (this.isHeld || (this.records.length <= from && performance.now() < endMs)) {
+      await pause(5);
+    }
+    const end = this.records.length;
+    return { records: this.records.slice(from), next: end, end, asOfMs: performance.now() };
+  }
+
+  override async newest(): Promise<NewestPage> {
+    return { records: [...this.records], hasMore: false, end: this.records.length };
+  }
+
+  /** How many records of its own the scheduling node has written after its claim. */
+  get termRecords(): number {
+    const numbers = this.records.map(({ key, value }) => {
+      const decoded = key === leaderKey() ? decodeLeader(value ?? '') : undefined;
+      return decoded && 'value' in decoded ? decoded.value.number : 0;
+    });
+    return Math.max(0, ...numbers);
+  }
+}
+
+const JOB: JobSpec = {
+  id: '00000000000000aa',
+  queue: 'q',
+  payload: 'p',
+  steps: [{ ...PLAIN_STEP, lasting: true }],
+  acceptedMs: 0,
+};
+
+test('a new scheduling node gives signs of life though jobs of callers cannot be read', async () => {
+  // A node takes over while one partition of the store is away, the callers', and knows of a job that
+  // was begun and that it has not read. If it waits for that with its whole term, it writes nothing
+  // and renews no lease: it is taken for dead after 1.1 s, each node after it stands still in the
+  // same way, and after 7.6 s all that runs has ended, though it could be kept.
+  const workLog = new MemoryLog();
+  const jobLog = new MemoryLog();
+  const empty = new MemoryLog();
+  const port = {
+    workLog,
+    jobLog,
+    workerLog: empty,
+    operatorLog: empty,
+    workers: { forget() {} },
+  } as unknown as PlatformPort;
+  const table = new WorkTable('n1');
+  const work = new WorkFollower(port, LOG, table);
+  const config = new ConfigWatch(port, LOG);
+  const settings = nodeSettings('n1');
+  const leadership = new Leadership(port, settings, LOG, table, work, config);
+  const following = work.run();
+  while (!work.isLoaded) await pause(5);
+  jobLog.isHeld = true;
+  const progress = new JobProgress(JOB);
+  progress.openDue(Date.now());
+  progress.begin();
+  await workLog.append([{ key: progressKey(JOB.id), value: progress.encode() }]);
+  while (!table.hasEarlyProgress) await pause(5);
+  const leading = leadership.run();
+  while (!leadership.isLeading) await pause(5);
+  await pause(LEADER_SILENT_MS);
+  const written = workLog.termRecords;
+  await Promise.all([leadership.stop(), leading]);
+  work.stop();
+  jobLog.isHeld = false;
+  await following;
+  assert.ok(written > 1, `${written} records`);
+});
