A term does not wait for callers' jobs that cannot be read

Cause: a new scheduling node waited with its whole term until it had read the callers' log once more. While that partition is away it wrote no record and renewed no lease, was taken for dead, and each node after it did the same; with both logs well it could stand still for the wait of two reads. Change: the term begins once what scheduling nodes wrote is read. Until all begun jobs are told, runs of unknown jobs are not stopped, their ends are not acknowledged, nothing starts beside them, and the records keep the lease bound of the claim; renewals, stops, ends and starts of what is known go on. A job that is told later has the lease bound that was named for its worker.

--- a/packages/jobs/src/internal/cluster-state.ts
+++ b/packages/jobs/src/internal/cluster-state.ts
@@ -45,12 +45,20 @@
 
   orders: Order[] = [];
 
+  /** False while jobs that were begun before may not be told yet. */
+  isWhole = true;
+
   constructor(timing: SchedulerTiming, startedMs: number, note: Note) {
     this.timing = timing;
     this.startedMs = startedMs;
     this.note = note;
   }
 
+  /** Whether a job is not known that may have been begun. */
+  isUntold(jobId: string): boolean {
+    return !this.isWhole && !this.jobs.has(jobId);
+  }
+
   addWorker(entry: WorkerEntry): WorkerState {
     const worker = new WorkerState(entry, this.startedMs + this.timing.inheritedLeaseMs);
     this.workers.set(entry.id, worker);
--- a/packages/jobs/src/internal/report-reader.ts
+++ b/packages/jobs/src/internal/report-reader.ts
@@ -32,10 +32,8 @@
     Object.assign(worker, { answeredMs: nowMs });
     if (!worker.fenced) this.#fenced(worker, report, nowMs);
     for (const row of report.running) this.#running(worker, row, nowMs);
-    for (const row of report.ended) {
-      if (row.number > worker.processedEnd) this.#ended(worker, row, nowMs);
-    }
-    if (report.ended.length < FULL_REPORT) this.#releaseAbsent(worker, report, askedMs);
+    const isRead = this.#readEnds(worker, report.ended, nowMs);
+    if (isRead && report.ended.length < FULL_REPORT) this.#releaseAbsent(worker, report, askedMs);
     worker.measured();
     this.#model.learn(worker, nowMs);
     this.#pace(worker, nowMs);
@@ -81,6 +79,19 @@
     this.#state.note('stray-run', { task: row.task, run: row.run, worker: worker.entry.id });
   }
 
+  /**
+   * Whether all of them could be read. The end of a job that is not told yet would be acknowledged,
+   * and its task run again; so it is left on the worker's list, with those after it.
+   */
+  #readEnds(worker: WorkerState, ended: readonly EndedRow[], nowMs: number): boolean {
+    for (const row of ended) {
+      const ref = parseTaskName(row.task);
+      if (ref && row.number > worker.processedEnd && this.#state.isUntold(ref.jobId)) return false;
+      if (row.number > worker.processedEnd) this.#ended(worker, row, nowMs);
+    }
+    return true;
+  }
+
   #ended(worker: WorkerState, row: EndedRow, nowMs: number): void {
     worker.processedEnd = row.number;
     this.#state.endsProcessed.add(worker);
--- a/packages/jobs/src/internal/task-placer.ts
+++ b/packages/jobs/src/internal/task-placer.ts
@@ -42,7 +42,7 @@
     const waiting = this.#turns.inOrder([...this.#waitingSteps()].sort(byUrgency));
     // From here on: with thousands of waiting steps the sorting takes its time as well.
     const budget = new RoundBudget(limits);
-    const places = new RoundPlaces(this.#state.workers.values(), this.#placement, nowMs);
+    const places = new RoundPlaces(this.#openWorkers(), this.#placement, nowMs);
     const placeless: WaitingStep[] = [];
     for (const [count, step] of waiting.entries()) {
       // One step at least is tried, however late it is.
@@ -62,6 +62,14 @@
     return false;
   }
 
+  /** Without those that run what is not told yet: how much room it takes there is not known. */
+  *#openWorkers(): Generator<WorkerState> {
+    for (const worker of this.#state.workers.values()) {
+      const runs = this.#state.isWhole ? [] : [...worker.runs.values()];
+      if (!runs.some(({ ref }) => this.#state.isUntold(ref.jobId))) yield worker;
+    }
+  }
+
   /** Returns whether any step is left that was not tried. */
   #cutShort(budget: RoundBudget, count: number, placeless: readonly WaitingStep[]): boolean {
     if (budget.hasStarts) return this.#turns.cutShort(count, placeless);
--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -53,6 +53,9 @@
 
   readonly #model: TailModel;
 
+  /** When leases that earlier nodes have given are over, where more than the rule is known. */
+  #inheritedEndMs: ReadonlyMap<string, number> = new Map();
+
   constructor(
     timing: SchedulerTiming,
     nowMs: number,
@@ -86,12 +89,21 @@
 
   /** By worker, when leases that earlier nodes have given are over, where more than the rule is known. */
   inheritLeases(endMs: ReadonlyMap<string, number>): void {
-    for (const [id, leaseEndMs] of endMs) {
+    this.#inheritedEndMs = endMs;
+    for (const id of endMs.keys()) {
       const worker = this.#state.workers.get(id);
-      if (worker && !worker.fenced) worker.leaseEndMs = leaseEndMs;
+      if (worker) this.#inheritLease(worker);
     }
   }
 
+  /**
+   * Jobs that were begun before may not be told yet, or all of them are. Until then what workers list
+   * of unknown jobs is left as it is; all else goes on.
+   */
+  setWhole(isWhole: boolean): void {
+    this.#state.isWhole = isWhole;
+  }
+
   setQueues(queues: Iterable<QueuePolicy>): void {
     for (const queue of queues) this.#state.queues.set(queue.name, queue);
   }
@@ -253,6 +265,7 @@
     if (!worker) {
       worker = this.#state.addWorker(unlistedEntry(task.worker));
       worker.listed = false;
+      this.#inheritLease(worker);
     }
     worker.add(taskName(ref), {
       ...newRun(ref, task, job.spec.steps[ref.step]!, this.#state.startedMs),
@@ -260,6 +273,11 @@
     });
   }
 
+  #inheritLease(worker: WorkerState): void {
+    const endMs = this.#inheritedEndMs.get(worker.entry.id);
+    if (endMs !== undefined && !worker.fenced) Object.assign(worker, { leaseEndMs: endMs });
+  }
+
   #startAnswered(
     worker: WorkerState,
     order: Order & { kind: 'start' },
@@ -342,6 +360,7 @@
   #isUnwanted(worker: WorkerState, run: WorkerRun): boolean {
     const job = this.#state.jobs.get(run.ref.jobId);
     const task = job && findTask(job, run.ref);
+    if (this.#state.isUntold(run.ref.jobId)) return false;
     if (!job || !task || isFinal(job.state)) return true;
     if (run.stopSentMs > 0) return true;
     const isBinding = task.run === run.run && task.worker === worker.entry.id;
--- a/packages/runtime/src/internal/leader-term.ts
+++ b/packages/runtime/src/internal/leader-term.ts
@@ -74,6 +74,9 @@
 
   #isResigning = false;
 
+  /** Whether all jobs that were begun are known, and with them the workers that may run them. */
+  #isWhole = false;
+
   /** The newest record of this node itself that was written. */
   #told = { number: 0, sentMs: -Infinity };
 
@@ -128,8 +131,12 @@
     return this.#record.epoch;
   }
 
-  /** Schedules until another node has taken over or `stop` is called. */
-  async run(): Promise<void> {
+  /**
+   * Schedules until another node has taken over or `stop` is called. `whole` tells when the table
+   * holds all jobs that were begun. The term does not wait for it: while callers' jobs cannot be read
+   * no lease would be renewed, and all that runs would end.
+   */
+  async run(whole: Promise<boolean> = Promise.resolve(true)): Promise<void> {
     // A node that was frozen may read its own claim together with the one that has replaced it.
     const { leader } = this.#table;
     if (leader && leader.epoch > this.token) this.fenced('', 'replaced-before-start');
@@ -152,6 +159,8 @@
     this.#load
       .run(() => this.#view(), this.#stopping.signal)
       .catch((err) => this.#failed('term-load', err));
+    this.#scheduler.setWhole(false);
+    whole.then((isWhole) => this.#jobsTold(isWhole)).catch((err) => this.#failed('jobs', err));
     while (!this.#stopping.signal.aborted) await this.#round();
     this.#close();
   }
@@ -241,7 +250,7 @@
       this.#workerList.isLoaded,
       steadyMs(),
     );
-    const isNews = this.#leases.noteSilent(silent, isComplete);
+    const isNews = this.#leases.noteSilent(silent, isComplete && this.#isWhole);
     // Deleted records of callers are no sign of this node's life: its own goes with them.
     const isSign = forgotten.length > 0 || (writes.length === 0 && isQuiet);
     const tells = resigns || isNews || isSign;
@@ -343,6 +352,12 @@
     });
   }
 
+  #jobsTold(isWhole: boolean): void {
+    this.#isWhole = isWhole;
+    this.#scheduler.setWhole(isWhole);
+    this.#pacing.wake();
+  }
+
   #takeOn({ spec, progress, isUnsure, cancelled }: StoredJob): void {
     if (isUnsure) return;
     const job = progress === undefined ? new JobProgress(spec) : JobProgress.decode(spec, progress);
--- a/packages/runtime/src/internal/leadership.ts
+++ b/packages/runtime/src/internal/leadership.ts
@@ -356,8 +356,8 @@
 
   async #runTerm(term: LeaderTerm): Promise<void> {
     try {
-      await this.#work.whenWhole(this.#stopping.signal);
-      await term.run();
+      await this.#work.whenRolesRead(this.#stopping.signal);
+      await term.run(this.#work.whenWhole(this.#stopping.signal));
     } catch (err) {
       const reason = err instanceof Error ? (err.stack ?? err.message) : String(err);
       this.#log.emit('error', 'term-failed', { reason });
--- a/packages/runtime/src/internal/work-follower.ts
+++ b/packages/runtime/src/internal/work-follower.ts
@@ -111,13 +111,24 @@
     this.#jobs.setGap(isLeading ? LEADER_JOBS_GAP_MS : JOBS_GAP_MS);
   }
 
+  /**
+   * Waits until what scheduling nodes wrote is read. While it is loaded anew a claim may be read
+   * before the progress of jobs, and these, taken on with what was known before, would run twice.
+   */
+  async whenRolesRead(signal: AbortSignal): Promise<void> {
+    const isRead = (): boolean => this.roles.isLoaded && !this.#isJobsLoadDue;
+    while (!signal.aborted && !isRead()) await delay(WHOLE_LOOK_MS, signal);
+  }
+
   /**
    * Waits until the table holds every job that any scheduling node has begun whose records were read
    * until now. Workers list tasks of such jobs; a node that did not know the job yet would stop them.
+   * False where the signal came first.
    */
-  async whenWhole(signal: AbortSignal): Promise<void> {
+  async whenWhole(signal: AbortSignal): Promise<boolean> {
     const sinceMs = steadyMs();
     while (!signal.aborted && !this.#isWhole(sinceMs)) await delay(WHOLE_LOOK_MS, signal);
+    return !signal.aborted;
   }
 
   /** Progress without a job is of one that this node has not read, or of one that is deleted. */
--- a/packages/runtime/src/test/unread-jobs_test.ts
+++ b/packages/runtime/src/test/unread-jobs_test.ts
@@ -9,7 +9,7 @@
   NewestPage,
   ReadResult,
 } from '../keyed-log.js';
-import { KeyedLog } from '../keyed-log.js';
+import { KeyedLog, RecordsExpiredError } from '../keyed-log.js';
 import { NodeLog } from '../node-log.js';
 import type { PlatformPort } from '../platform-port.js';
 import { ConfigWatch } from '../internal/config-watch.js';
@@ -31,6 +31,9 @@
 
   isHeld = false;
 
+  /** Reads find that records have expired. */
+  isExpired = false;
+
   override async append(records: readonly KeyedWrite[]): Promise<AppendResult> {
     this.records.push(...records);
     return { outcome: 'appended', reason: '' };
@@ -41,11 +44,12 @@
     while (this.isHeld || (this.records.length <= from && performance.now() < endMs)) {
       await pause(5);
     }
+    if (this.isExpired) throw new RecordsExpiredError('expired');
     const end = this.records.length;
     return { records: this.records.slice(from), next: end, end, asOfMs: performance.now() };
   }
 
-  override async newest(): Promise<NewestPage> {
+  override async newest(_after = ''): Promise<NewestPage> {
     return { records: [...this.records], hasMore: false, end: this.records.length };
   }
 
@@ -67,41 +71,94 @@
   acceptedMs: 0,
 };
 
+/** A node that has read both logs, and then knows of a begun job that it has not read. */
+class TakingOver {
+  readonly workLog = new MemoryLog();
+
+  readonly jobLog = new MemoryLog();
+
+  readonly leadership: Leadership;
+
+  readonly #work: WorkFollower;
+
+  readonly #table = new WorkTable('n1');
+
+  #running: Promise<void>[] = [];
+
+  constructor() {
+    const { workLog, jobLog } = this;
+    const empty = new MemoryLog();
+    const port = {
+      workLog,
+      jobLog,
+      workerLog: empty,
+      operatorLog: empty,
+      workers: { forget() {} },
+    } as unknown as PlatformPort;
+    this.#work = new WorkFollower(port, LOG, this.#table);
+    const config = new ConfigWatch(port, LOG);
+    const settings = nodeSettings('n1');
+    this.leadership = new Leadership(port, settings, LOG, this.#table, this.#work, config);
+  }
+
+  async follow(): Promise<void> {
+    this.#running.push(this.#work.run());
+    while (!this.#work.isLoaded) await pause(5);
+    this.jobLog.isHeld = true;
+    const progress = new JobProgress(JOB);
+    progress.openDue(Date.now());
+    progress.begin();
+    await this.workLog.append([{ key: progressKey(JOB.id), value: progress.encode() }]);
+    while (!this.#table.hasEarlyProgress) await pause(5);
+  }
+
+  async lead(): Promise<void> {
+    this.#running.push(this.leadership.run());
+    while (!this.leadership.isLeading) await pause(5);
+    await pause(LEADER_SILENT_MS);
+  }
+
+  async stop(): Promise<void> {
+    this.workLog.isHeld = false;
+    this.jobLog.isHeld = false;
+    await this.leadership.stop();
+    this.#work.stop();
+    await Promise.all(this.#running);
+  }
+}
+
 test('a new scheduling node gives signs of life though jobs of callers cannot be read', async () => {
   // A node takes over while one partition of the store is away, the callers', and knows of a job that
   // was begun and that it has not read. If it waits for that with its whole term, it writes nothing
   // and renews no lease: it is taken for dead after 1.1 s, each node after it stands still in the
   // same way, and after 7.6 s all that runs has ended, though it could be kept.
-  const workLog = new MemoryLog();
-  const jobLog = new MemoryLog();
-  const empty = new MemoryLog();
-  const port = {
-    workLog,
-    jobLog,
-    workerLog: empty,
-    operatorLog: empty,
-    workers: { forget() {} },
-  } as unknown as PlatformPort;
-  const table = new WorkTable('n1');
-  const work = new WorkFollower(port, LOG, table);
-  const config = new ConfigWatch(port, LOG);
-  const settings = nodeSettings('n1');
-  const leadership = new Leadership(port, settings, LOG, table, work, config);
-  const following = work.run();
-  while (!work.isLoaded) await pause(5);
-  jobLog.isHeld = true;
-  const progress = new JobProgress(JOB);
-  progress.openDue(Date.now());
-  progress.begin();
-  await workLog.append([{ key: progressKey(JOB.id), value: progress.encode() }]);
-  while (!table.hasEarlyProgress) await pause(5);
-  const leading = leadership.run();
-  while (!leadership.isLeading) await pause(5);
-  await pause(LEADER_SILENT_MS);
-  const written = workLog.termRecords;
-  await Promise.all([leadership.stop(), leading]);
-  work.stop();
-  jobLog.isHeld = false;
-  await following;
+  const node = new TakingOver();
+  await node.follow();
+  await node.lead();
+  const written = node.workLog.termRecords;
+  await node.stop();
   assert.ok(written > 1, `${written} records`);
 });
+
+test('a new scheduling node waits for the rest of what the one before wrote', async () => {
+  // Records have expired, and the log is loaded anew when the node's claim is stored: it reads the
+  // claim in the first page, and the progress of jobs in the next. Jobs taken on with what was known
+  // before would start tasks that run already.
+  const node = new TakingOver();
+  await node.follow();
+  const { workLog } = node;
+  workLog.append = async (records) => {
+    workLog.isExpired = true;
+    return MemoryLog.prototype.append.call(workLog, records);
+  };
+  workLog.newest = async (after) => {
+    while (workLog.isHeld) await pause(5);
+    workLog.isExpired = false;
+    workLog.isHeld = after === '';
+    return { records: workLog.records.slice(-1), hasMore: after === '', end: 2 };
+  };
+  await node.lead();
+  const written = workLog.termRecords;
+  await node.stop();
+  assert.equal(written, 0);
+});
