Progress of jobs that are not read yet is kept while its log is loaded anew

Cause: it was dropped when the load began, and the job, read from the other log meanwhile, was taken for a new one until its page came. Change: it is kept, as that of known jobs is. Measured: the new test of unread-jobs_test says queued without the change, and passes with it; 100 of 100 runtime and jobs tests.

--- a/packages/runtime/src/internal/work-table.ts
+++ b/packages/runtime/src/internal/work-table.ts
@@ -113,14 +113,10 @@
   }
 
   /**
-   * What scheduling nodes wrote is told anew. Jobs keep the progress that they have: without it they
-   * would seem to be new until the record of each is read.
+   * What scheduling nodes wrote is told anew. Jobs keep the progress that they have, also those that
+   * are not read yet: without it they would seem to be new until the record of each is read.
    */
   reset(): void {
-    for (const [id, { cancel }] of this.#early) {
-      if (cancel) this.#early.set(id, { cancel });
-      else this.#early.delete(id);
-    }
     this.formerLeases.viewBroken();
   }
 
--- a/packages/runtime/src/test/unread-jobs_test.ts
+++ b/packages/runtime/src/test/unread-jobs_test.ts
@@ -14,9 +14,10 @@
 import type { PlatformPort } from '../platform-port.js';
 import { ConfigWatch } from '../internal/config-watch.js';
 import { delay } from '../internal/delay.js';
+import { encodeJob } from '../internal/job-record.js';
 import { Leadership } from '../internal/leadership.js';
 import { LEADER_SILENT_MS } from '../internal/timing.js';
-import { decodeLeader, leaderKey, progressKey } from '../internal/work-records.js';
+import { decodeLeader, jobKey, leaderKey, progressKey } from '../internal/work-records.js';
 import { WorkFollower } from '../internal/work-follower.js';
 import { WorkTable } from '../internal/work-table.js';
 import { nodeSettings } from './fixtures.js';
@@ -162,3 +163,17 @@
   await node.stop();
   assert.equal(written, 0);
 });
+
+test('a job that is read while the other log is loaded anew is not taken for a new one', () => {
+  // A node knows that a job was begun, and has not read the job. It loads what scheduling nodes wrote
+  // anew, and reads the job before the page with its progress. As a new job it would be started once
+  // more if this node scheduled.
+  const table = new WorkTable('n1');
+  const progress = new JobProgress(JOB);
+  progress.openDue(Date.now());
+  progress.begin();
+  table.apply({ key: progressKey(JOB.id), value: progress.encode() });
+  table.reset();
+  table.apply({ key: jobKey(JOB.id), value: encodeJob(JOB) });
+  assert.equal(table.jobs.get(JOB.id)?.state, 'running');
+});
