--- /dev/null
+++ b/packages/runtime/src/test/slow-reads_test.ts
@@ -0,0 +1,86 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { AppendResult, KeyedRecord, NewestPage, ReadResult } from '../keyed-log.js';
+import { KeyedLog } from '../keyed-log.js';
+import { Node } from '../node.js';
+import { NodeLog } from '../node-log.js';
+import type { PlatformPort } from '../platform-port.js';
+import { delay, steadyMs } from '../internal/delay.js';
+import { encodeLeader, leaderKey } from '../internal/work-records.js';
+import { nodeSettings } from './fixtures.js';
+
+const pause = (ms: number): Promise<void> => delay(ms, new AbortController().signal);
+
+/** What a call to the store takes each way, in milliseconds. */
+const WAY_MS = 150;
+
+/** How long the node is watched, in milliseconds. */
+const WATCHED_MS = 5_000;
+
+/** A log of a store that is slow, and sound. */
+class SlowLog extends KeyedLog {
+  readonly #records: KeyedRecord[];
+
+  constructor(records: KeyedRecord[] = []) {
+    super();
+    this.#records = records;
+  }
+
+  override async append(): Promise<AppendResult> {
+    await pause(2 * WAY_MS);
+    return { outcome: 'refused', reason: 'busy' };
+  }
+
+  override async read(from: number, waitMs: number): Promise<ReadResult> {
+    const sentMs = steadyMs();
+    await pause(WAY_MS);
+    await pause(waitMs);
+    await pause(WAY_MS);
+    return { records: [], next: from, end: from, asOfMs: sentMs + waitMs };
+  }
+
+  override async newest(): Promise<NewestPage> {
+    await pause(2 * WAY_MS);
+    return { records: this.#records, hasMore: false, end: 0 };
+  }
+}
+
+const LEADER = encodeLeader({
+  epoch: 1,
+  node: 'n2',
+  nonce: '1',
+  resigned: false,
+  leasesMs: 4_000,
+  formerMs: 0,
+  silent: {},
+  number: 0,
+});
+
+test('a node stays ready while each call to the store takes 0.3 s', async () => {
+  // The store is slow, and answers. A node that pauses after each answer as long as ever has a view
+  // that is over 1.5 s old before the next answer comes; it says that it is not ready, each second or
+  // so, and callers are sent elsewhere, where it is the same.
+  const port: PlatformPort = {
+    workLog: new SlowLog([{ key: leaderKey(), value: LEADER }]),
+    jobLog: new SlowLog(),
+    workerLog: new SlowLog(),
+    operatorLog: new SlowLog([{ key: 'config', value: 'x' }]),
+    workers: { forget() {} },
+    workerIdOf: () => undefined,
+    decodeWorker: () => assert.fail(),
+    decodeConfig: () => ({
+      value: { version: 1, queues: [], pools: new Set<string>(), maxBodyBytes: 1_000 },
+    }),
+  } as unknown as PlatformPort;
+  const node = new Node(port, nodeSettings('n1'), new NodeLog('n1', 'silent'));
+  node.start();
+  while (!node.isReady) await pause(5);
+  let unreadyMs = 0;
+  for (const endMs = steadyMs() + WATCHED_MS; steadyMs() < endMs;) {
+    const sinceMs = steadyMs();
+    await pause(5);
+    if (!node.isReady) unreadyMs += steadyMs() - sinceMs;
+  }
+  await node.retire();
+  assert.equal(Math.round(unreadyMs), 0);
+});
