Logs are read again once the view is as old as the pause, not a whole pause after each answer

Cause: the callers' log is read with a wait and a pause of 0.5 s each, so the view grows to 1 s and two calls' time: over the 1.5 s at which a node is not ready, with 0.3 s a call. Change: what the answer took counts as pause, 25 ms at least.

--- a/packages/runtime/src/internal/keyed-follower.ts
+++ b/packages/runtime/src/internal/keyed-follower.ts
@@ -18,6 +18,9 @@
   readonly gapMs: number;
 }
 
+/** The shortest pause after a read, in milliseconds. */
+const MIN_GAP_MS = 25;
+
 /** The pause after a failed read, in milliseconds: short, as an outage may end at any moment. */
 const RETRY_MS = 150;
 
@@ -116,7 +119,7 @@
       if (this.#next === undefined) await this.#load();
       else await this.#read(this.#next);
       this.#regained(before);
-      await this.#pause(this.#gapMs);
+      await this.#pause(this.#restMs());
     } catch (err) {
       if (err instanceof RecordsExpiredError) this.#next = undefined;
       this.#lost(err);
@@ -187,6 +190,17 @@
     });
   }
 
+  /**
+   * How long to pause after a read: until the view is as old as a pause is long. A whole pause after
+   * each answer of a slow store lets the view grow so old that the node says it is not ready.
+   */
+  #restMs(): number {
+    const oldMs = steadyMs() - this.#freshMs;
+    return this.#freshMs === -Infinity
+      ? this.#gapMs
+      : Math.max(Math.min(MIN_GAP_MS, this.#gapMs), this.#gapMs - oldMs);
+  }
+
   async #pause(ms: number): Promise<void> {
     if (ms === 0 || this.#stopping.signal.aborted) return;
     await this.#gap.wait(ms);
--- a/packages/runtime/src/test/slow-reads_test.ts
+++ b/packages/runtime/src/test/slow-reads_test.ts
@@ -19,6 +19,9 @@
 
 /** A log of a store that is slow, and sound. */
 class SlowLog extends KeyedLog {
+  /** Nothing is answered any more, so that the followers come to rest. */
+  static isOver = false;
+
   readonly #records: KeyedRecord[];
 
   constructor(records: KeyedRecord[] = []) {
@@ -33,6 +36,7 @@
 
   override async read(from: number, waitMs: number): Promise<ReadResult> {
     const sentMs = steadyMs();
+    while (SlowLog.isOver) await new Promise(() => {});
     await pause(WAY_MS);
     await pause(waitMs);
     await pause(WAY_MS);
@@ -81,6 +85,7 @@
     await pause(5);
     if (!node.isReady) unreadyMs += steadyMs() - sinceMs;
   }
+  SlowLog.isOver = true;
   await node.retire();
   assert.equal(Math.round(unreadyMs), 0);
 });
