--- a/packages/runtime/src/test/idle-worker_test.ts
+++ b/packages/runtime/src/test/idle-worker_test.ts
@@ -40,6 +40,7 @@
     leaseLimitMs: () => LEASE_MS,
     ackedEnd: () => 0,
     isBusy: () => false,
+    isDue: () => true,
     leaseSent: () => {},
     reported: () => {},
     answered: () => {},
