--- a/packages/runtime/src/internal/leader-term.ts
+++ b/packages/runtime/src/internal/leader-term.ts
@@ -312,12 +312,8 @@
 
   /** Sends all orders but the starts, and returns those: they wait for what is stored first. */
   #sendStops(orders: readonly Order[]): Order[] {
-    const starts: Order[] = [];
-    for (const order of orders) {
-      if (order.kind === 'start') starts.push(order);
-      else this.#send(order);
-    }
-    return starts;
+    this.#pacing.sendAtOnce(orders.filter(({ kind }) => kind !== 'start'));
+    return orders.filter(({ kind }) => kind === 'start');
   }
 
   #view(): TermView {
--- a/packages/runtime/src/internal/round-pacing.ts
+++ b/packages/runtime/src/internal/round-pacing.ts
@@ -13,6 +13,8 @@
 
   readonly #starts: StartSender;
 
+  readonly #send: (order: Order) => void;
+
   readonly #idle = new Pause();
 
   #isWoken = false;
@@ -24,6 +26,7 @@
 
   constructor(signal: AbortSignal, send: (order: Order) => void) {
     this.#signal = signal;
+    this.#send = send;
     this.#starts = new StartSender(signal, send);
   }
 
@@ -52,6 +55,11 @@
     this.#tookMs = this.#endedMs - beganMs;
   }
 
+  /** Sends orders that need nothing stored. */
+  sendAtOnce(orders: readonly Order[]): void {
+    for (const order of orders) this.#send(order);
+  }
+
   /** Sends starts whose bindings are stored. */
   send(starts: readonly Order[]): void {
     this.#starts.send(starts);
