Stops go out a few at a time as well

Cause: all stops and changes of pace of a round were sent in one piece, as starts were; a cancelled job with hundreds of tasks, or what a takeover finds that nobody asks for, keeps a small node from renewals and its own record. Change: 16 at a time, the first ones at once, then as much time for the rest of the node as they took. A stop that falls due again while it waits is not sent twice.

--- a/packages/runtime/src/internal/round-pacing.ts
+++ b/packages/runtime/src/internal/round-pacing.ts
@@ -1,8 +1,12 @@
 import type { Order, RoundLimits } from '@redwingcrank/jobs';
+import { taskName } from '@redwingcrank/jobs';
 import { Pause, delay, steadyMs } from './delay.js';
 import { StartSender } from './start-sender.js';
 import { GATHER_MS, MAX_ROUND_REST_MS, PLACING_MS } from './timing.js';
 
+/** After stops the node leaves as much time as they took: they are more urgent than starts. */
+const URGENT_REST = 1;
+
 /**
  * Divides the time of a scheduling node between its rounds and everything else. A round can take
  * seconds where hundreds of workers and thousands of jobs wait for a node with a third of a core;
@@ -13,7 +17,10 @@
 
   readonly #starts: StartSender;
 
-  readonly #send: (order: Order) => void;
+  readonly #urgent: StartSender;
+
+  /** Stops that were not sent yet. */
+  readonly #unsent = new Set<string>();
 
   readonly #idle = new Pause();
 
@@ -26,8 +33,12 @@
 
   constructor(signal: AbortSignal, send: (order: Order) => void) {
     this.#signal = signal;
-    this.#send = send;
     this.#starts = new StartSender(signal, send);
+    const sendUrgent = (order: Order): void => {
+      this.#unsent.delete(keyOf(order));
+      send(order);
+    };
+    this.#urgent = new StartSender(signal, sendUrgent, URGENT_REST);
   }
 
   /** Waits until the next round is asked for or due, and until it may begin. */
@@ -55,9 +66,14 @@
     this.#tookMs = this.#endedMs - beganMs;
   }
 
-  /** Sends orders that need nothing stored. */
+  /**
+   * Sends orders that need nothing stored, a few at a time as well: a job that is cancelled may have
+   * hundreds of tasks. A stop falls due again while it waits here; the same one does not wait twice.
+   */
   sendAtOnce(orders: readonly Order[]): void {
-    for (const order of orders) this.#send(order);
+    const others = orders.filter((order) => !this.#unsent.has(keyOf(order)));
+    for (const order of others) if (order.kind === 'stop') this.#unsent.add(keyOf(order));
+    this.#urgent.send(others);
   }
 
   /** Sends starts whose bindings are stored. */
@@ -70,3 +86,7 @@
     this.#starts.whenRoom(() => this.wake());
   }
 }
+
+function keyOf({ kind, worker, task, run }: Order): string {
+  return `${kind} ${worker} ${taskName(task)} ${run}`;
+}
--- a/packages/runtime/src/internal/start-sender.ts
+++ b/packages/runtime/src/internal/start-sender.ts
@@ -5,7 +5,7 @@
 /** So many starts are sent at once, as many as links are begun. */
 const STARTS_AT_ONCE = 16;
 
-/** After these the node leaves this many times what they took: to answers, renewals and records. */
+/** After starts the node leaves this many times what they took: to answers, renewals and records. */
 const REST = 2;
 
 /** What a start is taken to cost before one was sent, the rest after it included, in milliseconds. */
@@ -15,7 +15,7 @@
 const NEWEST = 0.2;
 
 /**
- * Sends starts a few at a time. All those of a round at once kept a slow node from its renewals and
+ * Sends starts, or other orders, a few at a time. All those of a round at once kept a slow node from its renewals and
  * its own record for as long as they took, and it was taken for dead.
  */
 export class StartSender {
@@ -23,6 +23,8 @@
 
   readonly #send: (order: Order) => void;
 
+  readonly #rest: number;
+
   #waiting: Order[] = [];
 
   #isBusy = false;
@@ -31,9 +33,11 @@
 
   #emptied: () => void = () => {};
 
-  constructor(signal: AbortSignal, send: (order: Order) => void) {
+  /** `rest`: how many times what some took the node has before the next ones. */
+  constructor(signal: AbortSignal, send: (order: Order) => void, rest = REST) {
     this.#signal = signal;
     this.#send = send;
+    this.#rest = rest;
   }
 
   /** How many more starts can be taken on so that none waits for too long. */
@@ -66,9 +70,9 @@
       const orders = this.#waiting.splice(0, STARTS_AT_ONCE);
       for (const order of orders) this.#send(order);
       const tookMs = steadyMs() - beganMs;
-      if (this.#waiting.length > 0) await delay(REST * tookMs, this.#signal);
+      if (this.#waiting.length > 0) await delay(this.#rest * tookMs, this.#signal);
       // A busy node is back later than it wanted.
-      const eachMs = Math.max((1 + REST) * tookMs, steadyMs() - beganMs) / orders.length;
+      const eachMs = Math.max((1 + this.#rest) * tookMs, steadyMs() - beganMs) / orders.length;
       this.#eachMs += NEWEST * (eachMs - this.#eachMs);
     }
     this.#isBusy = false;
