The load line tells how many log lines were dropped

Cause: a node's lines are queued for their reader, 512 KB at most, and dropped beyond. Change: term-load has droppedLines, the count since the start. Measured: term-load_test fails without it, passes with it.

--- a/packages/runtime/src/internal/term-load.ts
+++ b/packages/runtime/src/internal/term-load.ts
@@ -89,6 +89,8 @@
       unreached: view.unreached,
       quietMs: Math.round(view.quietMs),
       leaseLeftMs: Math.round(view.leaseLeftMs),
+      // Of a node that is short of time the line itself may come late, or not at all.
+      droppedLines: this.#log.dropped,
     });
     this.#rounds = 0;
     this.#decideMs = 0;
--- a/packages/runtime/src/test/term-load_test.ts
+++ b/packages/runtime/src/test/term-load_test.ts
@@ -14,6 +14,22 @@
   while (performance.now() < endMs);
 }
 
+test('a node tells how many of its lines are missing', async (t) => {
+  // A reader takes 60 lines a second of a node that writes 300. Lines come nine seconds late, then
+  // some are dropped; by when they come, and by those that are not there, the node seems to be deaf.
+  const log = new NodeLog('n1', 'silent');
+  t.mock.getter(log, 'dropped', () => 5);
+  const stopping = new AbortController();
+  const load = new TermLoad(log, 4);
+  const told = new Promise<LogFields>((resolve) => {
+    log.observe((event, fields) => event === 'term-load' && resolve(fields));
+  });
+  const running = load.run(() => VIEW, stopping.signal);
+  assert.equal((await told).droppedLines, 5);
+  stopping.abort();
+  await running;
+});
+
 test('a node that is deaf for seconds says so, and what kept it', async () => {
   // Leases lapse on hundreds of workers. The node that schedules had decided for over a second and
   // done nothing else; its store was slow as well. One line must tell both, and the metrics with it.
