--- a/packages/runtime/src/internal/keyed-follower.ts
+++ b/packages/runtime/src/internal/keyed-follower.ts
@@ -92,7 +92,12 @@
    */
   get usualAgeMs(): number {
     const { waitMs } = this.#settings;
-    return this.#gapMs + waitMs + 2 * Math.max(0, ...this.#tookMs) + AGE_MARGIN_MS;
+    return this.#gapMs + waitMs + 2 * this.usualReadMs + AGE_MARGIN_MS;
+  }
+
+  /** What a read takes that does not wait for a record, in milliseconds: the slowest of the newest. */
+  get usualReadMs(): number {
+    return Math.max(0, ...this.#tookMs);
   }
 
   /** Where the view ends in the log; undefined before it is loaded. */
--- a/packages/runtime/src/internal/leadership.ts
+++ b/packages/runtime/src/internal/leadership.ts
@@ -244,7 +244,9 @@
     const { leaderGapMs } = this.#table;
     const free = { leader, leaderGapMs, hasClaimed: this.#isUnanswered };
     const waitMs = isAtOnce ? 0 : this.#order.waitMs(free);
-    await delay(waitMs, this.#stopping.signal);
+    // The last look at the store is a part of the wait: with a slow one both together take too long
+    // for the leases that the successor has to renew.
+    await delay(Math.max(0, waitMs - this.#follower.usualReadMs), this.#stopping.signal);
     if (!this.#isRoleFree() || !(await this.#isSureOfSilence())) return;
     const before = this.#table.leader;
     const record = {
@@ -267,7 +269,11 @@
     const stamp = { writer: LEADER_WRITER, epoch: record.epoch, sequence };
     // A claim that was sent into a silence of the store is not sent again when the store is back:
     // it would replace a leader that has lost nothing.
-    const result = await this.#port.workLog.append([write], { stamp, isOnce: true });
+    const appending = this.#port.workLog.append([write], { stamp, isOnce: true });
+    // A read that waits at the store sees the claim as it is stored; one after the answer comes later
+    // by as long as a call takes.
+    this.#follower.hurry();
+    const result = await appending;
     this.#log.emit('info', 'claim', {
       epoch: record.epoch,
       before: before?.node,
