--- a/packages/runtime/src/internal/keyed-follower.ts
+++ b/packages/runtime/src/internal/keyed-follower.ts
@@ -18,6 +18,15 @@
   readonly gapMs: number;
 }
 
+/** Reads whose time counts for what is usual: some seconds of them. */
+const RECENT_READS = 4;
+
+/** What a view may be older beyond the time of its reads, in milliseconds. */
+const AGE_MARGIN_MS = 100;
+
+/** The shortest pause after a read, in milliseconds. */
+const MIN_GAP_MS = 25;
+
 /** The pause after a failed read, in milliseconds: short, as an outage may end at any moment. */
 const RETRY_MS = 150;
 
@@ -40,10 +49,16 @@
 
   #next: number | undefined;
 
+  /** How often the view was given up for a new one. */
+  #reloads = 0;
+
   #freshMs = -Infinity;
 
   #isLost = false;
 
+  /** What the newest reads took beyond their wait at the store, in milliseconds. */
+  readonly #tookMs: number[] = [];
+
   readonly messages$ = new Subject<FollowerMessage>();
 
   /** Tells when reads begin to fail. */
@@ -71,6 +86,15 @@
     return this.#isLost;
   }
 
+  /**
+   * How old the view becomes where nothing is written, while reads are answered as lately: when the
+   * next one is, the newest that is known is from the wait of the one before.
+   */
+  get usualAgeMs(): number {
+    const { waitMs } = this.#settings;
+    return this.#gapMs + waitMs + 2 * Math.max(0, ...this.#tookMs) + AGE_MARGIN_MS;
+  }
+
   /** Where the view ends in the log; undefined before it is loaded. */
   get next(): number | undefined {
     return this.#next;
@@ -88,6 +112,14 @@
     this.#gap.end();
   }
 
+  /** Starts anew with the newest record of each key. */
+  reload(): void {
+    this.#reloads += 1;
+    this.#next = undefined;
+    this.#freshMs = -Infinity;
+    this.hurry();
+  }
+
   /** From now on, how long to pause between reads, in milliseconds. */
   setGap(gapMs: number): void {
     this.#gapMs = gapMs;
@@ -105,7 +137,7 @@
       if (this.#next === undefined) await this.#load();
       else await this.#read(this.#next);
       this.#regained(before);
-      await this.#pause(this.#gapMs);
+      await this.#pause(this.#restMs());
     } catch (err) {
       if (err instanceof RecordsExpiredError) this.#next = undefined;
       this.#lost(err);
@@ -115,8 +147,11 @@
 
   async #load(): Promise<void> {
     const askedMs = steadyMs();
+    const reloads = this.#reloads;
     let page = await this.#source.newest('');
     const { end } = page;
+    // Until all pages are there, what is missing says nothing.
+    this.#freshMs = -Infinity;
     this.messages$.next({ kind: 'reset' });
     let { records } = page;
     this.#tell(records);
@@ -125,6 +160,7 @@
       records = page.records;
       this.#tell(records);
     }
+    if (reloads !== this.#reloads) return;
     // Read on from the first page's end: what changed while the pages came is read again.
     this.#next = end;
     this.#freshMs = askedMs;
@@ -134,7 +170,11 @@
   async #read(from: number): Promise<void> {
     // After an outage the store is asked at once: a wait there would keep the view old for longer.
     const waitMs = this.#isLost ? 0 : this.#settings.waitMs;
+    const reloads = this.#reloads;
+    const sentMs = steadyMs();
     const { records, next, end, asOfMs } = await this.#source.read(from, waitMs);
+    if (reloads !== this.#reloads) return;
+    this.#took(steadyMs() - sentMs - (records.length > 0 ? 0 : waitMs));
     this.#tell(records);
     this.#next = next;
     if (next >= end) {
@@ -143,6 +183,11 @@
     }
   }
 
+  #took(ms: number): void {
+    this.#tookMs.push(ms);
+    if (this.#tookMs.length > RECENT_READS) this.#tookMs.shift();
+  }
+
   #tell(records: readonly KeyedRecord[]): void {
     for (const rec of records) this.messages$.next({ kind: 'record', rec });
   }
@@ -170,6 +215,17 @@
     });
   }
 
+  /**
+   * How long to pause after a read: until the view is as old as a pause is long. A whole pause after
+   * each answer of a slow store lets the view grow so old that the node says it is not ready.
+   */
+  #restMs(): number {
+    const oldMs = steadyMs() - this.#freshMs;
+    return this.#freshMs === -Infinity
+      ? this.#gapMs
+      : Math.max(Math.min(MIN_GAP_MS, this.#gapMs), this.#gapMs - oldMs);
+  }
+
   async #pause(ms: number): Promise<void> {
     if (ms === 0 || this.#stopping.signal.aborted) return;
     await this.#gap.wait(ms);
--- a/packages/runtime/src/internal/leadership.ts
+++ b/packages/runtime/src/internal/leadership.ts
@@ -2,13 +2,14 @@
 import type { NodeLog } from '../node-log.js';
 import type { NodeSettings } from '../node-settings.js';
 import type { PlatformPort } from '../platform-port.js';
-import type { AppendOutcome } from '../keyed-log.js';
 import { ClaimOrder } from './claim-order.js';
+import { ClaimPace, STORE_QUEUE_MS } from './claim-pace.js';
 import type { ConfigWatch } from './config-watch.js';
 import { delay, steadyMs } from './delay.js';
 import { FaultLog } from './fault-log.js';
 import { HandOver } from './hand-over.js';
 import type { KeyedFollower } from './keyed-follower.js';
+import type { WorkFollower } from './work-follower.js';
 import type { StoredClaim } from './leader-writer.js';
 import { LEADER_WRITER } from './leader-writer.js';
 import { LeaderTerm } from './leader-term.js';
@@ -29,12 +30,6 @@
 /** How often a node looks whether the scheduling role is free, in milliseconds. */
 const LOOK_MS = 100;
 
-/** The pause between reads of the scheduling node, in milliseconds: new jobs wait for them. */
-const LEADER_GAP_MS = 25;
-
-/** The same on nodes that only follow: each read costs processor time and a call. */
-export const FOLLOW_GAP_MS = 250;
-
 /**
  * A view this old says nothing about whether the leader is silent, in milliseconds: it may be the
  * store that is. While nothing is written, the pause between two reads and the wait of the second
@@ -43,6 +38,12 @@
  */
 const MAX_VIEW_AGE_MS = 900;
 
+/**
+ * The same at most where reads take longer. With a store that takes 150 ms for a call every view is
+ * older than the other bound between two reads, and a dead leader was never replaced.
+ */
+const MAX_SLOW_VIEW_AGE_MS = 3_000;
+
 /**
  * Records of the leader that come no further apart than this are regular, in milliseconds: one of
  * its idle writes, the pause between two reads, and some tens of milliseconds for both calls.
@@ -62,22 +63,6 @@
   readonly atMs: number;
 }
 
-/**
- * How long a node waits after a claim before it sends another, by what the store said, in
- * milliseconds; a leader's record that is read ends the wait. A claim that is stored, or stands
- * behind another's of its epoch, is read within the two seconds that a store lets appends wait; one
- * without an answer may be stored yet. Sent again at once, the claims of all nodes stand before the
- * first records of the new leader, and it is taken for dead.
- */
-const CLAIM_PAUSE_MS: Readonly<Record<AppendOutcome, number>> = {
-  appended: 2_000,
-  'out-of-sequence': 2_000,
-  fenced: 2_000,
-  moved: 500,
-  unknown: 700,
-  refused: 500,
-};
-
 /** A claim that was sent, until the work log shows who got the role. */
 interface Claim extends StoredClaim {
   readonly record: LeaderRecord;
@@ -99,6 +84,8 @@
 
   readonly #table: WorkTable;
 
+  readonly #work: WorkFollower;
+
   readonly #follower: KeyedFollower;
 
   readonly #config: ConfigWatch;
@@ -114,6 +101,8 @@
   /** Claims that were sent, by their nonce: one without an answer may be stored seconds later. */
   readonly #claims = new Map<string, Claim>();
 
+  readonly #pace = new ClaimPace();
+
   #refused: RefusedClaim | undefined;
 
   /** The newest claim got no answer, and no leader has shown since. */
@@ -137,7 +126,7 @@
     settings: NodeSettings,
     log: NodeLog,
     table: WorkTable,
-    follower: KeyedFollower,
+    work: WorkFollower,
     config: ConfigWatch,
     faults = new FaultLog(log),
   ) {
@@ -145,7 +134,8 @@
     this.#settings = settings;
     this.#log = log;
     this.#table = table;
-    this.#follower = follower;
+    this.#work = work;
+    this.#follower = work.roles;
     this.#config = config;
     this.#faults = faults;
     this.#order = new ClaimOrder(settings.cores);
@@ -177,33 +167,38 @@
     if (this.#stopping.signal.aborted || this.#term) return false;
     const nowMs = steadyMs();
     if (nowMs < this.#nextClaimMs) return false;
-    if (nowMs - this.#follower.freshMs > MAX_VIEW_AGE_MS) {
+    const { freshMs, usualAgeMs } = this.#follower;
+    const ageMs = nowMs - freshMs;
+    if (ageMs > Math.max(MAX_VIEW_AGE_MS, Math.min(usualAgeMs, MAX_SLOW_VIEW_AGE_MS))) {
       this.#blindMs = nowMs;
       return false;
     }
     const { leader, leaderSeenMs } = this.#table;
     if (leader?.resigned) return nowMs >= this.#handOver.leftUntilMs(leader, leaderSeenMs);
-    if (!leader || this.#mayReturn(leader)) return true;
+    if (!leader || this.#claimsAtOnce(leader)) return true;
     // After a silence of the store this node may read again before the leader can write again.
     // Counted from its last record it would be taken for dead just then, having lost nothing.
-    const silentMs = nowMs - Math.max(leaderSeenMs, this.#startedMs, this.#blindMs);
+    const sinceMs = Math.max(leaderSeenMs, this.#startedMs, this.#blindMs);
+    // What was written since a view that is older is not known: the silence counts up to there.
+    const silentMs = (ageMs > MAX_VIEW_AGE_MS ? freshMs : nowMs) - sinceMs;
     return silentMs > this.#silentLimitMs() + this.#patienceMs;
   }
 
-  get #isRegular(): boolean {
-    return this.#table.leaderGapMs <= REGULAR_GAP_MS;
-  }
-
   #silentLimitMs(): number {
-    return this.#isRegular ? LEADER_SILENT_MS : SLOW_LEADER_SILENT_MS;
+    const { leader, leaderGapMs } = this.#table;
+    // Its first record waits behind the claims that were sent with its own. Taken for dead for that,
+    // it would be replaced by a node whose first record waits in the same way.
+    const queueMs = leader?.number === 0 && this.#pace.isQueueing ? STORE_QUEUE_MS : 0;
+    return (leaderGapMs <= REGULAR_GAP_MS ? LEADER_SILENT_MS : SLOW_LEADER_SILENT_MS) + queueMs;
   }
 
   /**
-   * The leader on record is an earlier life of this node, so it is certainly over. After all nodes
-   * have lost power at once every other one waits for that leader in vain. A small node waits with
-   * them all the same: larger ones may live, and take its earlier life for dead only later.
+   * Whether this node need not wait. The leader has named it as its successor; or the leader on
+   * record is an earlier life of this node, so it is certainly over, and after all nodes have lost
+   * power at once every other one waits for it in vain. A small node waits with them all the same:
+   * larger ones may live, and take its earlier life for dead only later.
    */
-  #mayReturn(leader: LeaderRecord): boolean {
+  #claimsAtOnce(leader: LeaderRecord): boolean {
     if (this.#handOver.isSuccessor(leader)) return true;
     const isOwn = leader.node === this.#settings.node && !this.#handOver.hasGiven(leader);
     return isOwn && !this.#order.isBehind;
@@ -245,9 +240,10 @@
 
   async #claimRole(): Promise<void> {
     const { leader } = this.#table;
-    const mayReturn = leader !== undefined && this.#mayReturn(leader);
-    const free = { leader, isRegular: this.#isRegular, hasClaimed: this.#isUnanswered };
-    const waitMs = mayReturn ? 0 : this.#order.waitMs(free);
+    const isAtOnce = leader !== undefined && this.#claimsAtOnce(leader);
+    const { leaderGapMs } = this.#table;
+    const free = { leader, leaderGapMs, hasClaimed: this.#isUnanswered };
+    const waitMs = isAtOnce ? 0 : this.#order.waitMs(free);
     await delay(waitMs, this.#stopping.signal);
     if (!this.#isRoleFree() || !(await this.#isSureOfSilence())) return;
     const before = this.#table.leader;
@@ -265,7 +261,8 @@
     };
     this.#table.formerLeases.claiming(record.nonce);
     const sequence = randomInt(MAX_FIRST_SEQUENCE);
-    this.#claims.set(record.nonce, { record, epoch: record.epoch, sequence, sentMs: steadyMs() });
+    const sentMs = steadyMs();
+    this.#claims.set(record.nonce, { record, epoch: record.epoch, sequence, sentMs });
     const write = { key: leaderKey(), value: encodeLeader(record) };
     const stamp = { writer: LEADER_WRITER, epoch: record.epoch, sequence };
     // A claim that was sent into a silence of the store is not sent again when the store is back:
@@ -281,7 +278,7 @@
       this.#refused = { epoch: record.epoch, atMs: steadyMs() };
     }
     this.#isUnanswered = result.outcome === 'unknown';
-    this.#nextClaimMs = steadyMs() + CLAIM_PAUSE_MS[result.outcome];
+    this.#nextClaimMs = steadyMs() + this.#pace.pauseMs(result.outcome, sentMs);
     // What became of an unanswered claim shows in the log, as does that of every other.
     this.#follower.hurry();
   }
@@ -307,7 +304,7 @@
   async #isSureOfSilence(): Promise<boolean> {
     const { leader } = this.#table;
     const { next } = this.#follower;
-    const isOver = leader && (leader.resigned || this.#mayReturn(leader));
+    const isOver = leader && (leader.resigned || this.#claimsAtOnce(leader));
     if ((isOver && !this.#order.isBehind) || next === undefined) return true;
     try {
       const { records } = await this.#port.workLog.read(next, 0);
@@ -351,20 +348,21 @@
       this.#faults,
     );
     this.#term = term;
-    this.#follower.setGap(LEADER_GAP_MS);
+    this.#work.setLeading(true);
     // The term starts after this record has been told to everyone, with the table up to it.
     setImmediate(() => this.#runTerm(term));
   }
 
   async #runTerm(term: LeaderTerm): Promise<void> {
     try {
-      await term.run();
+      await this.#work.whenRolesRead(this.#stopping.signal);
+      await term.run(this.#work.whenWhole(this.#stopping.signal));
     } catch (err) {
       const reason = err instanceof Error ? (err.stack ?? err.message) : String(err);
       this.#log.emit('error', 'term-failed', { reason });
     }
     this.#term = undefined;
-    this.#follower.setGap(FOLLOW_GAP_MS);
+    this.#work.setLeading(false);
     this.#patienceMs = CLAIM_SPREAD_MS;
   }
 }
--- a/packages/runtime/src/internal/link-starter.ts
+++ b/packages/runtime/src/internal/link-starter.ts
@@ -1,3 +1,4 @@
+import type { WorkerState } from '@redwingcrank/jobs';
 import { delay } from './delay.js';
 import type { WorkerLink } from './worker-link.js';
 
@@ -11,19 +12,23 @@
 
 const PAUSE_MS = 20;
 
+/** Which links begin first. */
+type Urgency = 'lasting' | 'busy' | 'idle';
+
+/** What of a worker says how urgent its link is. */
+type Occupied = Pick<WorkerState, 'runs'>;
+
 /**
- * Begins links to workers a few at a time, so that the node has time for its other work. Those to
- * workers on which something runs come first: their leases run out while hundreds of others that run
- * nothing are greeted, and only when each of them has answered are later nodes told of the leases.
+ * Begins links to workers a few at a time, so that the node has time for its other work. Workers on
+ * which lasting tasks run come first, then those on which anything does: a node that takes over has
+ * some seconds until the leases there end, and a small one does not reach all workers by then.
  */
 export class LinkStarter {
   readonly #failed: (err: unknown) => void;
 
   readonly #signal: AbortSignal;
 
-  readonly #busy: WorkerLink[] = [];
-
-  readonly #idle: WorkerLink[] = [];
+  readonly #waiting: Readonly<Record<Urgency, WorkerLink[]>> = { lasting: [], busy: [], idle: [] };
 
   #isDraining = false;
 
@@ -33,9 +38,9 @@
     this.#failed = failed;
   }
 
-  /** Begins the link soon; `isBusy` says that something runs on its worker, or may. */
-  start(link: WorkerLink, isBusy: boolean): void {
-    (isBusy ? this.#busy : this.#idle).push(link);
+  /** Begins a link to the worker of this state when its turn comes. */
+  start(link: WorkerLink, worker: Occupied): void {
+    this.#waiting[urgencyOf(worker)].push(link);
     if (!this.#isDraining) this.#drain();
   }
 
@@ -43,15 +48,26 @@
     this.#isDraining = true;
     // The first links come one by one from a list that is being read: the whole page counts.
     await delay(0, this.#signal);
-    while (this.#busy.length + this.#idle.length > 0 && !this.#signal.aborted) {
-      for (const link of this.#next()) link.run().catch(this.#failed);
+    while (!this.#signal.aborted) {
+      const next = this.#next();
+      if (next.length === 0) break;
+      for (const link of next) link.run().catch(this.#failed);
       await delay(PAUSE_MS, this.#signal);
     }
     this.#isDraining = false;
   }
 
   #next(): WorkerLink[] {
-    const links = this.#busy.splice(0, LINKS_AT_ONCE);
-    return [...links, ...this.#idle.splice(0, LINKS_AT_ONCE - links.length)];
+    const { lasting, busy, idle } = this.#waiting;
+    const next: WorkerLink[] = [];
+    for (const links of [lasting, busy, idle]) {
+      next.push(...links.splice(0, LINKS_AT_ONCE - next.length));
+    }
+    return next;
   }
 }
+
+function urgencyOf({ runs }: Occupied): Urgency {
+  if (runs.size === 0) return 'idle';
+  return [...runs.values()].some(({ spec }) => spec.lasting) ? 'lasting' : 'busy';
+}
--- a/packages/runtime/src/test/virtual-fleet.ts
+++ b/packages/runtime/src/test/virtual-fleet.ts
@@ -2,9 +2,9 @@
 import { syncBuiltinESMExports } from 'node:module';
 import type { TestContext } from 'node:test';
 import { ConfigWatch } from '../internal/config-watch.js';
-import { KeyedFollower } from '../internal/keyed-follower.js';
-import { FOLLOW_GAP_MS, Leadership } from '../internal/leadership.js';
+import { Leadership } from '../internal/leadership.js';
 import { decodeLeader, leaderKey } from '../internal/work-records.js';
+import { WorkFollower } from '../internal/work-follower.js';
 import { WorkTable } from '../internal/work-table.js';
 import type {
   AppendOptions,
@@ -254,7 +254,7 @@
 
   readonly #log: CutOffLog;
 
-  readonly #follower: KeyedFollower;
+  readonly #follower: WorkFollower;
 
   readonly #leadership: Leadership;
 
@@ -267,20 +267,13 @@
     const empty = new EmptyLog();
     const port = {
       workLog: this.#log,
+      jobLog: empty,
       workerLog: empty,
       operatorLog: empty,
       workers: { forget() {} },
     } as unknown as PlatformPort;
     const table = new WorkTable(name);
-    this.#follower = new KeyedFollower(this.#log, log, {
-      name: 'work',
-      waitMs: 400,
-      gapMs: FOLLOW_GAP_MS,
-    });
-    this.#follower.messages$.subscribe((message) => {
-      if (message.kind === 'reset') table.reset();
-      if (message.kind === 'record') table.apply(message.rec);
-    });
+    this.#follower = new WorkFollower(port, log, table);
     const settings = { ...nodeSettings(name), cores };
     const config = new ConfigWatch(port, log);
     this.#leadership = new Leadership(port, settings, log, table, this.#follower, config);
