--- a/packages/runtime/src/internal/leader-term.ts
+++ b/packages/runtime/src/internal/leader-term.ts
@@ -1,6 +1,5 @@
 import type { Subscription } from 'rxjs';
-import type { Order, OrderOutcome, WorkerReport } from '@redwingcrank/jobs';
-import { JobProgress, Scheduler } from '@redwingcrank/jobs';
+import type { Order, OrderOutcome, Scheduler, WorkerReport } from '@redwingcrank/jobs';
 import type { KeyedWrite } from '../keyed-log.js';
 import type { NodeLog } from '../node-log.js';
 import type { NodeSettings } from '../node-settings.js';
@@ -10,28 +9,26 @@
 import { Housekeeping } from './housekeeping.js';
 import type { StoredClaim } from './leader-writer.js';
 import { LeaderWriter } from './leader-writer.js';
-import { LinkStarter } from './link-starter.js';
 import { RoundPacing } from './round-pacing.js';
 import { silentWorkers } from './silent-workers.js';
 import { TermLeases } from './term-leases.js';
 import type { TermView } from './term-load.js';
-import { TermLoad } from './term-load.js';
+import { TermLoad, reachOf } from './term-load.js';
+import { createScheduler, takeOn } from './term-scheduler.js';
 import {
   LEADER_WRITE_MS,
   LEASE_MS,
   ROUND_MS,
-  STANDSTILL_MS,
   START_WINDOW_MS,
-  STOP_AGAIN_MS,
   STOP_LOOK_MS,
   surelyOverMs,
 } from './timing.js';
 import type { ConfigWatch } from './config-watch.js';
 import type { LinkListener } from './worker-link.js';
-import { WorkerLink } from './worker-link.js';
+import { WorkerLinks } from './worker-links.js';
 import type { LeaderRecord } from './work-records.js';
 import { encodeLeader, leaderKey, progressKey } from './work-records.js';
-import type { StoredJob, WorkChange, WorkTable } from './work-table.js';
+import type { WorkChange, WorkTable } from './work-table.js';
 import { WorkerList } from './worker-list.js';
 
 /** One term of this node as the one that schedules: from its claim until it is replaced. */
@@ -62,9 +59,7 @@
 
   readonly #workerList: WorkerList;
 
-  readonly #links = new Map<string, WorkerLink>();
-
-  readonly #linkStarter: LinkStarter;
+  readonly #links: WorkerLinks;
 
   readonly #subscriptions: Subscription[] = [];
 
@@ -107,23 +102,21 @@
     this.#config = config;
     this.#writer = new LeaderWriter(port.workLog, log, claim);
     this.#housekeeping = new Housekeeping(table, port.jobLog, settings.keepStateMs);
-    this.#linkStarter = new LinkStarter(this.#stopping.signal, (err) =>
-      this.#failed('worker-link', err),
-    );
     this.#leaseMs = Math.min(LEASE_MS, settings.maxLeaseMs);
+    this.#links = new WorkerLinks({
+      listener: this,
+      workers: port.workers,
+      log,
+      leaseMs: this.#leaseMs,
+      signal: this.#stopping.signal,
+    });
     this.#load = new TermLoad(log, record.epoch);
     this.#leases = new TermLeases(record, this.#writer, table.formerLeases);
-    this.#scheduler = new Scheduler(
-      {
-        leaseMs: surelyOverMs(this.#leaseMs),
-        inheritedLeaseMs: Math.max(0, table.formerLeases.generalEndMs - steadyMs()),
-        standstillMs: STANDSTILL_MS,
-        stopAgainMs: STOP_AGAIN_MS,
-      },
-      steadyMs(),
-      (event, fields) => log.emit('info', event, fields),
-    );
-    const link = (id: string): void => this.#link(id);
+    this.#scheduler = createScheduler(log, this.#leaseMs, table.formerLeases);
+    const link = (id: string): void => {
+      const worker = this.#scheduler.workers.get(id);
+      if (worker) this.#links.open(worker);
+    };
     this.#workerList = new WorkerList(port, log, config, this.#scheduler, link, faults);
   }
 
@@ -147,7 +140,7 @@
       formerLeasesMs: Math.max(0, Math.round(generalEndMs - steadyMs())),
       silentWorkers: namedEndMs.size,
     });
-    for (const job of this.#table.jobs.values()) this.#takeOn(job);
+    for (const job of this.#table.jobs.values()) takeOn(this.#scheduler, job);
     this.#scheduler.inheritLeases(namedEndMs);
     this.#takeQueues();
     this.#scheduler.assume(this.#table.learned);
@@ -157,7 +150,7 @@
     );
     this.#workerList.run().catch((err) => this.#failed('worker-list', err));
     this.#load
-      .run(() => this.#view(), this.#stopping.signal)
+      .run(() => this.#loadView(), this.#stopping.signal)
       .catch((err) => this.#failed('term-load', err));
     this.#scheduler.setWhole(false);
     whole.then((isWhole) => this.#jobsTold(isWhole)).catch((err) => this.#failed('jobs', err));
@@ -218,7 +211,7 @@
 
   gone(worker: string, why: string): void {
     this.#scheduler.workerGone(worker, steadyMs(), why);
-    this.#unlink(worker);
+    this.#links.close(worker);
     this.#pacing.wake();
   }
 
@@ -232,7 +225,7 @@
   async #round(): Promise<void> {
     await this.#pacing.next(() => this.#waitMs());
     if (this.#stopping.signal.aborted) return;
-    this.#unlinkGone();
+    this.#links.closeAllBut(this.#scheduler.workers);
     const beganMs = steadyMs();
     const decisions = this.#scheduler.decide(beganMs, Date.now(), this.#pacing.limits);
     this.#load.decided(steadyMs() - beganMs);
@@ -246,7 +239,7 @@
     const resigns = this.#isResigning;
     const { silent, isComplete } = silentWorkers(
       this.#scheduler.workers.values(),
-      this.#links,
+      this.#links.byWorker,
       this.#workerList.isLoaded,
       steadyMs(),
     );
@@ -276,7 +269,7 @@
       return;
     }
     this.#scheduler.acknowledge(decisions.acks);
-    for (const id of decisions.acks.keys()) this.#links.get(id)?.acknowledged();
+    for (const id of decisions.acks.keys()) this.#links.byWorker.get(id)?.acknowledged();
     this.#pacing.send(starts);
     if (decisions.isCutShort) this.#pacing.wakeWithRoom();
   }
@@ -316,16 +309,12 @@
     return orders.filter(({ kind }) => kind === 'start');
   }
 
-  #view(): TermView {
-    const nowMs = steadyMs();
-    let unreached = 0;
-    let quietMs = 0;
-    for (const { runs, fenced, answeredMs } of this.#scheduler.workers.values()) {
-      if (runs.size > 0 && !fenced) unreached += 1;
-      else if (runs.size > 0) quietMs = Math.max(quietMs, nowMs - answeredMs);
-    }
-    const leaseLeftMs = this.#leases.limitMs('', nowMs);
-    return { jobs: this.#scheduler.jobs.size, unreached, quietMs, leaseLeftMs };
+  #loadView(): TermView {
+    return {
+      jobs: this.#scheduler.jobs.size,
+      leaseLeftMs: this.#leases.limitMs('', steadyMs()),
+      ...reachOf(this.#scheduler.workers.values(), steadyMs()),
+    };
   }
 
   #waitMs(): number {
@@ -335,7 +324,7 @@
   }
 
   #send(order: Order): void {
-    const link = this.#links.get(order.worker);
+    const link = this.#links.byWorker.get(order.worker);
     if (!link) {
       this.#scheduler.answered(order, 'unknown', steadyMs(), steadyMs());
       return;
@@ -354,13 +343,6 @@
     this.#pacing.wake();
   }
 
-  #takeOn({ spec, progress, isUnsure, cancelled }: StoredJob): void {
-    if (isUnsure) return;
-    const job = progress === undefined ? new JobProgress(spec) : JobProgress.decode(spec, progress);
-    this.#scheduler.addJob(job);
-    if (cancelled) this.#scheduler.cancel(spec.id, Date.now());
-  }
-
   #workChanged(change: WorkChange): void {
     switch (change.kind) {
       case 'leader':
@@ -368,7 +350,7 @@
         else this.#ownRecordRead(change.leader);
         break;
       case 'accepted':
-        this.#takeOn(this.#table.jobs.get(change.id)!);
+        takeOn(this.#scheduler, this.#table.jobs.get(change.id)!);
         break;
       case 'cancelled':
         this.#scheduler.cancel(change.id, Date.now());
@@ -399,28 +381,6 @@
     this.#pacing.wake();
   }
 
-  #link(id: string): void {
-    const worker = this.#scheduler.workers.get(id);
-    if (!worker || this.#links.has(id)) return;
-    const link = new WorkerLink(worker.entry, this.#port.workers, this, this.#log, this.#leaseMs);
-    this.#links.set(id, link);
-    this.#linkStarter.start(link, worker);
-  }
-
-  #unlinkGone(): void {
-    for (const id of [...this.#links.keys()]) {
-      if (!this.#scheduler.workers.has(id)) this.#unlink(id);
-    }
-  }
-
-  #unlink(id: string): void {
-    const link = this.#links.get(id);
-    if (!link) return;
-    link.stop();
-    this.#links.delete(id);
-    this.#port.workers.forget(link.address);
-  }
-
   #failed(part: string, err: unknown): void {
     const reason = err instanceof Error ? (err.stack ?? err.message) : String(err);
     this.#log.emit('error', 'part-failed', { part, reason });
@@ -429,7 +389,7 @@
   #close(): void {
     for (const subscription of this.#subscriptions) subscription.unsubscribe();
     this.#workerList.stop();
-    for (const id of [...this.#links.keys()]) this.#unlink(id);
+    this.#links.closeAllBut(new Map());
     this.#log.emit('info', 'term-end', { epoch: this.token });
     this.#end();
   }
--- a/packages/runtime/src/internal/leadership.ts
+++ b/packages/runtime/src/internal/leadership.ts
@@ -245,8 +245,9 @@
     const free = { leader, leaderGapMs, hasClaimed: this.#isUnanswered };
     const waitMs = isAtOnce ? 0 : this.#order.waitMs(free);
     // The last look at the store is a part of the wait: with a slow one both together take too long
-    // for the leases that the successor has to renew.
-    await delay(Math.max(0, waitMs - this.#follower.usualReadMs), this.#stopping.signal);
+    // for the leases that the successor has to renew. Small nodes look last, to see others' claims.
+    const lookMs = this.#order.isBehind ? 0 : this.#follower.usualReadMs;
+    await delay(Math.max(0, waitMs - lookMs), this.#stopping.signal);
     if (!this.#isRoleFree() || !(await this.#isSureOfSilence())) return;
     const before = this.#table.leader;
     const record = {
--- a/packages/runtime/src/internal/term-load.ts
+++ b/packages/runtime/src/internal/term-load.ts
@@ -1,16 +1,21 @@
+import type { WorkerState } from '@redwingcrank/jobs';
 import type { NodeLog } from '../node-log.js';
 import { delay, steadyMs } from './delay.js';
 
 /** How often a scheduling node tells how it fares, in milliseconds: one line costs 0.1 ms. */
 const TELL_MS = 1_000;
 
-/** What the term itself knows, read when its load is told. */
-export interface TermView {
-  readonly jobs: number;
+/** How far the workers are reached on which something runs, or may. */
+export interface Reach {
   /** Workers on which something runs, or may, and that have not answered this node yet. */
   readonly unreached: number;
   /** The longest time for which any reached worker with runs has not answered, in milliseconds. */
   readonly quietMs: number;
+}
+
+/** What the term itself knows, read when its load is told. */
+export interface TermView extends Reach {
+  readonly jobs: number;
   /** For how long leases may be given from now, in milliseconds; 0 or less: none are. */
   readonly leaseLeftMs: number;
 }
@@ -104,3 +109,14 @@
     return Math.max(this.#appendMs, nowMs - (this.#appendSentMs ?? nowMs));
   }
 }
+
+/** The workers that have not answered, and the quietest of those that have. */
+export function reachOf(workers: Iterable<WorkerState>, nowMs: number): Reach {
+  let unreached = 0;
+  let quietMs = 0;
+  for (const { runs, fenced, answeredMs } of workers) {
+    if (runs.size > 0 && !fenced) unreached += 1;
+    else if (runs.size > 0) quietMs = Math.max(quietMs, nowMs - answeredMs);
+  }
+  return { unreached, quietMs };
+}
--- /dev/null
+++ b/packages/runtime/src/internal/term-scheduler.ts
@@ -0,0 +1,31 @@
+import { JobProgress, Scheduler } from '@redwingcrank/jobs';
+import type { NodeLog } from '../node-log.js';
+import { steadyMs } from './delay.js';
+import type { FormerLeases } from './former-leases.js';
+import { STANDSTILL_MS, STOP_AGAIN_MS, surelyOverMs } from './timing.js';
+import type { StoredJob } from './work-table.js';
+
+/** The scheduler of a term that begins now, whose leases last so many milliseconds. */
+export function createScheduler(
+  log: NodeLog,
+  leaseMs: number,
+  { generalEndMs }: FormerLeases,
+): Scheduler {
+  const timing = {
+    leaseMs: surelyOverMs(leaseMs),
+    inheritedLeaseMs: Math.max(0, generalEndMs - steadyMs()),
+    standstillMs: STANDSTILL_MS,
+    stopAgainMs: STOP_AGAIN_MS,
+  };
+  return new Scheduler(timing, steadyMs(), (event, fields) => log.emit('info', event, fields));
+}
+
+/** Hands a stored job over, as far as it has come; one whose progress is not known is left alone. */
+export function takeOn(scheduler: Scheduler, job: StoredJob): void {
+  const { spec, progress, isUnsure, cancelled } = job;
+  if (isUnsure) return;
+  scheduler.addJob(
+    progress === undefined ? new JobProgress(spec) : JobProgress.decode(spec, progress),
+  );
+  if (cancelled) scheduler.cancel(spec.id, Date.now());
+}
--- /dev/null
+++ b/packages/runtime/src/internal/worker-links.ts
@@ -0,0 +1,61 @@
+import type { WorkerState } from '@redwingcrank/jobs';
+import type { NodeLog } from '../node-log.js';
+import type { TaskWorkers } from '../task-workers.js';
+import { LinkStarter } from './link-starter.js';
+import type { LinkListener } from './worker-link.js';
+import { WorkerLink } from './worker-link.js';
+
+/** What all links of a term share. */
+export interface LinkSettings {
+  readonly listener: LinkListener;
+  readonly workers: TaskWorkers;
+  readonly log: NodeLog;
+  /** How long a lease lasts that a link gives, in milliseconds. */
+  readonly leaseMs: number;
+  /** Given when the term is over: no link begins after it. */
+  readonly signal: AbortSignal;
+}
+
+/** The links of a scheduling node to its workers: one to each, from when the worker is listed. */
+export class WorkerLinks {
+  readonly #settings: LinkSettings;
+
+  readonly #starter: LinkStarter;
+
+  readonly #links = new Map<string, WorkerLink>();
+
+  constructor(settings: LinkSettings) {
+    this.#settings = settings;
+    this.#starter = new LinkStarter(settings.signal, (err) => {
+      const reason = err instanceof Error ? (err.stack ?? err.message) : String(err);
+      settings.log.emit('error', 'part-failed', { part: 'worker-link', reason });
+    });
+  }
+
+  get byWorker(): ReadonlyMap<string, WorkerLink> {
+    return this.#links;
+  }
+
+  /** Begins to talk to the worker, if nobody does. */
+  open(worker: WorkerState): void {
+    const { id } = worker.entry;
+    if (this.#links.has(id)) return;
+    const { listener, workers, log, leaseMs } = this.#settings;
+    const link = new WorkerLink(worker.entry, workers, listener, log, leaseMs);
+    this.#links.set(id, link);
+    this.#starter.start(link, worker);
+  }
+
+  close(id: string): void {
+    const link = this.#links.get(id);
+    if (!link) return;
+    link.stop();
+    this.#links.delete(id);
+    this.#settings.workers.forget(link.address);
+  }
+
+  /** Closes the links to all workers but these. */
+  closeAllBut(workers: ReadonlyMap<string, unknown>): void {
+    for (const id of [...this.#links.keys()]) if (!workers.has(id)) this.close(id);
+  }
+}
