--- a/packages/runtime/src/test/round-pacing_test.ts
+++ b/packages/runtime/src/test/round-pacing_test.ts
@@ -22,7 +22,7 @@
 
 test('after a round the node has as long for its other work, whoever asks for the next one', async () => {
   // Reports ask for a round all the time. Rounds that followed each other at once left a slow node
-  // time for eight workers a second, and the leases of the others ended.
+  // time for some twenty of 440 workers a second, and the leases of the others ended.
   assert.ok((await restAfter(80)) >= 80 - TIMER_MS);
   assert.ok((await restAfter(200)) >= 200 - TIMER_MS);
 });
