OrderSender: the name of what sends starts and stops a few at a time

Change: names and its comment, no logic. Measured: its tests and those of round-pacing, many-stops and late-start pass.

--- a/packages/runtime/src/internal/start-sender.ts
+++ b/packages/runtime/src/internal/order-sender.ts
@@ -2,23 +2,25 @@
 import { delay, steadyMs } from './delay.js';
 import { UNSENT_STARTS_MS } from './timing.js';
 
-/** So many starts are sent at once, as many as links are begun. */
-const STARTS_AT_ONCE = 16;
+/** So many orders are sent at once, as many as links are begun. */
+const ORDERS_AT_ONCE = 16;
 
-/** After starts the node leaves this many times what they took: to answers, renewals and records. */
+/** After some orders the node leaves this many times what they took: to answers, renewals and records. */
 const REST = 2;
 
-/** What a start is taken to cost before one was sent, the rest after it included, in milliseconds. */
+/** What an order is taken to cost before one was sent, the rest after it included, in milliseconds. */
 const FIRST_GUESS_MS = 4;
 
-/** How much the newest starts count in what a start is taken to cost. */
+/** How much the newest orders count in what one is taken to cost. */
 const NEWEST = 0.2;
 
 /**
- * Sends starts, or other orders, a few at a time. All those of a round at once kept a slow node from its renewals and
- * its own record for as long as they took, and it was taken for dead.
+ * Sends orders a few at a time. All those of a round at once kept a slow node from its renewals and
+ * its own record for as long as they took; the node was taken for dead, and starts without an answer
+ * were sent again, three times the work. The rest between them is enough, as renewals and answers
+ * that are due come first then.
  */
-export class StartSender {
+export class OrderSender {
   readonly #signal: AbortSignal;
 
   readonly #send: (order: Order) => void;
@@ -40,13 +42,13 @@
     this.#rest = rest;
   }
 
-  /** How many more starts can be taken on so that none waits for too long. */
+  /** How many more orders can be taken on so that none waits for too long. */
   get room(): number {
     return Math.max(0, this.#most - this.#waiting.length);
   }
 
   get #most(): number {
-    return Math.max(STARTS_AT_ONCE, Math.floor(UNSENT_STARTS_MS / this.#eachMs));
+    return Math.max(ORDERS_AT_ONCE, Math.floor(UNSENT_STARTS_MS / this.#eachMs));
   }
 
   send(orders: readonly Order[]): void {
@@ -56,7 +58,7 @@
 
   /**
    * Calls back when a round is worth its time again: at once where half the room is free, else when
-   * no start waits any more.
+   * no order waits any more.
    */
   whenRoom(then: () => void): void {
     if (this.room >= this.#most / 2) then();
@@ -67,7 +69,7 @@
     this.#isBusy = true;
     while (this.#waiting.length > 0 && !this.#signal.aborted) {
       const beganMs = steadyMs();
-      const orders = this.#waiting.splice(0, STARTS_AT_ONCE);
+      const orders = this.#waiting.splice(0, ORDERS_AT_ONCE);
       for (const order of orders) this.#send(order);
       const tookMs = steadyMs() - beganMs;
       if (this.#waiting.length > 0) await delay(this.#rest * tookMs, this.#signal);
--- a/packages/runtime/src/internal/round-pacing.ts
+++ b/packages/runtime/src/internal/round-pacing.ts
@@ -1,7 +1,7 @@
 import type { Order, RoundLimits } from '@redwingcrank/jobs';
 import { taskName } from '@redwingcrank/jobs';
 import { Pause, delay, steadyMs } from './delay.js';
-import { StartSender } from './start-sender.js';
+import { OrderSender } from './order-sender.js';
 import { GATHER_MS, MAX_ROUND_REST_MS, PLACING_MS } from './timing.js';
 
 /** After stops the node leaves as much time as they took: they are more urgent than starts. */
@@ -15,9 +15,9 @@
 export class RoundPacing {
   readonly #signal: AbortSignal;
 
-  readonly #starts: StartSender;
+  readonly #starts: OrderSender;
 
-  readonly #urgent: StartSender;
+  readonly #urgent: OrderSender;
 
   /** Stops that were not sent yet. */
   readonly #unsent = new Set<string>();
@@ -33,12 +33,12 @@
 
   constructor(signal: AbortSignal, send: (order: Order) => void) {
     this.#signal = signal;
-    this.#starts = new StartSender(signal, send);
+    this.#starts = new OrderSender(signal, send);
     const sendUrgent = (order: Order): void => {
       this.#unsent.delete(keyOf(order));
       send(order);
     };
-    this.#urgent = new StartSender(signal, sendUrgent, URGENT_REST);
+    this.#urgent = new OrderSender(signal, sendUrgent, URGENT_REST);
   }
 
   /** Waits until the next round is asked for or due, and until it may begin. */
--- a/packages/runtime/src/test/start-sender_test.ts
+++ b/packages/runtime/src/test/order-sender_test.ts
@@ -2,7 +2,7 @@
 import { test } from 'node:test';
 import type { Order } from '@redwingcrank/jobs';
 import { delay } from '../internal/delay.js';
-import { StartSender } from '../internal/start-sender.js';
+import { OrderSender } from '../internal/order-sender.js';
 import { UNSENT_STARTS_MS } from '../internal/timing.js';
 
 const STARTS = 200;
@@ -33,7 +33,7 @@
   const sent: number[] = [];
   let inPiece = 0;
   let longest = 0;
-  const sender = new StartSender(stopping.signal, ({ task }) => {
+  const sender = new OrderSender(stopping.signal, ({ task }) => {
     busy(START_MS);
     sent.push(task.index);
     inPiece += 1;
@@ -58,7 +58,7 @@
   // The node that replaced this one may have started the same tasks elsewhere.
   const stopping = new AbortController();
   let sent = 0;
-  const sender = new StartSender(stopping.signal, () => {
+  const sender = new OrderSender(stopping.signal, () => {
     sent += 1;
   });
   sender.send(orders(STARTS));
