--- a/packages/runtime/src/internal/timing.ts
+++ b/packages/runtime/src/internal/timing.ts
@@ -161,7 +161,7 @@
 /**
  * After a round the node leaves as much time to its links and records as the round took, and this
  * at most: the next one writes the node's own record. With rounds that follow each other at once, a
- * node with a third of a core reached twenty workers of 440 a second, and the leases of the others ended.
+ * node with a third of a core reached twenty workers of 440 a second, and the others' leases ended.
  */
 export const MAX_ROUND_REST_MS = 250;
 
