The scheduling node goes on writing while answers of the store are lost

Cause: only an append that held the node's own record could be read back, and the next append waited for an answer all the same. A leader long in its term whose append of progress alone was carried out and not answered for 5.5 s wrote nothing behind it, renewed no lease, and all that ran was lost.

Change: the node's own record goes with each append. Once it is read back the append counts as confirmed from when it was first sent, and LeaderWriter goes on with the next sequence number. The call that still waits for its answer is left to itself: the store takes a repeat only of the newest append, so one that comes after its successor is refused, and that answer is not looked at.

Why the own record, not the progress: progress of the same bytes may stand in the log from an earlier append, which a view that lags or is loaded anew tells late. The own record's epoch and number are of one append of one term: the store takes one claim of an epoch. It stands last, so all parts of the write are stored when it is read. One of an append that is not the newest is ignored.

Read back and then fenced: the record stands before the successor's claim, so the successor reads it before its own claim and counts leases from when it read it, later than it was sent. The model in lease-bounds_test.ts now also goes on with the next append after a read-back.

The node's own records no longer wake a round: nothing is decided by them, and there are more.

--- a/packages/runtime/src/internal/leader-term.ts
+++ b/packages/runtime/src/internal/leader-term.ts
@@ -240,8 +240,8 @@
       key: progressKey(job.spec.id),
       value: job.encode(),
     }));
-    const forgotten = this.#housekeeping.forgotten();
-    writes.push(...forgotten, ...this.#housekeeping.learned(this.#scheduler.learned));
+    writes.push(...this.#housekeeping.forgotten());
+    writes.push(...this.#housekeeping.learned(this.#scheduler.learned));
     const isQuiet = steadyMs() - this.#writtenMs >= LEADER_WRITE_MS;
     const resigns = this.#isResigning;
     const { silent, isComplete } = silentWorkers(
@@ -251,10 +251,9 @@
       steadyMs(),
     );
     const isNews = this.#leases.noteSilent(silent, isComplete && this.#isWhole);
-    // Deleted records of callers are no sign of this node's life: its own goes with them.
-    const isSign = forgotten.length > 0 || (writes.length === 0 && isQuiet);
-    const tells = resigns || isNews || isSign;
-    if (tells) {
+    // Its own record goes with each append: read back, it tells that the append is stored. Deleted
+    // records of callers are no sign of this node's life, and others may be the same as before.
+    if (writes.length > 0 || resigns || isNews || isQuiet) {
       const rec = this.#leases.record(resigns, steadyMs());
       this.#told = { number: rec.number, sentMs: steadyMs() };
       writes.push({ key: leaderKey(), value: encodeLeader(rec) });
@@ -268,7 +267,7 @@
         return;
       }
       this.#writtenMs = sentMs;
-      if (tells) this.#leases.recordStored();
+      this.#leases.recordStored();
     }
     if (resigns) {
       this.#log.emit('info', 'resigned', { epoch: this.token });
@@ -366,7 +365,8 @@
       case 'leader':
         if (change.leader.epoch > this.token) this.fenced('', 'newer-leader-record');
         else this.#ownRecordRead(change.leader);
-        break;
+        // Nothing to decide: as often as this node writes, a round would find nothing new.
+        return;
       case 'accepted':
         this.#takeOn(this.#table.jobs.get(change.id)!);
         break;
--- a/packages/runtime/src/internal/leader-writer.ts
+++ b/packages/runtime/src/internal/leader-writer.ts
@@ -1,4 +1,4 @@
-import type { AppendResult, KeyedLog, KeyedWrite } from '../keyed-log.js';
+import type { AppendResult, KeyedLog, KeyedWrite, WriterStamp } from '../keyed-log.js';
 import type { NodeLog } from '../node-log.js';
 import { delay, steadyMs } from './delay.js';
 
@@ -35,6 +35,9 @@
 
   #confirmedMs: number;
 
+  /** Ends the wait for the answer to the append that is under way. */
+  #goOn: (() => void) | undefined;
+
   readonly #stopping = new AbortController();
 
   constructor(target: KeyedLog, log: NodeLog, { epoch, sequence, sentMs }: StoredClaim) {
@@ -50,9 +53,14 @@
     return this.#confirmedMs;
   }
 
-  /** A record that was sent then was read back: it is stored, whatever became of the answer. */
+  /**
+   * The last record of the newest append, which was sent then, was read back: all of it is stored,
+   * whatever became of the answer. The next append need not wait for that: what may still come of
+   * this one is a repeat, which the store does not take after its successor.
+   */
   readBack(sentMs: number): void {
     this.#confirmedMs = Math.max(this.#confirmedMs, sentMs);
+    this.#goOn?.();
   }
 
   stop(): void {
@@ -70,13 +78,27 @@
   async #writePart(records: readonly KeyedWrite[]): Promise<boolean> {
     this.#sequence += 1;
     const stamp = { writer: LEADER_WRITER, epoch: this.#epoch, sequence: this.#sequence };
-    let failures = 0;
+    const readBack = new Promise<AppendResult>((resolve) => {
+      this.#goOn = () => resolve({ outcome: 'appended', reason: 'read-back' });
+    });
     // Others may have read the first attempt, although its answer was lost.
     const sentMs = steadyMs();
+    const isStored = await this.#repeat(records, stamp, readBack);
+    this.#goOn = undefined;
+    if (isStored) this.#confirmedMs = Math.max(this.#confirmedMs, sentMs);
+    return isStored;
+  }
+
+  /** Appends until the store says what became of it, or the log shows it. */
+  async #repeat(
+    records: readonly KeyedWrite[],
+    stamp: WriterStamp,
+    readBack: Promise<AppendResult>,
+  ): Promise<boolean> {
+    let failures = 0;
     while (!this.#stopping.signal.aborted) {
-      const result = await this.#target.append(records, { stamp });
+      const result = await Promise.race([readBack, this.#target.append(records, { stamp })]);
       if (result.outcome === 'appended') {
-        this.#confirmedMs = Math.max(this.#confirmedMs, sentMs);
         if (failures > 0) this.#log.emit('info', 'store-regained', { failures });
         return true;
       }
@@ -86,7 +108,7 @@
       }
       failures += 1;
       if (failures === 1) this.#log.emit('warn', 'store-lost', { reason: result.reason });
-      await delay(REPEAT_MS, this.#stopping.signal);
+      await Promise.race([readBack, delay(REPEAT_MS, this.#stopping.signal)]);
     }
     return false;
   }
--- a/packages/runtime/src/test/leader-term_test.ts
+++ b/packages/runtime/src/test/leader-term_test.ts
@@ -1,6 +1,12 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import type { AppendResult, KeyedWrite, NewestPage, ReadResult } from '../keyed-log.js';
+import type {
+  AppendOptions,
+  AppendResult,
+  KeyedWrite,
+  NewestPage,
+  ReadResult,
+} from '../keyed-log.js';
 import { KeyedLog } from '../keyed-log.js';
 import { NodeLog } from '../node-log.js';
 import type { PlatformPort } from '../platform-port.js';
@@ -123,3 +129,50 @@
   assert.ok(await writer.write([{ key: leaderKey(), value: 'x' }]));
   assert.ok(writer.confirmedMs - sentMs < 100, `${writer.confirmedMs - sentMs} ms`);
 });
+
+/** Carries appends out, and answers the first one never; the next numbers go on from a claim's. */
+class NeverAnswered extends EmptyLog {
+  readonly sequences: number[] = [];
+
+  override async append(
+    records: readonly KeyedWrite[],
+    { stamp }: AppendOptions = {},
+  ): Promise<AppendResult> {
+    this.sequences.push(stamp!.sequence);
+    await super.append(records);
+    return this.sequences.length > 1 ? { outcome: 'appended', reason: '' } : new Promise(() => {});
+  }
+}
+
+test('the next append does not wait for the answer to one that was read back', async () => {
+  // The store carries appends out and its answers are lost. Behind one that waits for its answer
+  // nothing is written: no lease is renewed after some seconds, and all that runs ends.
+  const log = new NeverAnswered();
+  const writer = new LeaderWriter(log, LOG, { epoch: 1, sequence: 7, sentMs: -Infinity });
+  const records = [{ key: leaderKey(), value: 'x' }];
+  const sentMs = steadyMs();
+  const stored = writer.write(records);
+  writer.readBack(sentMs);
+  const late = setTimeout(() => writer.stop(), 1_000);
+  const isStored = await Promise.race([stored, delay(500, new AbortController().signal)]);
+  assert.equal(isStored, true);
+  assert.ok(writer.confirmedMs >= sentMs);
+  assert.ok(await writer.write(records));
+  clearTimeout(late);
+  assert.deepEqual(log.sequences, [8, 9]);
+});
+
+test('an append is not taken for stored because the one before it is read back late', async () => {
+  // The record of an append that was answered is read only after the answer. Were that to end the
+  // wait for the next one, its starts would be sent before anything of them is stored.
+  const log = new NeverAnswered();
+  log.sequences.push(7);
+  const writer = new LeaderWriter(log, LOG, { epoch: 1, sequence: 7, sentMs: -Infinity });
+  const records = [{ key: leaderKey(), value: 'x' }];
+  assert.ok(await writer.write(records));
+  writer.readBack(steadyMs());
+  log.sequences.length = 0;
+  const waiting = delay(100, new AbortController().signal).then(() => 'waits');
+  assert.equal(await Promise.race([writer.write(records), waiting]), 'waits');
+  writer.stop();
+});
--- a/packages/runtime/src/test/lease-bounds_test.ts
+++ b/packages/runtime/src/test/lease-bounds_test.ts
@@ -55,11 +55,13 @@
   }
 }
 
-/** The node reads its own record, whose answer is still missing. */
-function readBack(term: Term): void {
+/** The node reads its own record, whose answer is still missing; its next append may follow at once. */
+function readBack(term: Term, goesOn: boolean): void {
   if (!term.pending?.rec) return;
-  Object.assign(term, { confirmedMs: Math.max(term.confirmedMs, term.pending.sentMs) });
+  const { rec, sentMs } = term.pending;
+  Object.assign(term, { confirmedMs: Math.max(term.confirmedMs, sentMs) });
   term.leases.recordStored();
+  if (goesOn) Object.assign(term, { pending: undefined, isOver: rec.resigned });
 }
 
 /** A store, workers and scheduling nodes that come one after the other and may not know it yet. */
@@ -92,7 +94,7 @@
     else if (!term || term.isOver) return;
     else if (kind === 'write') this.#write(term, b);
     else if (kind === 'renew') this.#renew(term, worker);
-    else if (kind === 'read-back') readBack(term);
+    else if (kind === 'read-back') readBack(term, b % 2 === 0);
     else term.silent.add(worker);
   }
 
