The leader's own record goes with each append while few workers are silent

Cause: with thousands of silent workers named the record is 42 KB, and every node reads each append: some forty a second would be more than the smallest nodes' links carry. Change: with more than 100 silent workers it goes with an append each quarter of a second, as before.

--- a/packages/runtime/src/internal/leader-term.ts
+++ b/packages/runtime/src/internal/leader-term.ts
@@ -246,7 +246,9 @@
     const isNews = this.#leases.noteSilent(silent, isComplete && this.#isWhole);
     // Its own record goes with each append: read back, it tells that the append is stored. Deleted
     // records of callers are no sign of this node's life, and others may be the same as before.
-    if (writes.length > 0 || resigns || isNews || isQuiet) {
+    const isDue = this.#leases.isLight || steadyMs() - this.#told.sentMs >= LEADER_WRITE_MS;
+    const tells = resigns || isNews || isQuiet || (writes.length > 0 && isDue);
+    if (tells) {
       const rec = this.#leases.record(resigns, steadyMs());
       this.#told = { number: rec.number, sentMs: steadyMs() };
       writes.push({ key: leaderKey(), value: encodeLeader(rec) });
@@ -260,7 +262,7 @@
         return;
       }
       this.#writtenMs = sentMs;
-      this.#leases.recordStored();
+      if (tells) this.#leases.recordStored();
     }
     if (resigns) {
       this.#log.emit('info', 'resigned', { epoch: this.token });
--- a/packages/runtime/src/internal/term-leases.ts
+++ b/packages/runtime/src/internal/term-leases.ts
@@ -1,7 +1,7 @@
 import type { WorkerEntry, WorkerState } from '@redwingcrank/jobs';
 import type { FormerLeases } from './former-leases.js';
 import type { LeaderWriter } from './leader-writer.js';
-import { CONFIRMED_LEASE_MS, MAX_SILENT_NAMED } from './timing.js';
+import { CONFIRMED_LEASE_MS, LIGHT_SILENT, MAX_SILENT_NAMED } from './timing.js';
 import type { LeaderRecord } from './work-records.js';
 
 /** A worker that does not answer, and when all leases there are over. */
@@ -55,6 +55,11 @@
     this.#writtenMs = claim.leasesMs;
   }
 
+  /** Whether the record is small enough to go with each append. */
+  get isLight(): boolean {
+    return this.#silent.size <= LIGHT_SILENT;
+  }
+
   /** How long from now a lease on the worker may last, in milliseconds; 0 or less: none. */
   limitMs(worker: string, nowMs: number): number {
     if (this.#named.has(worker)) return 0;
--- a/packages/runtime/src/internal/timing.ts
+++ b/packages/runtime/src/internal/timing.ts
@@ -57,6 +57,13 @@
 /** So many silent workers are named at most: some 50 KB, a fifth of the largest record. */
 export const MAX_SILENT_NAMED = 2_000;
 
+/**
+ * With more silent workers than this the scheduling node's record goes with an append each quarter of
+ * a second only. Every node reads each append, some forty a second: with a hundred workers named that
+ * is 0.1 MB a second, a tenth of what the smallest link carries.
+ */
+export const LIGHT_SILENT = 100;
+
 /** The scheduling node writes at least this often, so that the others see that it lives. */
 export const LEADER_WRITE_MS = 250;
 
