Runtime tests share their logs, workers, port and records

Cause: nine tests and the virtual fleet each had their own log in memory or empty log, worker fakes, port, configuration, leader's record and waits; a change to a port had to be made in each. Change: `QuietLog`, `MemoryLog`, `SoundWorkers`, `platformPort`, `CONFIG`, `LASTING_JOB`, `leaderRecord`, `RunningTerm`, `pause` and `until`, a file for each concept; what a test needs beyond them stays there in a subclass.

--- a/packages/runtime/src/test/idle-worker_test.ts
+++ b/packages/runtime/src/test/idle-worker_test.ts
@@ -2,11 +2,11 @@
 import { test } from 'node:test';
 import { JobProgress, PLAIN_STEP, Scheduler } from '@redwingcrank/jobs';
 import { NodeLog } from '../node-log.js';
-import type { OrderResult, RenewRequest, RenewResult } from '../task-workers.js';
-import { TaskWorkers } from '../task-workers.js';
-import { delay } from '../internal/delay.js';
+import type { RenewRequest, RenewResult, WorkerAddress } from '../task-workers.js';
 import { WorkerLink } from '../internal/worker-link.js';
 import { WORKER_ENTRY } from './fixtures.js';
+import { SoundWorkers } from './sound-workers.js';
+import { pause } from './wait.js';
 
 const LEASE_MS = 6_000;
 
@@ -16,20 +16,13 @@
 const LATE_MS = 190;
 
 /** A worker on which nothing runs; its renewals are answered at once. */
-class IdleWorker extends TaskWorkers {
+class IdleWorker extends SoundWorkers {
   readonly waitsMs: number[] = [];
 
-  override async renew(_worker: unknown, { waitMs }: RenewRequest): Promise<RenewResult> {
-    this.waitsMs.push(waitMs);
-    await delay(5, new AbortController().signal);
-    return { outcome: 'done', report: { clockMs: performance.now(), running: [], ended: [] } };
+  override async renew(worker: WorkerAddress, req: RenewRequest): Promise<RenewResult> {
+    this.waitsMs.push(req.waitMs);
+    return super.renew(worker, { ...req, waitMs: 5 });
   }
-
-  override async order(): Promise<OrderResult> {
-    return { outcome: 'unknown', reason: '' };
-  }
-
-  override forget(): void {}
 }
 
 /** The longest that a renewal of an idle worker waits there, in milliseconds. */
@@ -50,7 +43,7 @@
   const log = new NodeLog('n1', 'silent');
   const link = new WorkerLink(WORKER_ENTRY, worker, listener, log, LEASE_MS);
   const running = link.run();
-  await delay(50, new AbortController().signal);
+  await pause(50);
   link.stop();
   await running;
   return Math.max(...worker.waitsMs);
--- /dev/null
+++ b/packages/runtime/src/test/job-fixtures.ts
@@ -0,0 +1,19 @@
+import type { JobSpec } from '@redwingcrank/jobs';
+import { JobProgress, PLAIN_STEP } from '@redwingcrank/jobs';
+
+/** A job with one task, which goes on until it is stopped. */
+export const LASTING_JOB: JobSpec = {
+  id: '00000000000000aa',
+  queue: 'q',
+  payload: 'p',
+  steps: [{ ...PLAIN_STEP, lasting: true }],
+  acceptedMs: 0,
+};
+
+/** The progress of that job when it has just begun. */
+export function begunProgress(): JobProgress {
+  const progress = new JobProgress(LASTING_JOB);
+  progress.openDue(Date.now());
+  progress.begin();
+  return progress;
+}
--- a/packages/runtime/src/test/late-start_test.ts
+++ b/packages/runtime/src/test/late-start_test.ts
@@ -1,48 +1,24 @@
 import assert from 'node:assert/strict';
 import { afterEach, beforeEach, test } from 'node:test';
-import type { JobSpec, Order, WorkerEntry } from '@redwingcrank/jobs';
+import type { Order, WorkerEntry } from '@redwingcrank/jobs';
 import { PLAIN_STEP } from '@redwingcrank/jobs';
-import type {
-  AppendResult,
-  KeyedRecord,
-  KeyedWrite,
-  NewestPage,
-  ReadResult,
-} from '../keyed-log.js';
-import { KeyedLog } from '../keyed-log.js';
-import { NodeLog } from '../node-log.js';
-import type { PlatformPort } from '../platform-port.js';
-import type { OrderResult, RenewRequest, RenewResult } from '../task-workers.js';
-import { TaskWorkers } from '../task-workers.js';
-import { ConfigWatch } from '../internal/config-watch.js';
-import { LeaderTerm } from '../internal/leader-term.js';
-import { delay, steadyMs } from '../internal/delay.js';
+import type { AppendResult, KeyedWrite } from '../keyed-log.js';
+import type { OrderResult } from '../task-workers.js';
 import { encodeJob } from '../internal/job-record.js';
-import {
-  cancelKey,
-  encodeLeader,
-  jobKey,
-  leaderKey,
-  progressKey,
-} from '../internal/work-records.js';
+import { cancelKey, jobKey, progressKey } from '../internal/work-records.js';
 import { WorkTable } from '../internal/work-table.js';
-import { WORKER_ENTRY, nodeSettings } from './fixtures.js';
-
-const pause = (ms: number): Promise<void> => delay(ms, new AbortController().signal);
-
-/** How long a test waits at most for what must happen, in milliseconds. */
-const UNTIL_MS = 3_000;
-
-async function until(holds: () => boolean): Promise<void> {
-  for (const endMs = steadyMs() + UNTIL_MS; !holds(); await pause(5)) {
-    assert.ok(steadyMs() < endMs, 'waited in vain');
-  }
-}
+import { CONFIG } from './config-fixtures.js';
+import { WORKER_ENTRY } from './fixtures.js';
+import { LASTING_JOB } from './job-fixtures.js';
+import { MemoryLog } from './memory-log.js';
+import { platformPort } from './port-fixtures.js';
+import { QuietLog } from './quiet-log.js';
+import { RunningTerm } from './running-term.js';
+import { SoundWorkers } from './sound-workers.js';
+import { pause, until } from './wait.js';
 
 /** A log whose appends of some records wait until they are let through. */
-class HeldLog extends KeyedLog {
-  readonly records: KeyedRecord[] = [];
-
+class HeldLog extends QuietLog {
   readonly #isHeld: (write: KeyedWrite) => boolean;
 
   #let: () => void = () => {};
@@ -53,7 +29,7 @@
 
   heldCount = 0;
 
-  constructor(isHeld: (write: KeyedWrite) => boolean = () => false) {
+  constructor(isHeld: (write: KeyedWrite) => boolean) {
     super();
     this.#isHeld = isHeld;
   }
@@ -67,76 +43,27 @@
       this.heldCount += 1;
       await this.#letThrough;
     }
-    return { outcome: 'appended', reason: '' };
-  }
-
-  override async read(from: number, waitMs: number): Promise<ReadResult> {
-    const endMs = steadyMs() + waitMs;
-    while (this.records.length <= from && steadyMs() < endMs) await pause(5);
-    const end = this.records.length;
-    return { records: this.records.slice(from), next: end, end, asOfMs: steadyMs() };
-  }
-
-  override async newest(): Promise<NewestPage> {
-    return { records: [...this.records], hasMore: false, end: this.records.length };
+    return super.append(writes);
   }
 }
 
 /** Workers that tell which starts have reached them. */
-class StartedWorkers extends TaskWorkers {
+class StartedWorkers extends SoundWorkers {
   readonly started: string[] = [];
 
-  override async renew(_worker: unknown, { waitMs }: RenewRequest): Promise<RenewResult> {
-    await pause(waitMs);
-    return { outcome: 'done', report: { clockMs: steadyMs(), running: [], ended: [] } };
-  }
-
   override async order(_worker: unknown, { kind, worker }: Order): Promise<OrderResult> {
     if (kind === 'start') this.started.push(worker);
     return { outcome: 'done', reason: '' };
   }
-
-  override forget(): void {}
 }
 
-const QUEUE = {
-  name: 'q',
-  pool: WORKER_ENTRY.pool,
-  priority: 0,
-  maxAttempts: 3,
-  stretch: 1,
-  targetLatencyMs: 0,
-  host: 'h',
-  pathPrefix: '/',
-  timeoutMs: 1_000,
-};
-
-const CONFIG = { version: 1, queues: [QUEUE], pools: new Set([QUEUE.pool]), maxBodyBytes: 1_000 };
-
-const RECORD = {
-  epoch: 2,
-  node: 'n1',
-  nonce: 'a',
-  resigned: false,
-  leasesMs: 4_000,
-  formerMs: 0,
-  silent: {},
-  number: 0,
-};
-
-const ID = '00000000000000aa';
-
-const JOB: JobSpec = {
-  id: ID,
-  queue: QUEUE.name,
-  payload: 'p',
-  steps: [{ ...PLAIN_STEP, cpuMilli: 1_000 }],
-  acceptedMs: 0,
-};
+const { id: ID } = LASTING_JOB;
+
+const JOB = { ...LASTING_JOB, steps: [{ ...PLAIN_STEP, cpuMilli: 1_000 }] };
 
 let workLog: HeldLog;
 
-let workerLog: HeldLog;
+let workerLog: MemoryLog;
 
 let workers: StartedWorkers;
 
@@ -152,35 +79,23 @@
 /** A term in which the binding of the only task has been sent to the store, without an answer yet. */
 beforeEach(async () => {
   workLog = new HeldLog(({ key }) => key === progressKey(ID));
-  workerLog = new HeldLog();
+  workerLog = new MemoryLog();
   workers = new StartedWorkers();
   table = new WorkTable('n1');
-  const operatorLog = new HeldLog();
-  operatorLog.records.push({ key: 'config', value: 'x' });
-  const port: PlatformPort = {
+  const port = platformPort({
     workLog,
-    jobLog: new HeldLog(),
     workerLog,
-    operatorLog,
+    operatorLog: new QuietLog([{ key: 'config', value: 'x' }]),
     workers,
-    workerIdOf: ({ key }) => key,
     decodeWorker: ({ value }) => ({ value: JSON.parse(value!) as WorkerEntry }),
     decodeConfig: () => ({ value: CONFIG }),
-  };
+  });
   list({ id: 'w1' });
-  table.apply({ key: leaderKey(), value: encodeLeader(RECORD) });
   table.apply({ key: jobKey(ID), value: encodeJob(JOB) });
-  const log = new NodeLog('n1', 'silent');
-  const config = new ConfigWatch(port, log);
-  config.follower.run().catch(assert.fail);
-  const claim = { epoch: 2, sequence: 7, sentMs: steadyMs() };
-  const term = new LeaderTerm(RECORD, claim, port, nodeSettings('n1'), log, table, config);
-  const running = term.run();
+  const term = new RunningTerm(port, table);
   stop = async () => {
     workLog.letThrough();
-    term.stop();
-    config.follower.stop();
-    await running;
+    await term.stop();
   };
   await until(() => workLog.heldCount > 0);
 });
--- a/packages/runtime/src/test/leader-term_test.ts
+++ b/packages/runtime/src/test/leader-term_test.ts
@@ -1,43 +1,20 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import type {
-  AppendOptions,
-  AppendResult,
-  KeyedWrite,
-  NewestPage,
-  ReadResult,
-} from '../keyed-log.js';
-import { KeyedLog } from '../keyed-log.js';
+import type { AppendOptions, AppendResult, KeyedWrite } from '../keyed-log.js';
 import { NodeLog } from '../node-log.js';
-import type { PlatformPort } from '../platform-port.js';
 import type { OrderResult, RenewResult } from '../task-workers.js';
 import { TaskWorkers } from '../task-workers.js';
 import { ConfigWatch } from '../internal/config-watch.js';
 import { LeaderTerm } from '../internal/leader-term.js';
 import { LeaderWriter } from '../internal/leader-writer.js';
-import { delay, steadyMs } from '../internal/delay.js';
-import type { LeaderRecord } from '../internal/work-records.js';
+import { steadyMs } from '../internal/delay.js';
 import { encodeLeader, leaderKey } from '../internal/work-records.js';
 import { WorkTable } from '../internal/work-table.js';
 import { nodeSettings } from './fixtures.js';
-
-/** A log that takes every append and has nothing to read. */
-class EmptyLog extends KeyedLog {
-  readonly writes: KeyedWrite[] = [];
-
-  override async append(records: readonly KeyedWrite[]): Promise<AppendResult> {
-    this.writes.push(...records);
-    return { outcome: 'appended', reason: '' };
-  }
-
-  override read(): Promise<ReadResult> {
-    return new Promise(() => {});
-  }
-
-  override async newest(): Promise<NewestPage> {
-    return { records: [], hasMore: false, end: 0 };
-  }
-}
+import { leaderRecord } from './leader-record.js';
+import { platformPort } from './port-fixtures.js';
+import { QuietLog } from './quiet-log.js';
+import { pause } from './wait.js';
 
 class NoWorkers extends TaskWorkers {
   override async renew(): Promise<RenewResult> {
@@ -55,39 +32,22 @@
 
 const LOG = new NodeLog('n1', 'silent');
 
-function leaderRecord(epoch: number, node: string): LeaderRecord {
-  return {
-    epoch,
-    node,
-    nonce: `${epoch}`,
-    resigned: false,
-    leasesMs: 4_000,
-    formerMs: 0,
-    silent: {},
-    number: 0,
-  };
-}
-
 test('a node that reads its claim together with the one that replaced it schedules nothing', async () => {
   // The node was frozen just after its claim was stored. When it goes on, it reads its own claim
   // and that of the node which has replaced it in one answer. Scheduling for a moment would renew
   // leases that the other one, which counts them from an earlier time, takes to be over soon.
-  const workLog = new EmptyLog();
-  const port: PlatformPort = {
+  const workLog = new QuietLog();
+  const port = platformPort({
     workLog,
-    jobLog: new EmptyLog(),
-    workerLog: new EmptyLog(),
-    operatorLog: new EmptyLog(),
     workers: new NoWorkers(),
     workerIdOf: () => undefined,
     decodeWorker: () => {
       throw new Error('no workers here');
     },
-    decodeConfig: () => undefined,
-  };
+  });
   const table = new WorkTable('n1');
-  const own = leaderRecord(1, 'n1');
-  for (const leader of [own, leaderRecord(2, 'n2')]) {
+  const own = leaderRecord({ epoch: 1, node: 'n1', nonce: '1' });
+  for (const leader of [own, leaderRecord({ epoch: 2, node: 'n2', nonce: '2' })]) {
     table.apply({ key: leaderKey(), value: encodeLeader(leader) });
   }
   const claim = { epoch: 1, sequence: 7, sentMs: steadyMs() };
@@ -103,18 +63,18 @@
   // The store carried the claim out seconds after it was sent. Counted from when it was read, the
   // node would renew leases for longer than a later one, which counts from the record, waits.
   const sentMs = steadyMs() - 5_000;
-  const writer = new LeaderWriter(new EmptyLog(), LOG, { epoch: 1, sequence: 7, sentMs });
+  const writer = new LeaderWriter(new QuietLog(), LOG, { epoch: 1, sequence: 7, sentMs });
   assert.equal(writer.confirmedMs, sentMs);
 });
 
 /** Carries appends out; the answer to the first one comes late and is given up. */
-class FirstAnswerLost extends EmptyLog {
+class FirstAnswerLost extends QuietLog {
   #isFirst = true;
 
   override async append(records: readonly KeyedWrite[]): Promise<AppendResult> {
     if (!this.#isFirst) return super.append(records);
     this.#isFirst = false;
-    await delay(300, new AbortController().signal);
+    await pause(300);
     return { outcome: 'unknown', reason: 'timeout' };
   }
 }
@@ -131,7 +91,7 @@
 });
 
 /** Carries appends out, and answers the first one never; the next numbers go on from a claim's. */
-class NeverAnswered extends EmptyLog {
+class NeverAnswered extends QuietLog {
   readonly sequences: number[] = [];
 
   override async append(
@@ -154,7 +114,7 @@
   const stored = writer.write(records);
   writer.readBack(sentMs);
   const late = setTimeout(() => writer.stop(), 1_000);
-  const isStored = await Promise.race([stored, delay(500, new AbortController().signal)]);
+  const isStored = await Promise.race([stored, pause(500)]);
   assert.equal(isStored, true);
   assert.ok(writer.confirmedMs >= sentMs);
   assert.ok(await writer.write(records));
@@ -172,7 +132,7 @@
   assert.ok(await writer.write(records));
   writer.readBack(steadyMs());
   log.sequences.length = 0;
-  const waiting = delay(100, new AbortController().signal).then(() => 'waits');
+  const waiting = pause(100).then(() => 'waits');
   assert.equal(await Promise.race([writer.write(records), waiting]), 'waits');
   writer.stop();
 });
--- a/packages/runtime/src/test/leadership_test.ts
+++ b/packages/runtime/src/test/leadership_test.ts
@@ -1,6 +1,5 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { delay } from '../internal/delay.js';
 import { ConfigWatch } from '../internal/config-watch.js';
 import { Leadership } from '../internal/leadership.js';
 import { encodeLeader, leaderKey } from '../internal/work-records.js';
@@ -11,19 +10,12 @@
 import { NodeLog } from '../node-log.js';
 import type { PlatformPort } from '../platform-port.js';
 import { nodeSettings } from './fixtures.js';
+import { leaderRecord } from './leader-record.js';
+import { pause } from './wait.js';
 
 const LOG = new NodeLog('n2', 'silent');
 
-const LEADER = encodeLeader({
-  epoch: 1,
-  node: 'n1',
-  nonce: '1',
-  resigned: false,
-  leasesMs: 4_000,
-  formerMs: 0,
-  silent: {},
-  number: 0,
-});
+const LEADER = encodeLeader(leaderRecord({ epoch: 1, node: 'n1', nonce: '1' }));
 
 const SETTINGS = nodeSettings('n2');
 
@@ -38,7 +30,7 @@
 
   override async read(from: number, waitMs: number): Promise<ReadResult> {
     if (waitMs === 0) throw new StoreUnavailableError('timeout');
-    await delay(waitMs, new AbortController().signal);
+    await pause(waitMs);
     return { records: [], next: from, end: from, asOfMs: performance.now() };
   }
 
@@ -55,7 +47,7 @@
   }
 
   override async read(from: number, waitMs: number): Promise<ReadResult> {
-    await delay(waitMs, new AbortController().signal);
+    await pause(waitMs);
     return { records: [], next: from, end: from, asOfMs: performance.now() };
   }
 }
@@ -77,7 +69,7 @@
 
   async runFor(ms: number): Promise<void> {
     const running = [this.#follower.run(), this.#leadership.run()];
-    await delay(ms, new AbortController().signal);
+    await pause(ms);
     this.#follower.stop();
     await this.#leadership.stop();
     await Promise.all(running);
@@ -134,7 +126,7 @@
   const store = new BusyStore();
   store.claimedMs = performance.now() + 2_000;
   const running = new FollowingNode(store).runFor(4_800);
-  await delay(2_500, new AbortController().signal);
+  await pause(2_500);
   const before = store.claims.length;
   await running;
   assert.ok(before > 0);
--- a/packages/runtime/src/test/lease-bounds_test.ts
+++ b/packages/runtime/src/test/lease-bounds_test.ts
@@ -6,6 +6,7 @@
 import { CLAIM_LEASE_MS, CLOCK_SLACK, CONFIRMED_LEASE_MS, LEASE_MS } from '../internal/timing.js';
 import { surelyOverMs } from '../internal/timing.js';
 import type { LeaderRecord } from '../internal/work-records.js';
+import { leaderRecord } from './leader-record.js';
 
 const WORKERS = ['w1', 'w2', 'w3'];
 
@@ -233,20 +234,8 @@
 test('a worker that was lost under the first of many terms is not waited for anew in each', () => {
   // A worker is lost and named as such by the node that schedules; then the role passes on twice.
   // The last node takes the worker's leases to be over when the first one did.
-  const record = (
-    epoch: number,
-    leasesMs: number,
-    silent: LeaderRecord['silent'],
-  ): LeaderRecord => ({
-    epoch,
-    node: `n${epoch}`,
-    nonce: '',
-    resigned: false,
-    leasesMs,
-    formerMs: 0,
-    silent,
-    number: 0,
-  });
+  const record = (epoch: number, leasesMs: number, silent: LeaderRecord['silent']): LeaderRecord =>
+    leaderRecord({ epoch, node: `n${epoch}`, nonce: '', leasesMs, silent });
   const former = new FormerLeases('n9', 0);
   former.recordRead(record(1, CONFIRMED_LEASE_MS, { w1: 5_000 }), 1_000);
   former.recordRead(record(2, CLAIM_LEASE_MS, {}), 3_000);
--- a/packages/runtime/src/test/many-waiting_test.ts
+++ b/packages/runtime/src/test/many-waiting_test.ts
@@ -1,21 +1,21 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import type { JobSpec, Order, RunningRow, WorkerEntry } from '@redwingcrank/jobs';
+import type { JobSpec, Order, WorkerEntry } from '@redwingcrank/jobs';
 import { PLAIN_STEP, taskName } from '@redwingcrank/jobs';
-import type { AppendResult, KeyedWrite, NewestPage, ReadResult } from '../keyed-log.js';
-import { KeyedLog } from '../keyed-log.js';
-import { NodeLog } from '../node-log.js';
-import type { PlatformPort } from '../platform-port.js';
+import type { AppendResult, KeyedWrite } from '../keyed-log.js';
 import type { OrderResult, RenewRequest, RenewResult, WorkerAddress } from '../task-workers.js';
-import { TaskWorkers } from '../task-workers.js';
-import { ConfigWatch } from '../internal/config-watch.js';
-import { LeaderTerm } from '../internal/leader-term.js';
-import { delay, steadyMs } from '../internal/delay.js';
+import { steadyMs } from '../internal/delay.js';
 import { encodeJob } from '../internal/job-record.js';
 import { LEADER_SILENT_MS } from '../internal/timing.js';
-import { encodeLeader, jobKey, leaderKey } from '../internal/work-records.js';
+import { jobKey } from '../internal/work-records.js';
 import { WorkTable } from '../internal/work-table.js';
-import { WORKER_ENTRY, nodeSettings } from './fixtures.js';
+import { CONFIG } from './config-fixtures.js';
+import { WORKER_ENTRY } from './fixtures.js';
+import { platformPort } from './port-fixtures.js';
+import { QuietLog } from './quiet-log.js';
+import { RunningTerm } from './running-term.js';
+import { SoundWorkers } from './sound-workers.js';
+import { pause } from './wait.js';
 
 const WORKERS = 100;
 
@@ -30,8 +30,6 @@
 /** How long the node schedules, in milliseconds. */
 const TERM_MS = 3_000;
 
-const pause = (ms: number): Promise<void> => delay(ms, new AbortController().signal);
-
 /** Counts looks at workers, and takes the time of each. */
 class Looks {
   count = 0;
@@ -64,39 +62,23 @@
   }
 }
 
-/** A log that has these records and takes every append. */
-class QuickLog extends KeyedLog {
-  readonly #records: NewestPage['records'];
-
-  readonly #appended: (writes: readonly KeyedWrite[]) => void;
+/** A log whose appends count as signs of life. */
+class CountedLog extends QuietLog {
+  readonly #signs: Signs;
 
-  constructor(
-    records: NewestPage['records'] = [],
-    appended: (writes: readonly KeyedWrite[]) => void = () => {},
-  ) {
+  constructor(signs: Signs) {
     super();
-    this.#records = records;
-    this.#appended = appended;
+    this.#signs = signs;
   }
 
   override async append(writes: readonly KeyedWrite[]): Promise<AppendResult> {
-    this.#appended(writes);
-    return { outcome: 'appended', reason: '' };
-  }
-
-  override read(): Promise<ReadResult> {
-    return new Promise(() => {});
-  }
-
-  override async newest(): Promise<NewestPage> {
-    return { records: this.#records, hasMore: false, end: 0 };
+    this.#signs.given();
+    return super.append(writes);
   }
 }
 
 /** Workers that run whatever they are told to, and answer after the wait that they are asked for. */
-class SoundWorkers extends TaskWorkers {
-  readonly running = new Map<string, RunningRow[]>();
-
+class CountedWorkers extends SoundWorkers {
   readonly #renewals: Signs;
 
   constructor(renewals: Signs) {
@@ -104,11 +86,9 @@
     this.#renewals = renewals;
   }
 
-  override async renew({ id }: WorkerAddress, req: RenewRequest): Promise<RenewResult> {
+  override async renew(worker: WorkerAddress, req: RenewRequest): Promise<RenewResult> {
     this.#renewals.given();
-    await pause(req.waitMs);
-    const running = this.running.get(id) ?? [];
-    return { outcome: 'done', report: { clockMs: steadyMs(), running, ended: [] } };
+    return super.renew(worker, req);
   }
 
   override async order({ id }: WorkerAddress, { task, run }: Order): Promise<OrderResult> {
@@ -116,8 +96,6 @@
     this.running.set(id, [row]);
     return { outcome: 'done', reason: '' };
   }
-
-  override forget(): void {}
 }
 
 /** A worker's entry; every look at the worker asks whether it is draining. */
@@ -152,36 +130,6 @@
   return table;
 }
 
-const QUEUE = {
-  name: 'q',
-  pool: WORKER_ENTRY.pool,
-  priority: 0,
-  maxAttempts: 3,
-  stretch: 1,
-  targetLatencyMs: 0,
-  host: 'h',
-  pathPrefix: '/',
-  timeoutMs: 1_000,
-};
-
-const CONFIG = {
-  version: 1,
-  queues: [QUEUE],
-  pools: new Set([WORKER_ENTRY.pool]),
-  maxBodyBytes: 1_000,
-};
-
-const RECORD = {
-  epoch: 2,
-  node: 'n1',
-  nonce: 'a',
-  resigned: false,
-  leasesMs: 4_000,
-  formerMs: 0,
-  silent: {},
-  number: 0,
-};
-
 test('a scheduling node with little processor time gives signs of life while thousands of jobs wait', async () => {
   // After a takeover 2,000 jobs wait and workers have room for 100. Looking at every worker for each
   // job takes the node two seconds and more, in one piece: no lease is renewed and its own record is
@@ -191,30 +139,19 @@
   const looks = new Looks();
   const records = new Signs(looks);
   const renewals = new Signs(looks);
-  const workers = new SoundWorkers(renewals);
-  const log = new NodeLog('n1', 'silent');
+  const workers = new CountedWorkers(renewals);
   const ids = Array.from({ length: WORKERS }, (_, i) => `w${i}`);
-  const port: PlatformPort = {
-    workLog: new QuickLog([], () => records.given()),
-    jobLog: new QuickLog(),
-    workerLog: new QuickLog(ids.map((key) => ({ key, value: 'x' }))),
-    operatorLog: new QuickLog([{ key: 'config', value: 'x' }]),
+  const port = platformPort({
+    workLog: new CountedLog(records),
+    workerLog: new QuietLog(ids.map((key) => ({ key, value: 'x' }))),
+    operatorLog: new QuietLog([{ key: 'config', value: 'x' }]),
     workers,
-    workerIdOf: ({ key }) => key,
     decodeWorker: ({ key }) => ({ value: countedEntry(key, looks) }),
     decodeConfig: () => ({ value: CONFIG }),
-  };
-  const table = tableOfWaitingJobs();
-  table.apply({ key: leaderKey(), value: encodeLeader(RECORD) });
-  const config = new ConfigWatch(port, log);
-  config.follower.run().catch(assert.fail);
-  const claim = { epoch: 2, sequence: 7, sentMs: steadyMs() };
-  const term = new LeaderTerm(RECORD, claim, port, nodeSettings('n1'), log, table, config);
-  const running = term.run();
+  });
+  const term = new RunningTerm(port, tableOfWaitingJobs());
   await pause(TERM_MS);
-  term.stop();
-  await running;
-  config.follower.stop();
+  await term.stop();
   assert.ok(records.longestGap < DEAF_LOOKS, `${records.longestGap} looks between two records`);
   assert.ok(renewals.longestGap < DEAF_LOOKS, `${renewals.longestGap} between two renewals`);
   assert.equal(workers.running.size, WORKERS);
--- a/packages/runtime/src/test/new-term_test.ts
+++ b/packages/runtime/src/test/new-term_test.ts
@@ -1,20 +1,21 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import type { JobSpec } from '@redwingcrank/jobs';
-import { JobProgress, PLAIN_STEP } from '@redwingcrank/jobs';
-import type { AppendResult, NewestPage, ReadResult } from '../keyed-log.js';
-import { KeyedLog } from '../keyed-log.js';
+import type { AppendResult, KeyedWrite, NewestPage } from '../keyed-log.js';
 import { NodeLog } from '../node-log.js';
-import type { PlatformPort } from '../platform-port.js';
-import type { OrderResult, RenewRequest, RenewResult } from '../task-workers.js';
-import { TaskWorkers } from '../task-workers.js';
+import type { RenewRequest, RenewResult, WorkerAddress } from '../task-workers.js';
 import { ConfigWatch } from '../internal/config-watch.js';
 import { LeaderTerm } from '../internal/leader-term.js';
-import { delay, steadyMs } from '../internal/delay.js';
+import { steadyMs } from '../internal/delay.js';
 import { encodeJob } from '../internal/job-record.js';
 import { encodeLeader, jobKey, leaderKey, progressKey } from '../internal/work-records.js';
 import { WorkTable } from '../internal/work-table.js';
 import { WORKER_ENTRY, nodeSettings } from './fixtures.js';
+import { LASTING_JOB, begunProgress } from './job-fixtures.js';
+import { leaderRecord } from './leader-record.js';
+import { platformPort } from './port-fixtures.js';
+import { QuietLog } from './quiet-log.js';
+import { SoundWorkers } from './sound-workers.js';
+import { pause } from './wait.js';
 
 /** What a store that is a hundred times slower than usual takes for an append, in milliseconds. */
 const APPEND_MS = 400;
@@ -25,75 +26,51 @@
 /** The next renewal after a worker's first answer follows within this time, in milliseconds. */
 const PROMPT_MS = 300;
 
-const pause = (ms: number): Promise<void> => delay(ms, new AbortController().signal);
-
 /** A log of a slow store, with these records. */
-class SlowLog extends KeyedLog {
-  readonly #records: NewestPage['records'];
-
-  constructor(records: NewestPage['records'] = []) {
-    super();
-    this.#records = records;
-  }
-
-  override async append(): Promise<AppendResult> {
+class SlowLog extends QuietLog {
+  override async append(records: readonly KeyedWrite[]): Promise<AppendResult> {
     await pause(APPEND_MS);
-    return { outcome: 'appended', reason: '' };
-  }
-
-  override read(): Promise<ReadResult> {
-    return new Promise(() => {});
+    return super.append(records);
   }
 
   override async newest(): Promise<NewestPage> {
     await pause(LIST_MS);
-    return { records: this.#records, hasMore: false, end: 0 };
+    return super.newest();
   }
 }
 
-const JOB: JobSpec = {
-  id: '00000000000000aa',
-  queue: 'q',
-  payload: 'p',
-  steps: [{ ...PLAIN_STEP, lasting: true }],
-  acceptedMs: 0,
-};
-
 /** A worker that answers every renewal, after the wait that it is asked for. */
-class SoundWorker extends TaskWorkers {
+class OneWorker extends SoundWorkers {
   /** When it has first answered. */
   answeredMs = 0;
 
   /** When it was first asked with a lease. */
   leaseMs = 0;
 
-  override async renew(_worker: unknown, req: RenewRequest): Promise<RenewResult> {
-    if (req.deadlineMs !== undefined) this.leaseMs ||= steadyMs();
-    await pause(req.waitMs);
-    this.answeredMs ||= steadyMs();
-    const running = [{ task: `${JOB.id}.0.0.0`, run: 1, checkpoint: '', percent: 100, measure: 0 }];
-    return { outcome: 'done', report: { clockMs: steadyMs(), running, ended: [] } };
+  constructor() {
+    super();
+    const task = `${LASTING_JOB.id}.0.0.0`;
+    this.running.set(WORKER_ENTRY.id, [{ task, run: 1, checkpoint: '', percent: 100, measure: 0 }]);
   }
 
-  override async order(): Promise<OrderResult> {
-    return { outcome: 'done', reason: '' };
+  override async renew(worker: WorkerAddress, req: RenewRequest): Promise<RenewResult> {
+    if (req.deadlineMs !== undefined) this.leaseMs ||= steadyMs();
+    const result = await super.renew(worker, req);
+    this.answeredMs ||= steadyMs();
+    return result;
   }
-
-  override forget(): void {}
 }
 
 const SETTINGS = nodeSettings('n1');
 
 /** What the work log says of a job whose one task runs on the worker. */
 function tableOfRunningJob(): WorkTable {
-  const job = new JobProgress(JOB);
-  job.openDue(Date.now());
-  job.begin();
+  const job = begunProgress();
   const [first] = job.occurrences.values();
   Object.assign(first!.steps[0]![0]!, { phase: 'bound', run: 1, worker: WORKER_ENTRY.id });
   const table = new WorkTable('n1');
-  table.apply({ key: jobKey(JOB.id), value: encodeJob(JOB) });
-  table.apply({ key: progressKey(JOB.id), value: job.encode() });
+  table.apply({ key: jobKey(LASTING_JOB.id), value: encodeJob(LASTING_JOB) });
+  table.apply({ key: progressKey(LASTING_JOB.id), value: job.encode() });
   return table;
 }
 
@@ -102,28 +79,16 @@
   // takes 400 ms. A worker that was not asked before the list came must not pass for silent: named
   // as such in the node's record it gets no lease until two more records are stored, and with the
   // leases that the node before has given all its work ends.
-  const workers = new SoundWorker();
+  const workers = new OneWorker();
   const log = new NodeLog('n1', 'silent');
-  const port: PlatformPort = {
+  const port = platformPort({
     workLog: new SlowLog(),
     jobLog: new SlowLog(),
     workerLog: new SlowLog([{ key: WORKER_ENTRY.id, value: 'x' }]),
     operatorLog: new SlowLog(),
     workers,
-    workerIdOf: ({ key }) => key,
-    decodeWorker: () => ({ value: WORKER_ENTRY }),
-    decodeConfig: () => undefined,
-  };
-  const record = {
-    epoch: 2,
-    node: 'n1',
-    nonce: 'a',
-    resigned: false,
-    leasesMs: 4_000,
-    formerMs: 7_800,
-    silent: {},
-    number: 0,
-  };
+  });
+  const record = leaderRecord({ formerMs: 7_800 });
   const table = tableOfRunningJob();
   table.apply({ key: leaderKey(), value: encodeLeader(record) });
   const claim = { epoch: 2, sequence: 7, sentMs: steadyMs() - APPEND_MS };
--- /dev/null
+++ b/packages/runtime/src/test/quiet-log.ts
@@ -0,0 +1,28 @@
+import type { AppendResult, KeyedWrite, NewestPage, ReadResult } from '../keyed-log.js';
+import { KeyedLog } from '../keyed-log.js';
+
+/** A log that has these records and takes every append; nothing more is ever read there. */
+export class QuietLog extends KeyedLog {
+  readonly #records: NewestPage['records'];
+
+  /** What was appended. */
+  readonly writes: KeyedWrite[] = [];
+
+  constructor(records: NewestPage['records'] = []) {
+    super();
+    this.#records = records;
+  }
+
+  override async append(records: readonly KeyedWrite[]): Promise<AppendResult> {
+    this.writes.push(...records);
+    return { outcome: 'appended', reason: '' };
+  }
+
+  override read(): Promise<ReadResult> {
+    return new Promise(() => {});
+  }
+
+  override async newest(): Promise<NewestPage> {
+    return { records: this.#records, hasMore: false, end: 0 };
+  }
+}
--- /dev/null
+++ b/packages/runtime/src/test/running-term.ts
@@ -0,0 +1,37 @@
+import assert from 'node:assert/strict';
+import { NodeLog } from '../node-log.js';
+import type { PlatformPort } from '../platform-port.js';
+import { ConfigWatch } from '../internal/config-watch.js';
+import { steadyMs } from '../internal/delay.js';
+import { LeaderTerm } from '../internal/leader-term.js';
+import { encodeLeader, leaderKey } from '../internal/work-records.js';
+import type { WorkTable } from '../internal/work-table.js';
+import { nodeSettings } from './fixtures.js';
+import { leaderRecord } from './leader-record.js';
+
+/** The term of node `n1`, which has just read its claim, and the configuration that it follows. */
+export class RunningTerm {
+  readonly #term: LeaderTerm;
+
+  readonly #config: ConfigWatch;
+
+  readonly #running: Promise<void>;
+
+  constructor(port: PlatformPort, table: WorkTable) {
+    const record = leaderRecord();
+    table.apply({ key: leaderKey(), value: encodeLeader(record) });
+    const log = new NodeLog('n1', 'silent');
+    this.#config = new ConfigWatch(port, log);
+    this.#config.follower.run().catch(assert.fail);
+    const claim = { epoch: record.epoch, sequence: 7, sentMs: steadyMs() };
+    const settings = nodeSettings('n1');
+    this.#term = new LeaderTerm(record, claim, port, settings, log, table, this.#config);
+    this.#running = this.#term.run();
+  }
+
+  async stop(): Promise<void> {
+    this.#term.stop();
+    this.#config.follower.stop();
+    await this.#running;
+  }
+}
--- a/packages/runtime/src/test/slow-reads_test.ts
+++ b/packages/runtime/src/test/slow-reads_test.ts
@@ -5,11 +5,11 @@
 import { Node } from '../node.js';
 import { NodeLog } from '../node-log.js';
 import type { PlatformPort } from '../platform-port.js';
-import { delay, steadyMs } from '../internal/delay.js';
+import { steadyMs } from '../internal/delay.js';
 import { encodeLeader, leaderKey } from '../internal/work-records.js';
 import { nodeSettings } from './fixtures.js';
-
-const pause = (ms: number): Promise<void> => delay(ms, new AbortController().signal);
+import { leaderRecord } from './leader-record.js';
+import { pause } from './wait.js';
 
 /** What a call to the store takes each way, in milliseconds. */
 const WAY_MS = 150;
@@ -49,16 +49,7 @@
   }
 }
 
-const LEADER = encodeLeader({
-  epoch: 1,
-  node: 'n2',
-  nonce: '1',
-  resigned: false,
-  leasesMs: 4_000,
-  formerMs: 0,
-  silent: {},
-  number: 0,
-});
+const LEADER = encodeLeader(leaderRecord({ epoch: 1, node: 'n2', nonce: '1' }));
 
 test('a node stays ready while each call to the store takes 0.3 s', async () => {
   // The store is slow, and answers. A node that pauses after each answer as long as ever has a view
--- /dev/null
+++ b/packages/runtime/src/test/sound-workers.ts
@@ -0,0 +1,23 @@
+import type { Order, RunningRow } from '@redwingcrank/jobs';
+import type { OrderResult, RenewRequest, RenewResult, WorkerAddress } from '../task-workers.js';
+import { TaskWorkers } from '../task-workers.js';
+import { steadyMs } from '../internal/delay.js';
+import { pause } from './wait.js';
+
+/** Workers that answer every renewal, after the wait that it asks for, and take every order. */
+export class SoundWorkers extends TaskWorkers {
+  /** What runs on each worker; what is not here has nothing to do. */
+  readonly running = new Map<string, RunningRow[]>();
+
+  override async renew({ id }: WorkerAddress, { waitMs }: RenewRequest): Promise<RenewResult> {
+    await pause(waitMs);
+    const running = this.running.get(id) ?? [];
+    return { outcome: 'done', report: { clockMs: steadyMs(), running, ended: [] } };
+  }
+
+  override async order(_worker: WorkerAddress, _order: Order): Promise<OrderResult> {
+    return { outcome: 'done', reason: '' };
+  }
+
+  override forget(): void {}
+}
--- a/packages/runtime/src/test/unread-jobs_test.ts
+++ b/packages/runtime/src/test/unread-jobs_test.ts
@@ -1,19 +1,9 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import type { JobSpec } from '@redwingcrank/jobs';
-import { JobProgress, PLAIN_STEP } from '@redwingcrank/jobs';
-import type {
-  AppendResult,
-  KeyedRecord,
-  KeyedWrite,
-  NewestPage,
-  ReadResult,
-} from '../keyed-log.js';
-import { KeyedLog, RecordsExpiredError } from '../keyed-log.js';
+import type { ReadResult } from '../keyed-log.js';
+import { RecordsExpiredError } from '../keyed-log.js';
 import { NodeLog } from '../node-log.js';
-import type { PlatformPort } from '../platform-port.js';
 import { ConfigWatch } from '../internal/config-watch.js';
-import { delay } from '../internal/delay.js';
 import { encodeJob } from '../internal/job-record.js';
 import { Leadership } from '../internal/leadership.js';
 import { LEADER_SILENT_MS } from '../internal/timing.js';
@@ -21,37 +11,22 @@
 import { WorkFollower } from '../internal/work-follower.js';
 import { WorkTable } from '../internal/work-table.js';
 import { nodeSettings } from './fixtures.js';
+import { LASTING_JOB, begunProgress } from './job-fixtures.js';
+import { MemoryLog } from './memory-log.js';
+import { platformPort } from './port-fixtures.js';
+import { pause } from './wait.js';
 
 const LOG = new NodeLog('n1', 'silent');
 
-const pause = (ms: number): Promise<void> => delay(ms, new AbortController().signal);
-
 /** A log in memory that can become unreadable. */
-class MemoryLog extends KeyedLog {
-  readonly records: KeyedRecord[] = [];
-
-  isHeld = false;
-
+class UnreadableLog extends MemoryLog {
   /** Reads find that records have expired. */
   isExpired = false;
 
-  override async append(records: readonly KeyedWrite[]): Promise<AppendResult> {
-    this.records.push(...records);
-    return { outcome: 'appended', reason: '' };
-  }
-
   override async read(from: number, waitMs: number): Promise<ReadResult> {
-    const endMs = performance.now() + waitMs;
-    while (this.isHeld || (this.records.length <= from && performance.now() < endMs)) {
-      await pause(5);
-    }
+    const result = await super.read(from, waitMs);
     if (this.isExpired) throw new RecordsExpiredError('expired');
-    const end = this.records.length;
-    return { records: this.records.slice(from), next: end, end, asOfMs: performance.now() };
-  }
-
-  override async newest(_after = ''): Promise<NewestPage> {
-    return { records: [...this.records], hasMore: false, end: this.records.length };
+    return result;
   }
 
   /** How many records of its own the scheduling node has written after its claim. */
@@ -64,17 +39,9 @@
   }
 }
 
-const JOB: JobSpec = {
-  id: '00000000000000aa',
-  queue: 'q',
-  payload: 'p',
-  steps: [{ ...PLAIN_STEP, lasting: true }],
-  acceptedMs: 0,
-};
-
 /** A node that has read both logs, and then knows of a begun job that it has not read. */
 class TakingOver {
-  readonly workLog = new MemoryLog();
+  readonly workLog = new UnreadableLog();
 
   readonly jobLog = new MemoryLog();
 
@@ -89,13 +56,7 @@
   constructor() {
     const { workLog, jobLog } = this;
     const empty = new MemoryLog();
-    const port = {
-      workLog,
-      jobLog,
-      workerLog: empty,
-      operatorLog: empty,
-      workers: { forget() {} },
-    } as unknown as PlatformPort;
+    const port = platformPort({ workLog, jobLog, workerLog: empty, operatorLog: empty });
     this.#work = new WorkFollower(port, LOG, this.#table);
     const config = new ConfigWatch(port, LOG);
     const settings = nodeSettings('n1');
@@ -106,10 +67,8 @@
     this.#running.push(this.#work.run());
     while (!this.#work.isLoaded) await pause(5);
     this.jobLog.isHeld = true;
-    const progress = new JobProgress(JOB);
-    progress.openDue(Date.now());
-    progress.begin();
-    await this.workLog.append([{ key: progressKey(JOB.id), value: progress.encode() }]);
+    const progress = { key: progressKey(LASTING_JOB.id), value: begunProgress().encode() };
+    await this.workLog.append([progress]);
     while (!this.#table.hasEarlyProgress) await pause(5);
   }
 
@@ -169,11 +128,9 @@
   // anew, and reads the job before the page with its progress. As a new job it would be started once
   // more if this node scheduled.
   const table = new WorkTable('n1');
-  const progress = new JobProgress(JOB);
-  progress.openDue(Date.now());
-  progress.begin();
-  table.apply({ key: progressKey(JOB.id), value: progress.encode() });
+  const { id } = LASTING_JOB;
+  table.apply({ key: progressKey(id), value: begunProgress().encode() });
   table.reset();
-  table.apply({ key: jobKey(JOB.id), value: encodeJob(JOB) });
-  assert.equal(table.jobs.get(JOB.id)?.state, 'running');
+  table.apply({ key: jobKey(id), value: encodeJob(LASTING_JOB) });
+  assert.equal(table.jobs.get(id)?.state, 'running');
 });
--- a/packages/runtime/src/test/virtual-fleet.ts
+++ b/packages/runtime/src/test/virtual-fleet.ts
@@ -17,8 +17,9 @@
 import { KeyedLog, StoreUnavailableError } from '../keyed-log.js';
 import type { LogFields } from '../node-log.js';
 import { NodeLog } from '../node-log.js';
-import type { PlatformPort } from '../platform-port.js';
 import { nodeSettings } from './fixtures.js';
+import { platformPort } from './port-fixtures.js';
+import { QuietLog } from './quiet-log.js';
 
 /** Waiting reads look for a new record so often, in milliseconds. */
 const LOOK_MS = 5;
@@ -198,18 +199,10 @@
 }
 
 /** A log in which nothing ever stands. */
-class EmptyLog extends KeyedLog {
+class EmptyLog extends QuietLog {
   override async append(): Promise<AppendResult> {
     return { outcome: 'refused', reason: 'empty' };
   }
-
-  override read(): Promise<ReadResult> {
-    return new Promise(() => {});
-  }
-
-  override async newest(): Promise<NewestPage> {
-    return { records: [], hasMore: false, end: 0 };
-  }
 }
 
 /** The store as one node reaches it, until that node loses power. */
@@ -265,13 +258,8 @@
     const log = new NodeLog(name, 'silent');
     log.observe((event, fields) => this.events.push({ event, fields }));
     const empty = new EmptyLog();
-    const port = {
-      workLog: this.#log,
-      jobLog: empty,
-      workerLog: empty,
-      operatorLog: empty,
-      workers: { forget() {} },
-    } as unknown as PlatformPort;
+    const logs = { workLog: this.#log, jobLog: empty, workerLog: empty, operatorLog: empty };
+    const port = platformPort(logs);
     const table = new WorkTable(name);
     this.#follower = new WorkFollower(port, log, table);
     const settings = { ...nodeSettings(name), cores };
--- a/packages/runtime/src/test/work-follower_test.ts
+++ b/packages/runtime/src/test/work-follower_test.ts
@@ -1,66 +1,30 @@
 import assert from 'node:assert/strict';
 import { afterEach, beforeEach, test } from 'node:test';
-import type { JobSpec } from '@redwingcrank/jobs';
-import { JobProgress, PLAIN_STEP } from '@redwingcrank/jobs';
-import type {
-  AppendResult,
-  KeyedRecord,
-  KeyedWrite,
-  NewestPage,
-  ReadResult,
-} from '../keyed-log.js';
-import { KeyedLog, RecordsExpiredError } from '../keyed-log.js';
+import type { KeyedWrite, NewestPage, ReadResult } from '../keyed-log.js';
+import { RecordsExpiredError } from '../keyed-log.js';
 import { NodeLog } from '../node-log.js';
-import { delay, steadyMs } from '../internal/delay.js';
+import { steadyMs } from '../internal/delay.js';
 import { Housekeeping } from '../internal/housekeeping.js';
 import { encodeJob } from '../internal/job-record.js';
 import { jobKey, progressKey } from '../internal/work-records.js';
 import { WorkFollower } from '../internal/work-follower.js';
 import { WorkTable } from '../internal/work-table.js';
-
-const pause = (ms: number): Promise<void> => delay(ms, new AbortController().signal);
-
-/** How long a test waits at most for what must happen, in milliseconds. */
-const UNTIL_MS = 3_000;
+import { LASTING_JOB, begunProgress } from './job-fixtures.js';
+import { MemoryLog } from './memory-log.js';
+import { pause, until } from './wait.js';
 
 /** Jobs to forget are looked for within this time, in milliseconds. */
 const FORGET_MS = 5_050;
 
-async function until(holds: () => boolean): Promise<void> {
-  for (const endMs = steadyMs() + UNTIL_MS; !holds(); await pause(5)) {
-    assert.ok(steadyMs() < endMs, 'waited in vain');
-  }
-}
-
-/** A log in memory that can be held up. */
-class MemoryLog extends KeyedLog {
-  readonly records: KeyedRecord[] = [];
-
+/** A log in memory whose records can expire. */
+class ExpiringLog extends MemoryLog {
   /** Records before this offset can be read no more but as the newest of their keys. */
   #first = 0;
 
-  /** While set, reads are not answered. */
-  isHeld = false;
-
-  override async append(records: readonly KeyedWrite[]): Promise<AppendResult> {
-    this.records.push(...records);
-    return { outcome: 'appended', reason: '' };
-  }
-
   override async read(from: number, waitMs: number): Promise<ReadResult> {
-    const endMs = steadyMs() + waitMs;
-    while (this.isHeld || (this.records.length <= from && steadyMs() < endMs)) await pause(5);
+    const result = await super.read(from, waitMs);
     if (from < this.#first) throw new RecordsExpiredError('expired');
-    const records = this.records.slice(from);
-    const end = this.records.length;
-    return { records, next: end, end, asOfMs: steadyMs() };
-  }
-
-  override async newest(): Promise<NewestPage> {
-    while (this.isHeld) await pause(5);
-    const newest = new Map(this.records.map((rec) => [rec.key, rec]));
-    const records = [...newest.values()].filter(({ value }) => value !== undefined);
-    return { records, hasMore: false, end: this.records.length };
+    return result;
   }
 
   /** All records so far expire, but for the newest of each key. */
@@ -73,31 +37,21 @@
   }
 }
 
-const ID = '00000000000000aa';
-
-const JOB: JobSpec = {
-  id: ID,
-  queue: 'q',
-  payload: 'p',
-  steps: [{ ...PLAIN_STEP, lasting: true }],
-  acceptedMs: 0,
-};
+const { id: ID } = LASTING_JOB;
 
-const JOB_RECORD = { key: jobKey(ID), value: encodeJob(JOB) };
+const JOB_RECORD = { key: jobKey(ID), value: encodeJob(LASTING_JOB) };
 
 const JOB_DELETED = { key: jobKey(ID), value: undefined };
 
 const PROGRESS_DELETED = { key: progressKey(ID), value: undefined };
 
 function progressRecord(isOver = false): KeyedWrite {
-  const job = new JobProgress(JOB);
-  job.openDue(Date.now());
-  job.begin();
+  const job = begunProgress();
   if (isOver) job.finish('cancelled', 1);
   return { key: progressKey(ID), value: job.encode() };
 }
 
-let logs: { workLog: MemoryLog; jobLog: MemoryLog };
+let logs: { workLog: ExpiringLog; jobLog: ExpiringLog };
 
 let table: WorkTable;
 
@@ -109,7 +63,7 @@
 let running: Promise<void>;
 
 beforeEach(() => {
-  logs = { workLog: new MemoryLog(), jobLog: new MemoryLog() };
+  logs = { workLog: new ExpiringLog(), jobLog: new ExpiringLog() };
   table = new WorkTable('n1');
   follower = new WorkFollower(logs, new NodeLog('n1', 'silent'), table);
   states = new Set();
@@ -182,7 +136,7 @@
 });
 
 /** Cuts a follower off from one log until records of it have expired. */
-async function loadAnew(expired: MemoryLog): Promise<void> {
+async function loadAnew(expired: ExpiringLog): Promise<void> {
   await logs.jobLog.append([JOB_RECORD]);
   await logs.workLog.append([progressRecord()]);
   follow();
--- a/packages/runtime/src/test/work-table_test.ts
+++ b/packages/runtime/src/test/work-table_test.ts
@@ -5,6 +5,7 @@
 import type { LeaderRecord } from '../internal/work-records.js';
 import { encodeLeader, leaderKey } from '../internal/work-records.js';
 import { WorkTable } from '../internal/work-table.js';
+import { leaderRecord } from './leader-record.js';
 
 /** For what passes while a test runs, in milliseconds. */
 const SLACK_MS = 500;
@@ -14,17 +15,8 @@
   readonly table = new WorkTable('n9');
 
   read(epoch: number, fields: Partial<LeaderRecord> = {}): void {
-    const record = {
-      epoch,
-      node: `n${epoch}`,
-      nonce: '',
-      resigned: false,
-      leasesMs: 7_600,
-      formerMs: 0,
-      silent: {},
-      number: 0,
-      ...fields,
-    };
+    const own = { epoch, node: `n${epoch}`, nonce: '', leasesMs: 7_600 };
+    const record = leaderRecord({ ...own, ...fields });
     this.table.apply({ key: leaderKey(), value: encodeLeader(record) });
   }
 
