Test of the link starter counts calls in one piece, not time

Seen once in a full run of the runtime's tests at load 21 on 16 processors: 509 ms against 220 ms. Cause: the test took the time between two timer ticks for the time that calls took. A test process that gets no processor time is held up without any call. Change: calls between two ticks are counted and reckoned with what each costs a slow node; the bound is the same. A starter that begins all links at once fails it (160 calls, 480 ms).

--- a/packages/runtime/src/test/link-starter_test.ts
+++ b/packages/runtime/src/test/link-starter_test.ts
@@ -1,10 +1,10 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import type { WorkerState } from '@redwingcrank/jobs';
+import { PLAIN_STEP } from '@redwingcrank/jobs';
 import { delay } from '../internal/delay.js';
 import { LinkStarter } from '../internal/link-starter.js';
 import type { WorkerLink } from '../internal/worker-link.js';
-import type { WorkerState } from '@redwingcrank/jobs';
-import { PLAIN_STEP } from '@redwingcrank/jobs';
 
 const LINKS = 160;
 
@@ -22,33 +22,30 @@
   return { runs: new Map([['a', run]]) } as unknown as Pick<WorkerState, 'runs'>;
 }
 
-function busy(ms: number): void {
-  const endMs = performance.now() + ms;
-  while (performance.now() < endMs);
-}
-
 test('a node that takes over hundreds of workers is never kept from its other work for long', async () => {
   // A node with a third of a core takes over and calls each worker for the first time. Meanwhile it
   // has to write its own record, or it is taken for dead, and the next one has the same before it.
   const stopping = new AbortController();
   let begun = 0;
+  let inPiece = 0;
+  let longest = 0;
   const link = {
     run: async () => {
       begun += 1;
-      busy(CALL_MS);
+      inPiece += 1;
+      longest = Math.max(longest, inPiece);
     },
   } as unknown as WorkerLink;
   const starter = new LinkStarter(stopping.signal, (err) => assert.fail(String(err)));
-  let lastMs = performance.now();
-  let heldUpMs = 0;
+  // What else the node has to do gets its turn here. Calls are counted, not timed: a machine that is
+  // short of processor time holds the test itself up for longer than the calls take.
   const ticks = setInterval(() => {
-    heldUpMs = Math.max(heldUpMs, performance.now() - lastMs);
-    lastMs = performance.now();
+    inPiece = 0;
   }, 5);
   for (let i = 0; i < LINKS; i += 1) starter.start(link, IDLE);
   while (begun < LINKS) await delay(10, stopping.signal);
   clearInterval(ticks);
-  assert.ok(heldUpMs < MAX_HELD_UP_MS, `${heldUpMs} ms`);
+  assert.ok(longest * CALL_MS < MAX_HELD_UP_MS, `${longest} calls in one piece`);
 });
 
 test('after the end of its term a node begins no more links', async () => {
