--- a/packages/runtime/src/internal/timing.ts
+++ b/packages/runtime/src/internal/timing.ts
@@ -57,6 +57,13 @@
 /** So many silent workers are named at most: some 50 KB, a fifth of the largest record. */
 export const MAX_SILENT_NAMED = 2_000;
 
+/**
+ * With more silent workers than this the scheduling node's record goes with an append each quarter of
+ * a second only. Every node reads each append, some forty a second: with a hundred workers named that
+ * is 0.1 MB a second, a tenth of what the smallest link carries.
+ */
+export const LIGHT_SILENT = 100;
+
 /** The scheduling node writes at least this often, so that the others see that it lives. */
 export const LEADER_WRITE_MS = 250;
 
@@ -161,7 +168,7 @@
 /**
  * After a round the node leaves as much time to its links and records as the round took, and this
  * at most: the next one writes the node's own record. With rounds that follow each other at once, a
- * node with a third of a core reached twenty workers of 440 a second, and the leases of the others ended.
+ * node with a third of a core reached twenty workers of 440 a second, and the others' leases ended.
  */
 export const MAX_ROUND_REST_MS = 250;
 
