How old the views were by which a task was bound or started is told

Cause: the lines of a scheduling node could not tell a start that waited from one that was decided on by an old list of workers, nor from one that was carried out late.

Change: lines 'bound', 'worker-leaves' and 'order' of starts tell the ages of the lists of workers and of callers' jobs; 'term-load' the oldest of a second's starts and their longest wait. No logic is changed. What a term works with is one typed parameter; looking for stops while an append is under way is a function of its own.

--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -197,6 +197,12 @@
     return !worker.entry.draining && !this.#isUnwanted(worker, run);
   }
 
+  /** How long ago the task of a start was bound, in milliseconds; 0 where it is not any more. */
+  waitedMs(order: Order, nowMs: number): number {
+    const run = this.#state.workers.get(order.worker)?.runs.get(taskName(order.task));
+    return run?.run === order.run ? nowMs - run.startedMs : 0;
+  }
+
   /** Whether `decide` would tell something that was handed in since its last call. */
   get hasNews(): boolean {
     const { changed, orders, endsProcessed } = this.#state;
--- a/packages/runtime/src/internal/leader-term.ts
+++ b/packages/runtime/src/internal/leader-term.ts
@@ -1,17 +1,21 @@
 import type { Subscription } from 'rxjs';
 import type { Order, OrderOutcome, Scheduler, WorkerReport } from '@redwingcrank/jobs';
 import type { KeyedWrite } from '../keyed-log.js';
-import type { NodeLog } from '../node-log.js';
+import type { LogFields, NodeLog } from '../node-log.js';
 import type { NodeSettings } from '../node-settings.js';
 import type { PlatformPort } from '../platform-port.js';
-import { Pause, steadyMs } from './delay.js';
+import { steadyMs } from './delay.js';
 import { FaultLog } from './fault-log.js';
 import { Housekeeping } from './housekeeping.js';
 import type { StoredClaim } from './leader-writer.js';
 import { LeaderWriter } from './leader-writer.js';
 import { RoundPacing } from './round-pacing.js';
 import { silentWorkers } from './silent-workers.js';
+import { lookWhile } from './look-while.js';
+import type { StartViews } from './start-views.js';
+import { agesOf, viewsOf } from './start-views.js';
 import { TermLeases } from './term-leases.js';
+import type { TermParts } from './term-parts.js';
 import type { TermView } from './term-load.js';
 import { TermLoad, reachOf } from './term-load.js';
 import { createScheduler, takeOn } from './term-scheduler.js';
@@ -61,6 +65,8 @@
 
   readonly #links: WorkerLinks;
 
+  readonly #views: StartViews;
+
   readonly #subscriptions: Subscription[] = [];
 
   readonly #stopping = new AbortController();
@@ -87,12 +93,7 @@
   constructor(
     record: LeaderRecord,
     claim: StoredClaim,
-    port: PlatformPort,
-    settings: NodeSettings,
-    log: NodeLog,
-    table: WorkTable,
-    config: ConfigWatch,
-    faults = new FaultLog(log),
+    { port, settings, log, table, work, config, faults = new FaultLog(log) }: TermParts,
   ) {
     this.#record = record;
     this.#port = port;
@@ -112,12 +113,14 @@
     });
     this.#load = new TermLoad(log, record.epoch);
     this.#leases = new TermLeases(record, this.#writer, table.formerLeases);
-    this.#scheduler = createScheduler(log, this.#leaseMs, table.formerLeases);
+    const agesNow = (): LogFields => agesOf(this.#views, steadyMs());
+    this.#scheduler = createScheduler(log, this.#leaseMs, table.formerLeases, agesNow);
     const link = (id: string): void => {
       const worker = this.#scheduler.workers.get(id);
       if (worker) this.#links.open(worker);
     };
     this.#workerList = new WorkerList(port, log, config, this.#scheduler, link, faults);
+    this.#views = viewsOf(this.#workerList, work);
   }
 
   get token(): number {
@@ -192,7 +195,16 @@
   }
 
   isDue(order: Order): boolean {
-    return this.#scheduler.isDue(order);
+    if (!this.#scheduler.isDue(order)) return false;
+    this.#load.startSent(
+      agesOf(this.#views, steadyMs()),
+      this.#scheduler.waitedMs(order, steadyMs()),
+    );
+    return true;
+  }
+
+  get viewAges(): LogFields {
+    return agesOf(this.#views, steadyMs());
   }
 
   reported(worker: string, report: WorkerReport, askedMs: number): void {
@@ -281,26 +293,14 @@
    * the lasting tasks that nobody stopped there.
    */
   async #write(writes: readonly KeyedWrite[]): Promise<boolean> {
-    const appended = new Pause();
-    const state = { isUnderWay: true };
-    const looking = this.#sendStopsWhile(state, appended);
     this.#load.appendSent();
     try {
-      return await this.#writer.write(writes);
+      return await lookWhile(this.#writer.write(writes), STOP_LOOK_MS, () => {
+        if (this.#stopping.signal.aborted) return;
+        this.#sendStops(this.#scheduler.decideStops(steadyMs()));
+      });
     } finally {
       this.#load.appendEnded();
-      state.isUnderWay = false;
-      appended.end();
-      await looking;
-    }
-  }
-
-  async #sendStopsWhile(append: { isUnderWay: boolean }, appended: Pause): Promise<void> {
-    while (append.isUnderWay && !this.#stopping.signal.aborted) {
-      await appended.wait(STOP_LOOK_MS);
-      if (append.isUnderWay && !this.#stopping.signal.aborted) {
-        this.#sendStops(this.#scheduler.decideStops(steadyMs()));
-      }
     }
   }
 
--- a/packages/runtime/src/internal/leadership.ts
+++ b/packages/runtime/src/internal/leadership.ts
@@ -344,16 +344,15 @@
     const claim = this.#claims.get(leader.nonce);
     if (!claim || leader.resigned || this.#term) return;
     this.#claims.clear();
-    const term = new LeaderTerm(
-      leader,
-      claim,
-      this.#port,
-      this.#settings,
-      this.#log,
-      this.#table,
-      this.#config,
-      this.#faults,
-    );
+    const term = new LeaderTerm(leader, claim, {
+      port: this.#port,
+      settings: this.#settings,
+      log: this.#log,
+      table: this.#table,
+      work: this.#work,
+      config: this.#config,
+      faults: this.#faults,
+    });
     this.#term = term;
     this.#work.setLeading(true);
     // The term starts after this record has been told to everyone, with the table up to it.
--- a/packages/runtime/src/internal/term-load.ts
+++ b/packages/runtime/src/internal/term-load.ts
@@ -1,10 +1,12 @@
 import type { WorkerState } from '@redwingcrank/jobs';
-import type { NodeLog } from '../node-log.js';
+import type { LogFields, NodeLog } from '../node-log.js';
 import { delay, steadyMs } from './delay.js';
 
 /** How often a scheduling node tells how it fares, in milliseconds: one line costs 0.1 ms. */
 const TELL_MS = 1_000;
 
+const NO_STARTS = { workersAgeMs: 0, jobsAgeMs: 0, startWaitMs: 0 };
+
 /** How far the workers are reached on which something runs, or may. */
 export interface Reach {
   /** Workers on which something runs, or may, and that have not answered this node yet. */
@@ -42,6 +44,11 @@
 
   #reports = 0;
 
+  #starts = 0;
+
+  /** Of the starts that were sent: how old the views were at most, how long after their binding. */
+  #oldest = NO_STARTS;
+
   constructor(log: NodeLog, epoch: number) {
     this.#log = log;
     this.#epoch = epoch;
@@ -63,6 +70,16 @@
     this.#appendSentMs = undefined;
   }
 
+  /** A start is sent, so long after its task was bound, by views of these ages. */
+  startSent({ workersAgeMs, jobsAgeMs }: LogFields, waitedMs: number): void {
+    this.#starts += 1;
+    this.#oldest = {
+      workersAgeMs: Math.max(this.#oldest.workersAgeMs, Number(workersAgeMs)),
+      jobsAgeMs: Math.max(this.#oldest.jobsAgeMs, Number(jobsAgeMs)),
+      startWaitMs: Math.max(this.#oldest.startWaitMs, Math.round(waitedMs)),
+    };
+  }
+
   /** A worker has answered a renewal. */
   reported(): void {
     this.#reports += 1;
@@ -90,6 +107,8 @@
       longestDecideMs: Math.round(this.#longestDecideMs),
       appendMs: Math.round(this.#longestAppendMs(nowMs)),
       reports: this.#reports,
+      starts: this.#starts,
+      ...this.#oldest,
       jobs: view.jobs,
       unreached: view.unreached,
       quietMs: Math.round(view.quietMs),
@@ -102,6 +121,8 @@
     this.#longestDecideMs = 0;
     this.#appendMs = 0;
     this.#reports = 0;
+    this.#starts = 0;
+    this.#oldest = NO_STARTS;
   }
 
   /** The append that is under way counts with the time that it has taken so far. */
--- a/packages/runtime/src/internal/term-scheduler.ts
+++ b/packages/runtime/src/internal/term-scheduler.ts
@@ -1,15 +1,19 @@
 import { JobProgress, Scheduler } from '@redwingcrank/jobs';
-import type { NodeLog } from '../node-log.js';
+import type { LogFields, NodeLog } from '../node-log.js';
 import { steadyMs } from './delay.js';
 import type { FormerLeases } from './former-leases.js';
 import { STANDSTILL_MS, STOP_AGAIN_MS, surelyOverMs } from './timing.js';
 import type { StoredJob } from './work-table.js';
 
+/** Decisions by the workers' entries: their lines tell how old the views were. */
+const BY_VIEWS: ReadonlySet<string> = new Set(['bound', 'worker-leaves']);
+
 /** The scheduler of a term that begins now, whose leases last so many milliseconds. */
 export function createScheduler(
   log: NodeLog,
   leaseMs: number,
   { generalEndMs }: FormerLeases,
+  viewAges: () => LogFields,
 ): Scheduler {
   const timing = {
     leaseMs: surelyOverMs(leaseMs),
@@ -17,7 +21,9 @@
     standstillMs: STANDSTILL_MS,
     stopAgainMs: STOP_AGAIN_MS,
   };
-  return new Scheduler(timing, steadyMs(), (event, fields) => log.emit('info', event, fields));
+  return new Scheduler(timing, steadyMs(), (event, fields) =>
+    log.emit('info', event, BY_VIEWS.has(event) ? { ...fields, ...viewAges() } : fields),
+  );
 }
 
 /** Hands a stored job over, as far as it has come; one whose progress is not known is left alone. */
--- a/packages/runtime/src/internal/work-follower.ts
+++ b/packages/runtime/src/internal/work-follower.ts
@@ -77,6 +77,11 @@
     });
   }
 
+  /** When the view of callers' jobs and cancels was last known to be complete, on the steady clock. */
+  get jobsFreshMs(): number {
+    return this.#jobs.freshMs;
+  }
+
   /** When the older of both views was last known to be complete, on the steady clock. */
   get freshMs(): number {
     return Math.min(this.roles.freshMs, this.#jobs.freshMs);
--- a/packages/runtime/src/internal/worker-link.ts
+++ b/packages/runtime/src/internal/worker-link.ts
@@ -1,6 +1,6 @@
 import type { Order, OrderOutcome, WorkerEntry, WorkerReport } from '@redwingcrank/jobs';
 import { taskName } from '@redwingcrank/jobs';
-import type { NodeLog } from '../node-log.js';
+import type { LogFields, NodeLog } from '../node-log.js';
 import type { RenewResult, TaskWorkers, WorkerAddress } from '../task-workers.js';
 import { Pause, delay, steadyMs } from './delay.js';
 import {
@@ -29,6 +29,8 @@
   leaseSent(worker: string, leaseEndMs: number): void;
   /** Whether an order is still to be sent. */
   isDue(order: Order): boolean;
+  /** How old the views are that a start rests on, for the log. */
+  readonly viewAges: LogFields;
   reported(worker: string, report: WorkerReport, askedMs: number): void;
   answered(order: Order, outcome: OrderOutcome, settledMs: number): void;
   gone(worker: string, why: string): void;
@@ -176,6 +178,7 @@
       reason,
       attempt,
       tookMs: Math.round(steadyMs() - sentMs),
+      ...(order.kind === 'start' && this.#listener.viewAges),
     });
   }
 
--- a/packages/runtime/src/internal/worker-list.ts
+++ b/packages/runtime/src/internal/worker-list.ts
@@ -72,6 +72,11 @@
     });
   }
 
+  /** When the list was last known to be complete, on the steady clock. */
+  get freshMs(): number {
+    return this.#follower.freshMs;
+  }
+
   /** Whether the list has been read to its end at least once. */
   get isLoaded(): boolean {
     return this.#isLoaded;
--- a/packages/runtime/src/test/fixtures.ts
+++ b/packages/runtime/src/test/fixtures.ts
@@ -1,5 +1,6 @@
 import type { WorkerEntry } from '@redwingcrank/jobs';
 import type { NodeSettings } from '../node-settings.js';
+import { steadyMs } from '../internal/delay.js';
 
 /** A worker with room for a few tasks. */
 export const WORKER_ENTRY: WorkerEntry = {
@@ -13,6 +14,13 @@
   labels: [],
 };
 
+/** A view of callers' jobs to which nothing is ever added. */
+export const FRESH_JOBS = {
+  get jobsFreshMs(): number {
+    return steadyMs();
+  },
+};
+
 /** What a node of this name is told. */
 export function nodeSettings(node: string): NodeSettings {
   return {
--- a/packages/runtime/src/test/idle-worker_test.ts
+++ b/packages/runtime/src/test/idle-worker_test.ts
@@ -34,6 +34,7 @@
     ackedEnd: () => 0,
     isBusy: () => false,
     isDue: () => true,
+    viewAges: {},
     leaseSent: () => {},
     reported: () => {},
     answered: () => {},
--- a/packages/runtime/src/test/leader-term_test.ts
+++ b/packages/runtime/src/test/leader-term_test.ts
@@ -10,7 +10,7 @@
 import { steadyMs } from '../internal/delay.js';
 import { encodeLeader, leaderKey } from '../internal/work-records.js';
 import { WorkTable } from '../internal/work-table.js';
-import { nodeSettings } from './fixtures.js';
+import { FRESH_JOBS, nodeSettings } from './fixtures.js';
 import { leaderRecord } from './leader-record.js';
 import { platformPort } from './port-fixtures.js';
 import { QuietLog } from './quiet-log.js';
@@ -52,7 +52,14 @@
   }
   const claim = { epoch: 1, sequence: 7, sentMs: steadyMs() };
   const config = new ConfigWatch(port, LOG);
-  const term = new LeaderTerm(own, claim, port, SETTINGS, LOG, table, config);
+  const term = new LeaderTerm(own, claim, {
+    port,
+    settings: SETTINGS,
+    log: LOG,
+    table,
+    work: FRESH_JOBS,
+    config,
+  });
   const late = setTimeout(() => term.stop(), 1_000);
   await term.run();
   clearTimeout(late);
--- a/packages/runtime/src/test/new-term_test.ts
+++ b/packages/runtime/src/test/new-term_test.ts
@@ -9,7 +9,7 @@
 import { encodeJob } from '../internal/job-record.js';
 import { encodeLeader, jobKey, leaderKey, progressKey } from '../internal/work-records.js';
 import { WorkTable } from '../internal/work-table.js';
-import { WORKER_ENTRY, nodeSettings } from './fixtures.js';
+import { FRESH_JOBS, WORKER_ENTRY, nodeSettings } from './fixtures.js';
 import { LASTING_JOB, begunProgress } from './job-fixtures.js';
 import { leaderRecord } from './leader-record.js';
 import { platformPort } from './port-fixtures.js';
@@ -93,7 +93,14 @@
   table.apply({ key: leaderKey(), value: encodeLeader(record) });
   const claim = { epoch: 2, sequence: 7, sentMs: steadyMs() - APPEND_MS };
   const config = new ConfigWatch(port, log);
-  const term = new LeaderTerm(record, claim, port, SETTINGS, log, table, config);
+  const term = new LeaderTerm(record, claim, {
+    port,
+    settings: SETTINGS,
+    log,
+    table,
+    work: FRESH_JOBS,
+    config,
+  });
   const running = term.run();
   await pause(LIST_MS + 2_500);
   term.stop();
--- a/packages/runtime/src/test/worker-link_test.ts
+++ b/packages/runtime/src/test/worker-link_test.ts
@@ -37,6 +37,7 @@
     ackedEnd: () => 0,
     isBusy: () => true,
     isDue: () => true,
+    viewAges: {},
     leaseSent: (_worker, leaseEndMs) => leases.push(leaseEndMs),
     reported: () => {},
     answered: () => {},
