A start takes effect no later than the views allow that it rests on

Callers saw tasks begin on workers that had said seconds before that they leave, and lost them with those workers.

Cause: the scheduling node did not ask how old its list of workers was, nor its view of cancels. A list that is read late, or not at all, looks like one to which nothing was added; and the 1.5 s in which a start may take effect came on top.

Change: what forbids a start was stored after the view was last known to be complete. So a start may take effect until the bound after that moment and no longer (drainMs, cancelMs; the platform's own bounds), and the worker enforces it by the start's deadline on its own clock. With less than 250 ms left nothing is sent, nothing is bound, and a round follows as soon as the views are read. It holds for every attempt, whatever the start waited for before it, or waits for on its way.

--- a/packages/runtime/src/internal/leader-term.ts
+++ b/packages/runtime/src/internal/leader-term.ts
@@ -9,11 +9,10 @@
 import { Housekeeping } from './housekeeping.js';
 import type { StoredClaim } from './leader-writer.js';
 import { LeaderWriter } from './leader-writer.js';
-import { RoundPacing } from './round-pacing.js';
+import { NO_STARTS, RoundPacing } from './round-pacing.js';
 import { silentWorkers } from './silent-workers.js';
 import { lookWhile } from './look-while.js';
-import type { StartViews } from './start-views.js';
-import { agesOf, viewsOf } from './start-views.js';
+import { StartViews } from './start-views.js';
 import { TermLeases } from './term-leases.js';
 import type { TermParts } from './term-parts.js';
 import type { TermView } from './term-load.js';
@@ -65,7 +64,7 @@
 
   readonly #links: WorkerLinks;
 
-  readonly #views: StartViews;
+  readonly views: StartViews;
 
   readonly #subscriptions: Subscription[] = [];
 
@@ -113,14 +112,14 @@
     });
     this.#load = new TermLoad(log, record.epoch);
     this.#leases = new TermLeases(record, this.#writer, table.formerLeases);
-    const agesNow = (): LogFields => agesOf(this.#views, steadyMs());
+    const agesNow = (): LogFields => this.views.ages(steadyMs());
     this.#scheduler = createScheduler(log, this.#leaseMs, table.formerLeases, agesNow);
     const link = (id: string): void => {
       const worker = this.#scheduler.workers.get(id);
       if (worker) this.#links.open(worker);
     };
     this.#workerList = new WorkerList(port, log, config, this.#scheduler, link, faults);
-    this.#views = viewsOf(this.#workerList, work);
+    this.views = new StartViews(this.#workerList, work, settings, this.#stopping.signal);
   }
 
   get token(): number {
@@ -194,17 +193,13 @@
     this.#scheduler.leaseSent(worker, leaseEndMs);
   }
 
-  isDue(order: Order): boolean {
-    if (!this.#scheduler.isDue(order)) return false;
-    this.#load.startSent(
-      agesOf(this.#views, steadyMs()),
-      this.#scheduler.waitedMs(order, steadyMs()),
-    );
-    return true;
+  startSent(order: Order, windowEndMs: number): void {
+    this.#scheduler.leaseSent(order.worker, windowEndMs);
+    this.#load.startSent(this.views.ages(steadyMs()), this.#scheduler.waitedMs(order, steadyMs()));
   }
 
-  get viewAges(): LogFields {
-    return agesOf(this.#views, steadyMs());
+  isDue(order: Order): boolean {
+    return this.#scheduler.isDue(order);
   }
 
   reported(worker: string, report: WorkerReport, askedMs: number): void {
@@ -239,7 +234,9 @@
     if (this.#stopping.signal.aborted) return;
     this.#links.closeAllBut(this.#scheduler.workers);
     const beganMs = steadyMs();
-    const decisions = this.#scheduler.decide(beganMs, Date.now(), this.#pacing.limits);
+    // What could not be sent is not bound either: it would be stored in vain, and again after that.
+    const limits = this.views.windowMs(beganMs) > 0 ? this.#pacing.limits : NO_STARTS;
+    const decisions = this.#scheduler.decide(beganMs, Date.now(), limits);
     this.#load.decided(steadyMs() - beganMs);
     const writes: KeyedWrite[] = decisions.changed.map((job) => ({
       key: progressKey(job.spec.id),
@@ -284,7 +281,9 @@
     this.#scheduler.acknowledge(decisions.acks);
     for (const id of decisions.acks.keys()) this.#links.byWorker.get(id)?.acknowledged();
     this.#pacing.send(starts);
-    if (decisions.isCutShort) this.#pacing.wakeWithRoom();
+    if (!decisions.isCutShort) return;
+    if (limits === NO_STARTS) this.views.whenOpen(() => this.#pacing.wake());
+    else this.#pacing.wakeWithRoom();
   }
 
   /**
--- a/packages/runtime/src/internal/round-pacing.ts
+++ b/packages/runtime/src/internal/round-pacing.ts
@@ -87,6 +87,9 @@
   }
 }
 
+/** For rounds that must start nothing. */
+export const NO_STARTS: RoundLimits = { placingMs: 0, starts: 0, clockMs: steadyMs };
+
 function keyOf({ kind, worker, task, run }: Order): string {
   return `${kind} ${worker} ${taskName(task)} ${run}`;
 }
--- a/packages/runtime/src/internal/timing.ts
+++ b/packages/runtime/src/internal/timing.ts
@@ -121,9 +121,18 @@
  */
 export const SUCCESSOR_MS = 800;
 
-/** A start that has not reached its worker within this time takes no effect there any more. */
+/**
+ * A start that has not reached its worker within this time takes no effect there any more; sooner
+ * where the views that it rests on are old.
+ */
 export const START_WINDOW_MS = 1_500;
 
+/**
+ * No start is sent that must take effect sooner than this: a busy worker would refuse it as too late,
+ * and its task would be bound and stored anew.
+ */
+export const MIN_START_WINDOW_MS = 250;
+
 /** How long one renewal waits at the worker for an end to report. */
 export const RENEW_WAIT_MS = 1_000;
 
--- a/packages/runtime/src/internal/worker-link.ts
+++ b/packages/runtime/src/internal/worker-link.ts
@@ -1,8 +1,9 @@
 import type { Order, OrderOutcome, WorkerEntry, WorkerReport } from '@redwingcrank/jobs';
 import { taskName } from '@redwingcrank/jobs';
-import type { LogFields, NodeLog } from '../node-log.js';
+import type { NodeLog } from '../node-log.js';
 import type { RenewResult, TaskWorkers, WorkerAddress } from '../task-workers.js';
 import { Pause, delay, steadyMs } from './delay.js';
+import type { StartViews } from './start-views.js';
 import {
   IDLE_RENEW_WAIT_MS,
   RENEW_RETRY_MS,
@@ -27,10 +28,12 @@
   /** Whether anything runs on the worker, or may. */
   isBusy(worker: string): boolean;
   leaseSent(worker: string, leaseEndMs: number): void;
+  /** For how long a start may take effect, by the ages of the views that it rests on. */
+  readonly views: Pick<StartViews, 'windowMs' | 'ages'>;
+  /** A start is being sent; what it begins holds a lease until its time is surely over. */
+  startSent(order: Order, windowEndMs: number): void;
   /** Whether an order is still to be sent. */
   isDue(order: Order): boolean;
-  /** How old the views are that a start rests on, for the log. */
-  readonly viewAges: LogFields;
   reported(worker: string, report: WorkerReport, askedMs: number): void;
   answered(order: Order, outcome: OrderOutcome, settledMs: number): void;
   gone(worker: string, why: string): void;
@@ -121,15 +124,17 @@
     for (let attempt = 0; attempt < START_ATTEMPTS && outcome === 'unknown'; attempt += 1) {
       if (this.#stopping.signal.aborted) return;
       const sentMs = steadyMs();
-      const objection = this.#objection(order);
+      const startMs =
+        order.kind === 'start' ? this.#listener.views.windowMs(sentMs) : START_WINDOW_MS;
+      const objection = this.#objection(order, startMs);
       if (objection) {
         if (!mayRun) outcome = 'too-late';
         this.#logOrder(order, outcome, objection, attempt, sentMs);
         break;
       }
-      const deadlineMs = this.#workerTime(sentMs) + START_WINDOW_MS;
-      const windowMs = surelyOverMs(START_WINDOW_MS);
-      if (order.kind === 'start') this.#listener.leaseSent(this.id, sentMs + windowMs);
+      const deadlineMs = this.#workerTime(sentMs) + startMs;
+      const windowMs = surelyOverMs(startMs);
+      if (order.kind === 'start') this.#listener.startSent(order, sentMs + windowMs);
       const result = await this.#workers.order(
         this.address,
         order,
@@ -154,10 +159,11 @@
   }
 
   /** Why a start must not be sent now, though it was decided on. */
-  #objection(order: Order): string | undefined {
+  #objection(order: Order, startMs: number): string | undefined {
     if (order.kind !== 'start') return undefined;
     // A node that was frozen and replaced would start here what the next one starts elsewhere.
     if (this.#listener.leaseLimitMs(this.id) < START_WINDOW_MS) return 'no lease may be given';
+    if (startMs === 0) return 'the lists are too old';
     return this.#listener.isDue(order) ? undefined : 'not due any more';
   }
 
@@ -178,7 +184,7 @@
       reason,
       attempt,
       tookMs: Math.round(steadyMs() - sentMs),
-      ...(order.kind === 'start' && this.#listener.viewAges),
+      ...(order.kind === 'start' && this.#listener.views.ages(steadyMs())),
     });
   }
 
--- a/packages/runtime/src/node-settings.ts
+++ b/packages/runtime/src/node-settings.ts
@@ -8,6 +8,10 @@
   readonly maxLeaseMs: number;
   /** How long a stop may take, in milliseconds. */
   readonly stopTimeoutMs: number;
+  /** So long after a worker has said that it leaves a task may still begin there, in milliseconds. */
+  readonly drainMs: number;
+  /** So long after a job's cancel is confirmed one of its tasks may still begin, in milliseconds. */
+  readonly cancelMs: number;
   /** How long a job's final state must be known, in milliseconds. */
   readonly keepStateMs: number;
   /** After SIGTERM the process is killed when this is over, in milliseconds. */
--- a/packages/runtime/src/test/fixtures.ts
+++ b/packages/runtime/src/test/fixtures.ts
@@ -29,6 +29,8 @@
     cores: undefined,
     maxLeaseMs: 6_000,
     stopTimeoutMs: 500,
+    drainMs: 2_000,
+    cancelMs: 3_000,
     keepStateMs: 120_000,
     graceMs: 6_000,
   };
--- a/packages/runtime/src/test/stale-views_test.ts
+++ b/packages/runtime/src/test/stale-views_test.ts
@@ -118,8 +118,9 @@
 
 test('no task begins on a worker long after it has said that it leaves, though nobody has read that', async () => {
   // The scheduling node stores what it decides, and its reads of the workers' entries are not answered.
-  // A worker says that it leaves. Callers hand jobs in all the while; their tasks begin on that worker
-  // seconds later, and are lost with it: the node goes by a list whose age it does not ask for.
+  // A worker says that it leaves. Callers hand jobs in all the while; their tasks began on that worker
+  // for as long as the reads stayed without an answer, and were lost with it: the node went by a list
+  // whose age it did not ask for. Proof: the latest start could take effect 2.4 s after the bound.
   workerLog.isHeld = true;
   const saidMs = steadyMs();
   list({ id: 'w1', draining: true, remainingMs: 5_000 });
@@ -133,7 +134,7 @@
 
 test('no task begins long after its job may have been cancelled', async () => {
   // The same with the callers' log: a cancel is confirmed to its caller by another node, and the one
-  // that schedules cannot read it. The job's next tasks begin all the same, seconds later.
+  // that schedules cannot read it. The job's next tasks began all the same, seconds later.
   jobs.hold();
   const heldMs = steadyMs();
   await pause(CANCEL_MS + 1_000);
