A view counts as complete only by an answer that reaches as far as the log did

Callers could be answered, and tasks started, by a page of newest records that was seconds old: a store that has just dropped its history may give one, and the view passed for as new as the moment of asking. An answer from before what the node had read already made a view fresh as well.

Change: an answer, page or read, whose log ends before what was known of it is not taken (the end of earlier answers, and the first record that the refusal of expired ones tells), and a loaded view is complete only with the first read from its end: by that an older page that nothing else tells shows as expired. That read is sent at once, so a start costs one call's time more. The log without news of the tests answers its reads after their wait, as the store does.

--- a/packages/runtime/src/internal/keyed-follower.ts
+++ b/packages/runtime/src/internal/keyed-follower.ts
@@ -1,6 +1,6 @@
 import { Subject } from 'rxjs';
 import type { KeyedLog, KeyedRecord } from '../keyed-log.js';
-import { RecordsExpiredError } from '../keyed-log.js';
+import { RecordsExpiredError, StoreUnavailableError } from '../keyed-log.js';
 import type { NodeLog } from '../node-log.js';
 import { Pause, steadyMs } from './delay.js';
 
@@ -54,6 +54,11 @@
 
   #freshMs = -Infinity;
 
+  #isLoaded = false;
+
+  /** The furthest that the log was known to reach. */
+  #knownEnd = 0;
+
   #isLost = false;
 
   /** What the newest reads took beyond their wait at the store, in milliseconds. */
@@ -78,7 +83,7 @@
 
   /** Whether the log has been read to its end at least once. */
   get isLoaded(): boolean {
-    return this.#freshMs > -Infinity;
+    return this.#isLoaded;
   }
 
   /** Whether the newest read has failed. */
@@ -122,6 +127,7 @@
     this.#reloads += 1;
     this.#next = undefined;
     this.#freshMs = -Infinity;
+    this.#isLoaded = false;
     this.hurry();
   }
 
@@ -144,19 +150,31 @@
       this.#regained(before);
       await this.#pause(this.#restMs());
     } catch (err) {
-      if (err instanceof RecordsExpiredError) this.#next = undefined;
+      if (err instanceof RecordsExpiredError) this.#expired(err);
       this.#lost(err);
       await this.#pause(RETRY_MS);
     }
   }
 
+  #expired({ first }: RecordsExpiredError): void {
+    this.#next = undefined;
+    this.#knownEnd = Math.max(this.#knownEnd, first);
+  }
+
+  /**
+   * Loads the newest record of each key. The view counts as complete with the first read from there
+   * on: a store that has just dropped its history may answer with a page that is seconds old, and
+   * one that does not reach as far as the log did is not taken. From an older page than that, which
+   * a node that has read nothing before cannot know, the next read finds the records expired.
+   */
   async #load(): Promise<void> {
-    const askedMs = steadyMs();
     const reloads = this.#reloads;
     let page = await this.#source.newest('');
     const { end } = page;
+    this.#checkEnd(end);
     // Until all pages are there, what is missing says nothing.
     this.#freshMs = -Infinity;
+    this.#isLoaded = false;
     this.messages$.next({ kind: 'reset' });
     let { records } = page;
     this.#tell(records);
@@ -168,17 +186,26 @@
     if (reloads !== this.#reloads) return;
     // Read on from the first page's end: what changed while the pages came is read again.
     this.#next = end;
-    this.#freshMs = askedMs;
+    this.#isLoaded = true;
     this.messages$.next({ kind: 'caught-up' });
   }
 
+  /** @throws StoreUnavailableError where the log was known to reach further. */
+  #checkEnd(end: number): void {
+    if (end < this.#knownEnd) {
+      throw new StoreUnavailableError(`an answer from when the log ended at ${end}`);
+    }
+    this.#knownEnd = end;
+  }
+
   async #read(from: number): Promise<void> {
     // After an outage the store is asked at once: a wait there would keep the view old for longer.
-    const waitMs = this.#isLost ? 0 : this.#settings.waitMs;
+    const waitMs = this.#isLost || this.#freshMs === -Infinity ? 0 : this.#settings.waitMs;
     const reloads = this.#reloads;
     const sentMs = steadyMs();
     const { records, next, end, asOfMs } = await this.#source.read(from, waitMs);
     if (reloads !== this.#reloads) return;
+    this.#checkEnd(end);
     this.#took(steadyMs() - sentMs - (records.length > 0 ? 0 : waitMs));
     this.#tell(records);
     this.#next = next;
@@ -226,9 +253,8 @@
    */
   #restMs(): number {
     const oldMs = steadyMs() - this.#freshMs;
-    return this.#freshMs === -Infinity
-      ? this.#gapMs
-      : Math.max(Math.min(MIN_GAP_MS, this.#gapMs), this.#gapMs - oldMs);
+    if (this.#freshMs === -Infinity) return 0;
+    return Math.max(Math.min(MIN_GAP_MS, this.#gapMs), this.#gapMs - oldMs);
   }
 
   async #pause(ms: number): Promise<void> {
--- a/packages/runtime/src/keyed-log.ts
+++ b/packages/runtime/src/keyed-log.ts
@@ -81,6 +81,14 @@
 /** The records asked for are gone; read the newest of each key instead. */
 export class RecordsExpiredError extends Error {
   override readonly name = 'RecordsExpiredError';
+
+  /** From where on the log has its records, as far as the store has told. */
+  readonly first: number;
+
+  constructor(message: string, first = 0) {
+    super(message);
+    this.first = first;
+  }
 }
 
 /** A log on the platform's store that keeps the newest record of each key for good. */
--- a/packages/runtime/src/node.ts
+++ b/packages/runtime/src/node.ts
@@ -87,7 +87,8 @@
   async whenLoaded(): Promise<void> {
     const { follower } = this.#config;
     const endMs = steadyMs() + LOAD_WAIT_MS;
-    while (steadyMs() < endMs && !(this.#work.isLoaded && follower.isLoaded)) {
+    const isComplete = (): boolean => this.#work.freshMs > -Infinity && follower.isLoaded;
+    while (steadyMs() < endMs && !isComplete()) {
       await delay(LOAD_LOOK_MS, new AbortController().signal);
     }
   }
--- a/packages/runtime/src/test/quiet-log.ts
+++ b/packages/runtime/src/test/quiet-log.ts
@@ -1,5 +1,7 @@
 import type { AppendResult, KeyedWrite, NewestPage, ReadResult } from '../keyed-log.js';
 import { KeyedLog } from '../keyed-log.js';
+import { steadyMs } from '../internal/delay.js';
+import { pause } from './wait.js';
 
 /** A log that has these records and takes every append; nothing more is ever read there. */
 export class QuietLog extends KeyedLog {
@@ -18,8 +20,9 @@
     return { outcome: 'appended', reason: '' };
   }
 
-  override read(): Promise<ReadResult> {
-    return new Promise(() => {});
+  override async read(from: number, waitMs: number): Promise<ReadResult> {
+    await pause(waitMs);
+    return { records: [], next: from, end: from, asOfMs: steadyMs() };
   }
 
   override async newest(): Promise<NewestPage> {
--- a/packages/runtime/src/test/worker-list_test.ts
+++ b/packages/runtime/src/test/worker-list_test.ts
@@ -34,6 +34,8 @@
 class ScriptedLog extends KeyedLog {
   newestRecords: KeyedRecord[] = [];
 
+  #end = 0;
+
   #answer: ((result: ReadResult | Error) => void) | undefined;
 
   override async append(): Promise<AppendResult> {
@@ -41,14 +43,18 @@
   }
 
   override async newest(): Promise<NewestPage> {
-    return { records: this.newestRecords, hasMore: false, end: 0 };
+    return { records: this.newestRecords, hasMore: false, end: this.#end };
   }
 
   override read(from: number): Promise<ReadResult> {
     return new Promise((resolve, reject) => {
       this.#answer = (result) => {
         if (result instanceof Error) reject(result);
-        else resolve({ ...result, next: from + result.records.length, end: 0 });
+        else {
+          const next = from + result.records.length;
+          this.#end = next;
+          resolve({ ...result, next, end: next });
+        }
       };
     });
   }
