A queue is denied only by a configuration that cannot be out of date

Callers of a queue that was added seconds before were told 404, which is final for them, by a node whose reads of the operators' records stayed without an answer.

What the node knows it goes on serving: else an outage of the operators' records alone would be one of all jobs.

--- a/packages/runtime/src/node-settings.ts
+++ b/packages/runtime/src/node-settings.ts
@@ -12,6 +12,8 @@
   readonly drainMs: number;
   /** So long after a job's cancel is confirmed one of its tasks may still begin, in milliseconds. */
   readonly cancelMs: number;
+  /** So long after operators have changed the configuration every node goes by it, in milliseconds. */
+  readonly configApplyMs: number;
   /** How long a job's final state must be known, in milliseconds. */
   readonly keepStateMs: number;
   /** After SIGTERM the process is killed when this is over, in milliseconds. */
--- a/packages/runtime/src/node.ts
+++ b/packages/runtime/src/node.ts
@@ -35,10 +35,13 @@
 
   readonly jobs: JobService;
 
+  readonly #configApplyMs: number;
+
   #isStopping = false;
 
   constructor(port: PlatformPort, settings: NodeSettings, log: NodeLog) {
     this.#log = log;
+    this.#configApplyMs = settings.configApplyMs;
     this.#faults = new FaultLog(log);
     this.#table = new WorkTable(settings.node, this.#faults);
     this.#config = new ConfigWatch(port, log, this.#faults);
@@ -97,6 +100,20 @@
     return this.#config.current !== undefined;
   }
 
+  /**
+   * Whether what is not configured may be denied. A caller takes that for final, and by a view as old
+   * as this the operators may have added it in time. Known queues are served by an old view all the
+   * same: else an outage of the operators' records alone would be one of all jobs.
+   */
+  get mayDenyQueue(): boolean {
+    return this.configAgeMs < this.#configApplyMs;
+  }
+
+  /** How long ago the configuration was known to be the newest, in milliseconds. */
+  get configAgeMs(): number {
+    return steadyMs() - this.#config.follower.freshMs;
+  }
+
   /** Whether the operators have configured a queue of this name. */
   hasQueue(name: string): boolean {
     return this.#config.current?.queues.some((queue) => queue.name === name) ?? false;
--- a/packages/runtime/src/test/fixtures.ts
+++ b/packages/runtime/src/test/fixtures.ts
@@ -31,6 +31,7 @@
     stopTimeoutMs: 500,
     drainMs: 2_000,
     cancelMs: 3_000,
+    configApplyMs: 2_000,
     keepStateMs: 120_000,
     graceMs: 6_000,
   };
