The list of workers does not grow too old for starts with a slow store

Callers' jobs stood still for a part of each read of the workers' entries where the store takes 0.6 s for a call: a read waited there a second for news, and the list was then too old for a start by the strictest bound of the platform, 2 s.

Change: reads of the workers' entries wait 0.4 s at the store. Price: about one more read a second, of the scheduling node alone.

--- a/packages/runtime/src/internal/worker-list.ts
+++ b/packages/runtime/src/internal/worker-list.ts
@@ -13,8 +13,11 @@
 /** How often the entries of workers are read, in milliseconds. */
 const WORKER_LIST_GAP_MS = 250;
 
-/** How long a read waits at the store for an entry, in milliseconds. */
-const READ_WAIT_MS = 1_000;
+/**
+ * How long a read waits at the store for an entry, in milliseconds. The list grows older by it, and by
+ * an old list no task begins: with a longer wait none would for a part of each read of a slow store.
+ */
+const READ_WAIT_MS = 400;
 
 const UNKNOWN_POOL: RecordFault = { reason: 'unknown-pool', field: 'pool' };
 
--- /dev/null
+++ b/packages/runtime/src/test/slow-list_test.ts
@@ -0,0 +1,56 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { Scheduler } from '@redwingcrank/jobs';
+import type { NewestPage, ReadResult } from '../keyed-log.js';
+import { NodeLog } from '../node-log.js';
+import { ConfigWatch } from '../internal/config-watch.js';
+import { steadyMs } from '../internal/delay.js';
+import { FaultLog } from '../internal/fault-log.js';
+import { StartViews } from '../internal/start-views.js';
+import { WorkerList } from '../internal/worker-list.js';
+import { FRESH_JOBS, nodeSettings } from './fixtures.js';
+import { platformPort } from './port-fixtures.js';
+import { QuietLog } from './quiet-log.js';
+import { pause, until } from './wait.js';
+
+/** What each call to the store takes, in milliseconds. */
+const CALL_MS = 600;
+
+/** A log in which nothing happens, at a store that takes its time for each call. */
+class SlowLog extends QuietLog {
+  override async read(from: number, waitMs: number): Promise<ReadResult> {
+    const sentMs = steadyMs();
+    await pause(waitMs + CALL_MS);
+    return { records: [], next: from, end: from, asOfMs: sentMs + waitMs };
+  }
+
+  override async newest(): Promise<NewestPage> {
+    await pause(CALL_MS);
+    return super.newest();
+  }
+}
+
+test('tasks may begin at any time although each call to the store takes long', async (t) => {
+  // The store takes 0.6 s for a call. New work must go on beginning; with reads that waited a second at
+  // the store for news the list of workers grew too old for a start in a part of each of them, and jobs
+  // stood still for as long.
+  const log = new NodeLog('n1', 'silent');
+  const port = platformPort({ workerLog: new SlowLog() });
+  const timing = { leaseMs: 0, inheritedLeaseMs: 0, standstillMs: 0, stopAgainMs: 0 };
+  const scheduler = new Scheduler(timing, 0, () => {});
+  const config = new ConfigWatch(port, log);
+  const list = new WorkerList(port, log, config, scheduler, () => {}, new FaultLog(log));
+  const { signal } = new AbortController();
+  const views = new StartViews(list, FRESH_JOBS, nodeSettings('n1'), signal);
+  const running = list.run();
+  t.after(async () => {
+    list.stop();
+    await running;
+  });
+  await until(() => views.windowMs(steadyMs()) > 0);
+  let closedMs = 0;
+  for (const endMs = steadyMs() + 6_000; steadyMs() < endMs; await pause(10)) {
+    if (views.windowMs(steadyMs()) === 0) closedMs += 10;
+  }
+  assert.equal(closedMs, 0);
+});
