A start is not sent to a worker that is not listed any more

A task could begin on a worker that had said that it leaves: the store dropped its history, the worker's word with it, and its entry went before anybody had read that word. The list then said no more than that the worker is not there, and a start whose binding waited was sent all the same; such a worker may stay for seconds.

Change: a start that waited is sent only to a worker that is listed; else its task is placed anew. An entry that turns unusable costs its worker's waiting starts as well now, which begin elsewhere.

--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -187,14 +187,14 @@
   /**
    * Whether an order is still to be sent. A start waits until it is stored and for its turn, seconds
    * maybe; sent then all the same, it would begin what was cancelled, or on a worker that has said
-   * that it leaves. One that was never sent can be answered with `too-late`.
+   * that it leaves, or is not listed any more, having said so maybe where nobody read it. One that was never sent can be answered with `too-late`.
    */
   isDue(order: Order): boolean {
     if (order.kind !== 'start') return true;
     const worker = this.#state.workers.get(order.worker);
     const run = worker?.runs.get(taskName(order.task));
     if (!worker || run?.run !== order.run) return false;
-    return !worker.entry.draining && !this.#isUnwanted(worker, run);
+    return worker.listed && !worker.entry.draining && !this.#isUnwanted(worker, run);
   }
 
   /** How long ago the task of a start was bound, in milliseconds; 0 where it is not any more. */
--- a/packages/runtime/src/test/late-start_test.ts
+++ b/packages/runtime/src/test/late-start_test.ts
@@ -115,6 +115,18 @@
   assert.deepEqual(workers.started, ['w2']);
 });
 
+test('a task does not start on a worker whose entry went while the binding was stored', async () => {
+  // The same, but the store dropped its history meanwhile, and with it the worker's word: the list says
+  // no more than that the worker is not there. It may stay for seconds, and takes what it is sent.
+  workerLog.records.push({ key: 'w1', value: undefined });
+  list({ id: 'w2' });
+  await pause(600);
+  workLog.letThrough();
+  await until(() => workers.started.length > 0);
+  await pause(100);
+  assert.deepEqual(workers.started, ['w2']);
+});
+
 test('a task does not start when its job was cancelled while the binding was stored', async () => {
   // The same with a caller who cancels the job, which is confirmed. The stop that goes out at once may
   // be lost or overtaken, and the caller sees a task start seconds after that.
