The time of a leaving worker counts from when it may have said so

Callers' tasks that save their work lost it with a worker that left: the scheduling node counted the worker's remaining time from when it read the entry, so an entry that was read a second late had the tasks told to stop a second late, when the worker was gone.

Change: the time counts from the newest moment at which the view was complete before, the earliest at which the entry can have been written.

--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -133,8 +133,8 @@
     this.#state.endJob(job, 'cancelled', timeOfDayMs);
   }
 
-  /** The store lists the worker, or what it says of itself has changed. */
-  listWorker(entry: WorkerEntry, nowMs: number): void {
+  /** The store lists the worker, or what it says of itself has changed; written then at the earliest. */
+  listWorker(entry: WorkerEntry, writtenMs: number): void {
     const known = this.#state.workers.get(entry.id);
     const worker = known ?? this.#state.addWorker(entry);
     if (entry.draining && !(known?.listed && known.entry.draining)) {
@@ -143,7 +143,7 @@
     }
     worker.entry = entry;
     worker.listed = true;
-    if (entry.draining) worker.leavesMs = Math.min(worker.leavesMs, nowMs + entry.remainingMs);
+    if (entry.draining) worker.leavesMs = Math.min(worker.leavesMs, writtenMs + entry.remainingMs);
   }
 
   /** The store no longer lists the worker. It may still run what it has. */
--- a/packages/runtime/src/internal/worker-list.ts
+++ b/packages/runtime/src/internal/worker-list.ts
@@ -135,6 +135,14 @@
     this.#weigh(decoded.value);
   }
 
+  /**
+   * The earliest time at which what is read now may have been written, on the steady clock: what it
+   * says of a worker's remaining time counts from then.
+   */
+  get #writtenMs(): number {
+    return this.freshMs === -Infinity ? steadyMs() : this.freshMs;
+  }
+
   #drop(id: string): void {
     this.#entries.delete(id);
     this.#scheduler.unlistWorker(id);
@@ -148,14 +156,14 @@
     const { id } = entry;
     if (this.#isNamed(entry.pool)) {
       this.#faults.usable('workers', id);
-      this.#scheduler.listWorker(entry, steadyMs());
+      this.#scheduler.listWorker(entry, this.#writtenMs);
       this.#link(id);
       return;
     }
     this.#faults.unusable('workers', id, UNKNOWN_POOL);
     // Tasks may run there from a time when the pool was named: the entry says where to ask.
     if (this.#scheduler.workers.has(id)) {
-      this.#scheduler.listWorker(entry, steadyMs());
+      this.#scheduler.listWorker(entry, this.#writtenMs);
       this.#link(id);
     }
     this.#scheduler.unlistWorker(id);
--- a/packages/runtime/src/test/worker-list_test.ts
+++ b/packages/runtime/src/test/worker-list_test.ts
@@ -8,7 +8,9 @@
 import type { PlatformPort } from '../platform-port.js';
 import { ConfigWatch } from '../internal/config-watch.js';
 import { FaultLog } from '../internal/fault-log.js';
+import { steadyMs } from '../internal/delay.js';
 import { WorkerList } from '../internal/worker-list.js';
+import { pause } from './wait.js';
 
 const LOG = new NodeLog('n1', 'silent');
 
@@ -60,11 +62,11 @@
   }
 
   /** Answers the read that waits, or will. */
-  async tell(result: KeyedRecord[] | Error): Promise<void> {
+  async tell(result: KeyedRecord[] | Error, asOfMs = 0): Promise<void> {
     while (!this.#answer) await new Promise(setImmediate);
     const answer = this.#answer;
     this.#answer = undefined;
-    answer(result instanceof Error ? result : { records: result, next: 0, end: 0, asOfMs: 0 });
+    answer(result instanceof Error ? result : { records: result, next: 0, end: 0, asOfMs });
     while (!this.#answer) await new Promise(setImmediate);
   }
 }
@@ -79,7 +81,16 @@
 
 let list: WorkerList;
 
-/** The value of an entry is its pool; an empty one is broken. */
+/** How long a worker that leaves stays at least, in milliseconds. */
+const REMAINING_MS = 3_000;
+
+function entryOf(id: string, value: string): WorkerEntry {
+  const [pool = '', , remaining] = value.split(' ');
+  const leaves = remaining !== undefined;
+  return { ...ENTRY, id, pool, draining: leaves, remainingMs: Number(remaining ?? 0) };
+}
+
+/** The value of an entry is its pool, and how long it stays if it leaves; an empty one is broken. */
 function portOf(log: KeyedLog): PlatformPort {
   return {
     workLog: log,
@@ -89,9 +100,7 @@
     workers: undefined as never,
     workerIdOf: ({ key }) => key || undefined,
     decodeWorker: ({ key, value }) =>
-      value
-        ? { value: { ...ENTRY, id: key, pool: value } }
-        : { fault: { reason: 'missing', field: 'pool' } },
+      value ? { value: entryOf(key, value) } : { fault: { reason: 'missing', field: 'pool' } },
     decodeConfig: ({ value }) => ({
       value: { version: Number(value), queues: [], pools: new Set([`p${value}`]), maxBodyBytes: 0 },
     }),
@@ -166,6 +175,20 @@
   assert.deepEqual([isListed('w1'), isListed('w2')], [false, true]);
 });
 
+test('the time that a leaving worker has left counts from when it may have said so', async () => {
+  // A worker says that it leaves in three seconds, and the list is read a second later. Counted from then,
+  // tasks that save their work are told to stop when the worker is gone, and do all of it again.
+  workerLog.newestRecords = [{ key: 'w1', value: 'p1' }];
+  list.run();
+  await workerLog.tell([]);
+  const saidMs = steadyMs();
+  await workerLog.tell([], saidMs);
+  await pause(1_000);
+  await workerLog.tell([{ key: 'w1', value: `p1 leaves ${REMAINING_MS}` }], steadyMs());
+  const leftMs = scheduler.workers.get('w1')!.leavesMs - saidMs;
+  assert.ok(leftMs <= REMAINING_MS, `${leftMs} ms`);
+});
+
 test('what runs on a worker of a pool that is not named any more is asked for all the same', async () => {
   // A pool is dropped while tasks run there, and the scheduling node is replaced. Without a word to
   // the worker, the next one would let their leases run out and lose all that they have done.
