--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -187,7 +187,8 @@
   /**
    * Whether an order is still to be sent. A start waits until it is stored and for its turn, seconds
    * maybe; sent then all the same, it would begin what was cancelled, or on a worker that has said
-   * that it leaves, or is not listed any more, having said so maybe where nobody read it. One that was never sent can be answered with `too-late`.
+   * that it leaves. One that is not listed any more may have said so where nobody read it. One that
+   * was never sent can be answered with `too-late`.
    */
   isDue(order: Order): boolean {
     if (order.kind !== 'start') return true;
--- a/packages/runtime/src/test/late-start_test.ts
+++ b/packages/runtime/src/test/late-start_test.ts
@@ -76,6 +76,15 @@
   workerLog.records.push({ key: entry.id!, value });
 }
 
+/** Where tasks started, once the list was read and the binding was stored. */
+async function startedOnceStored(): Promise<readonly string[]> {
+  await pause(600);
+  workLog.letThrough();
+  await until(() => workers.started.length > 0);
+  await pause(100);
+  return workers.started;
+}
+
 /** A term in which the binding of the only task has been sent to the store, without an answer yet. */
 beforeEach(async () => {
   workLog = new HeldLog(({ key }) => key === progressKey(ID));
@@ -108,11 +117,7 @@
   // task then starts on a worker that may be gone a second later, seconds after its word was stored.
   list({ id: 'w1', draining: true, remainingMs: 3_000 });
   list({ id: 'w2' });
-  await pause(600);
-  workLog.letThrough();
-  await until(() => workers.started.length > 0);
-  await pause(100);
-  assert.deepEqual(workers.started, ['w2']);
+  assert.deepEqual(await startedOnceStored(), ['w2']);
 });
 
 test('a task does not start on a worker whose entry went while the binding was stored', async () => {
@@ -120,11 +125,7 @@
   // no more than that the worker is not there. It may stay for seconds, and takes what it is sent.
   workerLog.records.push({ key: 'w1', value: undefined });
   list({ id: 'w2' });
-  await pause(600);
-  workLog.letThrough();
-  await until(() => workers.started.length > 0);
-  await pause(100);
-  assert.deepEqual(workers.started, ['w2']);
+  assert.deepEqual(await startedOnceStored(), ['w2']);
 });
 
 test('a task does not start when its job was cancelled while the binding was stored', async () => {
