The model of leaders and workers lets workers leave without a leader reading it

No model had an act on an old list: workers that leave were read of at once, or nobody looked when a start reached them. Now a word may stay unread, the leader's list is as old as it, some workers linger past their time, and the oracle sees a start that comes more than the bound after the word. The model's leaders take the window of a start from the node's own StartViews; no logic of a node is changed.

--- a/packages/fuzz/src/jobs/jobs-oracle.ts
+++ b/packages/fuzz/src/jobs/jobs-oracle.ts
@@ -4,6 +4,9 @@
 /** Runs of one task that may end as failed before its job is over. */
 export const MAX_ATTEMPTS = 3;
 
+/** So long after a worker has said that it leaves a task may still begin there, in milliseconds. */
+export const DRAIN_MS = 1_500;
+
 interface TaskFacts {
   /** Workers on which it runs now. */
   readonly runningOn: Set<string>;
@@ -31,6 +34,9 @@
 
   readonly #unnoted = new Map<string, Set<string>>();
 
+  /** When a worker that leaves has said so. */
+  readonly #leavingSinceMs = new Map<string, number>();
+
   nowMs = 0;
 
   /** From now on the tasks of this job must be at work. */
@@ -63,8 +69,15 @@
     }
   }
 
+  /** The store has confirmed that the worker leaves. */
+  leaving(worker: string): void {
+    this.#leavingSinceMs.set(worker, this.nowMs);
+  }
+
   started(worker: WorkerEntry, { task, run }: Order): void {
     const name = taskName(task);
+    const saidMs = this.#leavingSinceMs.get(worker.id) ?? Infinity;
+    expect(this.nowMs <= saidMs + DRAIN_MS, `${name} starts on ${worker.id}, which left long ago`);
     const facts = this.#facts(name);
     expect(facts.runningOn.size === 0, `${name} run ${run} starts beside another run`);
     expect(!facts.isNoted, `${name} run ${run} starts after its good end was noted`);
--- a/packages/fuzz/src/jobs/jobs-script.ts
+++ b/packages/fuzz/src/jobs/jobs-script.ts
@@ -3,6 +3,9 @@
 /** So long before it is gone a worker announces that it leaves, in milliseconds. */
 const LEAVING_MS = 2_000;
 
+/** Some stay so much longer, in milliseconds. */
+const LINGERING_MS = 4_000;
+
 /** Carries out what the fuzzer has drawn: a command and two small numbers for whom it meets. */
 export class JobsScript {
   readonly #world: JobsWorld;
@@ -57,7 +60,10 @@
         world.crash(worker);
         break;
       case 'leave':
-        world.leave(worker, LEAVING_MS, a % 2 === 0);
+        world.leave(worker, LEAVING_MS, a % 2 === 0, a % 4 === 3 ? LINGERING_MS : 0);
+        break;
+      case 'list':
+        world.list(leader);
         break;
       case 'vanish':
         world.vanish(worker);
--- a/packages/fuzz/src/jobs/jobs-world.ts
+++ b/packages/fuzz/src/jobs/jobs-world.ts
@@ -99,6 +99,7 @@
   passTime(ms: number): void {
     this.#nowMs += ms;
     this.oracle.nowMs = this.#nowMs;
+    for (const leader of this.leaders) leader.nowMs = this.#nowMs;
     for (const worker of [...this.workers]) {
       worker.passTime(ms);
       if (this.#nowMs >= worker.leavesMs) this.vanish(worker);
@@ -161,6 +162,7 @@
     for (const id of leader.scheduler.workers.keys()) {
       if (!listed.has(id)) leader.scheduler.unlistWorker(id);
     }
+    Object.assign(leader, { listAsOfMs: undefined });
   }
 
   /** Decides, stores and sends, or repeats the append that got no answer. */
@@ -267,12 +269,20 @@
     }
   }
 
-  /** The worker announces that it leaves, and then does; not every leader reads that at once. */
-  leave(worker: ModelWorker, remainingMs: number, isRead: boolean): void {
+  /**
+   * The worker announces that it leaves, and does when its time is over, or lingers; where that is not
+   * read at once, the leaders' lists of workers grow old until they are read whole.
+   */
+  leave(worker: ModelWorker, remainingMs: number, isRead: boolean, lingersMs = 0): void {
     if (worker.entry.draining) return;
     this.coverage.hit('leave');
-    worker.announceLeaving(remainingMs, this.#nowMs);
-    if (!isRead) return;
+    worker.announceLeaving(remainingMs, this.#nowMs, lingersMs);
+    this.oracle.leaving(worker.entry.id);
+    if (!isRead) {
+      this.coverage.hit('leave-unread');
+      for (const leader of this.leaders) leader.listAsOfMs ??= this.#nowMs;
+      return;
+    }
     for (const { scheduler } of this.leaders) scheduler.listWorker(worker.entry, this.#nowMs);
   }
 
--- a/packages/fuzz/src/jobs/model-leader.ts
+++ b/packages/fuzz/src/jobs/model-leader.ts
@@ -6,10 +6,11 @@
   LEASE_MS,
   SILENT_WORKER_MS,
   START_WINDOW_MS,
+  StartViews,
   TermLeases,
   surelyOverMs,
 } from '@redwingcrank/runtime/leases';
-import { MAX_ATTEMPTS } from './jobs-oracle.js';
+import { DRAIN_MS, MAX_ATTEMPTS } from './jobs-oracle.js';
 import type { ModelNode } from './model-node.js';
 import type { ModelWorker } from './model-worker.js';
 
@@ -17,6 +18,8 @@
 export interface SentOrder {
   readonly order: Order;
   readonly deadline: number;
+  /** How long from `sentMs` on a start may take effect, in milliseconds. */
+  readonly windowMs: number;
   readonly sentMs: number;
   isAnswered: boolean;
   mayRun: boolean;
@@ -60,6 +63,8 @@
 /** Rounds that have more to start are cut short. */
 const FEW_STARTS = { placingMs: Infinity, starts: 1, clockMs: () => 0 };
 
+const NO_STARTS = { ...FEW_STARTS, starts: 0 };
+
 /**
  * One term of a scheduling node: the scheduler of the nodes, and what they may promise and tell of
  * leases, with calls in place of sockets.
@@ -85,6 +90,13 @@
   /** An append that got no answer: it is stored, but the leader does not know. */
   unanswered: Append | undefined;
 
+  /** Since when its list of workers lacks something; undefined where it is complete. */
+  listAsOfMs: number | undefined;
+
+  nowMs: number;
+
+  readonly #views: StartViews;
+
   readonly #startedMs: number;
 
   readonly #leases: TermLeases;
@@ -100,6 +112,23 @@
     this.node = node;
     this.confirmedMs = nowMs;
     this.#startedMs = nowMs;
+    this.nowMs = nowMs;
+    const freshMs = (): number => this.listAsOfMs ?? this.nowMs;
+    const presentMs = (): number => this.nowMs;
+    this.#views = new StartViews(
+      {
+        get freshMs() {
+          return freshMs();
+        },
+      },
+      {
+        get jobsFreshMs() {
+          return presentMs();
+        },
+      },
+      { drainMs: DRAIN_MS, cancelMs: Infinity },
+      new AbortController().signal,
+    );
     this.#leases = new TermLeases(claim, this, former);
     this.scheduler = new Scheduler(
       {
@@ -120,8 +149,10 @@
 
   /** Decides, sends the stops, and returns what is to be appended; with it may resign. */
   decide(nowMs: number, resigns: boolean): Append {
-    const decisions = this.scheduler.decide(nowMs, nowMs, FEW_STARTS);
-    const { changed, orders, acks, isCutShort } = decisions;
+    const isOpen = this.#views.windowMs(nowMs) > 0;
+    const decisions = this.scheduler.decide(nowMs, nowMs, isOpen ? FEW_STARTS : NO_STARTS);
+    const { changed, orders, acks } = decisions;
+    const isCutShort = isOpen && decisions.isCutShort;
     const { silent, isComplete } = this.#silentWorkers(nowMs);
     const isNews = this.#leases.noteSilent(silent, isComplete);
     const tells = resigns || isNews || changed.length === 0;
@@ -161,7 +192,7 @@
     Object.assign(sent, { isAnswered: true });
     // An earlier attempt without an answer may run, whatever this one met with.
     const isUnknown = outcome === 'unknown' || (sent.mayRun && outcome !== 'done');
-    const settledMs = isUnknown ? sent.sentMs + surelyOverMs(START_WINDOW_MS) : nowMs;
+    const settledMs = isUnknown ? sent.sentMs + surelyOverMs(sent.windowMs) : nowMs;
     this.scheduler.answered(sent.order, isUnknown ? 'unknown' : outcome, nowMs, settledMs);
   }
 
@@ -213,21 +244,23 @@
 
   #send(order: Order, nowMs: number, mayRun: boolean): void {
     const { worker } = order;
+    const windowMs = this.#views.windowMs(nowMs);
     const sent = {
       order,
-      deadline: this.#clockOf(worker, nowMs) + START_WINDOW_MS,
+      deadline: this.#clockOf(worker, nowMs) + windowMs,
+      windowMs,
       sentMs: nowMs,
       isAnswered: false,
       mayRun,
     };
     if (order.kind === 'start') {
-      const mayStart = this.#leases.limitMs(worker, nowMs) >= START_WINDOW_MS;
+      const mayStart = windowMs > 0 && this.#leases.limitMs(worker, nowMs) >= START_WINDOW_MS;
       if (!mayStart || !this.scheduler.isDue(order)) {
         // Nothing was sent now, but an earlier attempt may be on its way.
         this.settle(sent, mayRun ? 'unknown' : 'too-late', nowMs);
         return;
       }
-      this.scheduler.leaseSent(worker, nowMs + surelyOverMs(START_WINDOW_MS));
+      this.scheduler.leaseSent(worker, nowMs + surelyOverMs(windowMs));
     }
     this.inFlight.push(sent);
   }
--- a/packages/fuzz/src/jobs/model-worker.ts
+++ b/packages/fuzz/src/jobs/model-worker.ts
@@ -82,9 +82,9 @@
     this.#running.clear();
   }
 
-  announceLeaving(remainingMs: number, nowMs: number): void {
+  announceLeaving(remainingMs: number, nowMs: number, lingersMs: number): void {
     this.#entry = { ...this.#entry, draining: true, remainingMs };
-    this.leavesMs = nowMs + remainingMs;
+    this.leavesMs = nowMs + remainingMs + lingersMs;
   }
 
   /** Carries out an order; a start not after `deadline`. */
--- a/packages/fuzz/src/targets/jobs.ts
+++ b/packages/fuzz/src/targets/jobs.ts
@@ -24,6 +24,7 @@
     'cancel',
     'crash',
     'leave',
+    'list',
     'vanish',
     'cut',
     'cut-off',
@@ -47,7 +48,8 @@
  * Jobs under two leaders at once, cut, crashing and leaving workers, lost and late orders and
  * renewals, and a store that goes away. Whatever happens: no task runs in two places, none starts
  * again after its good end was noted, none before the step it depends on has ended or after its
- * last attempt, no worker is over its capacity, and no job is shown as completed that is not.
+ * last attempt, none on a worker that said long before that it leaves, though the leader's list lacks
+ * that, no worker is over its capacity, and no job is shown as completed that is not.
  *
  * Each run ends calm, with one leader that acts all the while. Then lasting tasks must be at work
  * again in the time that the leases account for, also after one more worker is lost.
@@ -69,6 +71,7 @@
     'fail',
     'crash',
     'leave',
+    'leave-unread',
     'vanish',
     'cut-off',
     'resign',
