--- a/packages/runtime/src/internal/worker-link.ts
+++ b/packages/runtime/src/internal/worker-link.ts
@@ -124,17 +124,17 @@
     for (let attempt = 0; attempt < START_ATTEMPTS && outcome === 'unknown'; attempt += 1) {
       if (this.#stopping.signal.aborted) return;
       const sentMs = steadyMs();
-      const startMs =
+      const windowMs =
         order.kind === 'start' ? this.#listener.views.windowMs(sentMs) : START_WINDOW_MS;
-      const objection = this.#objection(order, startMs);
+      const objection = this.#objection(order, windowMs);
       if (objection) {
         if (!mayRun) outcome = 'too-late';
         this.#logOrder(order, outcome, objection, attempt, sentMs);
         break;
       }
-      const deadlineMs = this.#workerTime(sentMs) + startMs;
-      const windowMs = surelyOverMs(startMs);
-      if (order.kind === 'start') this.#listener.startSent(order, sentMs + windowMs);
+      const deadlineMs = this.#workerTime(sentMs) + windowMs;
+      const overMs = sentMs + surelyOverMs(windowMs);
+      if (order.kind === 'start') this.#listener.startSent(order, overMs);
       const result = await this.#workers.order(
         this.address,
         order,
@@ -145,7 +145,7 @@
       outcome = result.outcome;
       if (outcome === 'unknown') {
         mayRun = true;
-        settledMs = sentMs + windowMs;
+        settledMs = overMs;
       } else if (!mayRun || outcome === 'done') {
         settledMs = steadyMs();
       }
@@ -159,11 +159,11 @@
   }
 
   /** Why a start must not be sent now, though it was decided on. */
-  #objection(order: Order, startMs: number): string | undefined {
+  #objection(order: Order, windowMs: number): string | undefined {
     if (order.kind !== 'start') return undefined;
     // A node that was frozen and replaced would start here what the next one starts elsewhere.
     if (this.#listener.leaseLimitMs(this.id) < START_WINDOW_MS) return 'no lease may be given';
-    if (startMs === 0) return 'the lists are too old';
+    if (windowMs === 0) return 'the lists are too old';
     return this.#listener.isDue(order) ? undefined : 'not due any more';
   }
 
