--- a/packages/runtime/src/internal/node-metrics.ts
+++ b/packages/runtime/src/internal/node-metrics.ts
@@ -31,6 +31,18 @@
     name: 'redwingcrank_scheduler_lease_left_seconds',
     help: 'For how long leases may be given by what the store has confirmed.',
   },
+  startWaitMs: {
+    name: 'redwingcrank_scheduler_longest_start_wait_seconds',
+    help: 'The longest time from a binding to the sending of its start in the last second or so.',
+  },
+  workersAgeMs: {
+    name: 'redwingcrank_scheduler_oldest_workers_view_seconds',
+    help: 'The oldest view of the workers by which a start was sent in the last second or so.',
+  },
+  jobsAgeMs: {
+    name: 'redwingcrank_scheduler_oldest_jobs_view_seconds',
+    help: 'The oldest view of jobs and cancels by which a start was sent in the last second or so.',
+  },
 };
 
 /** What is read from the node when the metrics are asked for. */
--- a/packages/runtime/src/test/term-load_test.ts
+++ b/packages/runtime/src/test/term-load_test.ts
@@ -72,3 +72,32 @@
   log.emit('info', 'term-end', { epoch: 4 });
   assert.match(await metrics.text(), /redwingcrank_scheduler_longest_round_seconds 0\n/);
 });
+
+test('a node tells by how old a view it started tasks, and how long these had waited', async () => {
+  // A task began on a worker that had said long before that it leaves. Whether the start had waited or the
+  // list was old does not show from outside; the oldest of a second's starts must tell both.
+  const log = new NodeLog('n1', 'silent');
+  const metrics = new NodeMetrics(log, () => STATE);
+  const stopping = new AbortController();
+  const load = new TermLoad(log, 4);
+  const told = new Promise<LogFields>((resolve) => {
+    const emit = log.emit.bind(log);
+    log.emit = (level, event, fields = {}) => {
+      emit(level, event, fields);
+      if (event === 'term-load') resolve(fields);
+    };
+  });
+  const running = load.run(() => VIEW, stopping.signal);
+  load.startSent({ workersAgeMs: 1_400, jobsAgeMs: 20 }, 30);
+  load.startSent({ workersAgeMs: 200, jobsAgeMs: 600 }, 2_800.4);
+  const { starts, workersAgeMs, jobsAgeMs, startWaitMs } = await told;
+  stopping.abort();
+  await running;
+  assert.deepEqual(
+    { starts, workersAgeMs, jobsAgeMs, startWaitMs },
+    { starts: 2, workersAgeMs: 1_400, jobsAgeMs: 600, startWaitMs: 2_800 },
+  );
+  const text = await metrics.text();
+  assert.match(text, /redwingcrank_scheduler_oldest_workers_view_seconds 1\.4\n/);
+  assert.match(text, /redwingcrank_scheduler_longest_start_wait_seconds 2\.8\n/);
+});
