--- a/packages/runtime/src/internal/term-load.ts
+++ b/packages/runtime/src/internal/term-load.ts
@@ -5,7 +5,7 @@
 /** How often a scheduling node tells how it fares, in milliseconds: one line costs 0.1 ms. */
 const TELL_MS = 1_000;
 
-const NO_STARTS = { workersAgeMs: 0, jobsAgeMs: 0, startWaitMs: 0 };
+const NONE_SENT = { workersAgeMs: 0, jobsAgeMs: 0, startWaitMs: 0 };
 
 /** How far the workers are reached on which something runs, or may. */
 export interface Reach {
@@ -47,7 +47,7 @@
   #starts = 0;
 
   /** Of the starts that were sent: how old the views were at most, how long after their binding. */
-  #oldest = NO_STARTS;
+  #oldest = NONE_SENT;
 
   constructor(log: NodeLog, epoch: number) {
     this.#log = log;
@@ -122,7 +122,7 @@
     this.#appendMs = 0;
     this.#reports = 0;
     this.#starts = 0;
-    this.#oldest = NO_STARTS;
+    this.#oldest = NONE_SENT;
   }
 
   /** The append that is under way counts with the time that it has taken so far. */
