--- a/packages/runtime/src/test/term-load_test.ts
+++ b/packages/runtime/src/test/term-load_test.ts
@@ -9,6 +9,17 @@
 
 const STATE = { isLeading: true, viewAgeMs: 0, jobs: new Map(), faults: [] };
 
+/** The fields of the next line that tells a load, after whoever observes the log has them. */
+function toldLoad(log: NodeLog): Promise<LogFields> {
+  return new Promise((resolve) => {
+    const emit = log.emit.bind(log);
+    log.emit = (level, event, fields = {}) => {
+      emit(level, event, fields);
+      if (event === 'term-load') resolve(fields);
+    };
+  });
+}
+
 function busy(ms: number): void {
   const endMs = performance.now() + ms;
   while (performance.now() < endMs);
@@ -37,13 +48,7 @@
   const metrics = new NodeMetrics(log, () => STATE);
   const stopping = new AbortController();
   const load = new TermLoad(log, 4);
-  const told = new Promise<LogFields>((resolve) => {
-    const emit = log.emit.bind(log);
-    log.emit = (level, event, fields = {}) => {
-      emit(level, event, fields);
-      if (event === 'term-load') resolve(fields);
-    };
-  });
+  const told = toldLoad(log);
   const running = load.run(() => VIEW, stopping.signal);
   load.appendSent();
   busy(1_300);
@@ -80,13 +85,7 @@
   const metrics = new NodeMetrics(log, () => STATE);
   const stopping = new AbortController();
   const load = new TermLoad(log, 4);
-  const told = new Promise<LogFields>((resolve) => {
-    const emit = log.emit.bind(log);
-    log.emit = (level, event, fields = {}) => {
-      emit(level, event, fields);
-      if (event === 'term-load') resolve(fields);
-    };
-  });
+  const told = toldLoad(log);
   const running = load.run(() => VIEW, stopping.signal);
   load.startSent({ workersAgeMs: 1_400, jobsAgeMs: 20 }, 30);
   load.startSent({ workersAgeMs: 200, jobsAgeMs: 600 }, 2_800.4);
