--- a/packages/cli/src/internal/output.ts
+++ b/packages/cli/src/internal/output.ts
@@ -36,11 +36,17 @@
 
   /** Prints rows as a table that fits the terminal, or as one JSON array. */
   rows(columns: readonly string[], rows: readonly Record<string, unknown>[]): void {
-    if (this.#json) {
-      this.value(rows);
-      return;
-    }
-    const cells = rows.map((row) => columns.map((column) => cellOf(row[column])));
+    if (this.#json) this.value(rows);
+    else this.table(columns, rows);
+  }
+
+  /** Prints rows as a table for a person; a script that asked for JSON does not see it. */
+  table(columns: readonly string[], rows: readonly object[]): void {
+    if (this.#json) return;
+    const cells = rows.map((row) => {
+      const values = new Map(Object.entries(row));
+      return columns.map((column) => cellOf(values.get(column)));
+    });
     const colWidths = this.#widths([[...columns], ...cells]);
     const table = new Table({
       head: columns.map((column) => this.#style('bold', column)),
--- a/packages/cli/src/test/run-cli_test.ts
+++ b/packages/cli/src/test/run-cli_test.ts
@@ -14,6 +14,8 @@
   const dir = await mkdtemp(join(tmpdir(), 'redwingcrank-'));
   const bad = join(dir, 'bad.json');
   await writeFile(bad, '{ "apiVersion": 1');
+  const empty = join(dir, 'empty.log');
+  await writeFile(empty, '');
   const cases: [string[], keyof typeof EXIT_CODES][] = [
     [['validate', EXAMPLE], 'done'],
     [['codes', '--json'], 'done'],
@@ -22,6 +24,10 @@
     [['validate', EXAMPLE, '--colour=red'], 'usage'],
     [['why', 'no-task', '--nodes', NOBODY], 'usage'],
     [['tasks'], 'usage'],
+    [['trace', '--summary', `--file=${empty}`], 'usage'],
+    [['trace', '--summary', `--file=${join(dir, 'missing.log')}`], 'usage'],
+    [['trace', '0123456789abcdef', '--summary', `--file=${empty}`], 'usage'],
+    [['trace', `--file=${empty}`], 'usage'],
     [['publish', EXAMPLE, '--nodes', NOBODY, '--wait-ms=soon'], 'usage'],
     [['frobnicate'], 'usage'],
     [['tasks', '--nodes', NOBODY], 'unreachable'],
--- a/packages/jobs/src/internal/cluster-state.ts
+++ b/packages/jobs/src/internal/cluster-state.ts
@@ -4,6 +4,9 @@
 import { taskName } from '../task-ref.js';
 import type { WorkerEntry } from '../worker.js';
 import { findTask } from './runs.js';
+import type { StopReason } from './stop-reason.js';
+import { lostCpuMs } from './stop-reason.js';
+import { objectiveMs } from './urgency.js';
 import type { WorkerRun } from './worker-state.js';
 import { WorkerState } from './worker-state.js';
 
@@ -68,7 +71,19 @@
   endJob(job: JobProgress, state: JobState, timeOfDayMs: number): void {
     job.finish(state, timeOfDayMs);
     this.changed.add(job);
-    this.note('job-ended', { job: job.spec.id, state });
+    this.noteEnd(job);
+  }
+
+  /** A job has come to its end: how long it took, and how long it may have taken to be of full use. */
+  noteEnd({ spec, state, endedMs }: JobProgress): void {
+    const queue = this.queues.get(spec.queue);
+    this.note('job-ended', {
+      job: spec.id,
+      queue: spec.queue,
+      state,
+      tookMs: Math.round(endedMs - spec.acceptedMs),
+      objectiveMs: queue ? Math.round(objectiveMs(spec, queue)) : 0,
+    });
   }
 
   /** The task runs nowhere any more and waits for its next start. */
@@ -91,9 +106,18 @@
     this.release(job, task, run.checkpoint);
   }
 
-  stopRun(worker: WorkerState, run: WorkerRun, nowMs: number): void {
+  /** A stop that was sent before keeps its reason: what it led to is no reason of its own. */
+  stopRun(worker: WorkerState, run: WorkerRun, reason: StopReason, nowMs: number): void {
+    const isRepeat = run.stopSentMs > 0;
     run.stopSentMs = nowMs;
+    run.stopReason ??= reason;
     this.orders.push({ kind: 'stop', worker: worker.entry.id, task: run.ref, run: run.run });
-    this.note('task-stop', { task: taskName(run.ref), run: run.run, worker: worker.entry.id });
+    this.note('task-stop', {
+      task: taskName(run.ref),
+      run: run.run,
+      worker: worker.entry.id,
+      reason: run.stopReason,
+      lostCpuMs: isRepeat ? 0 : lostCpuMs(run, nowMs),
+    });
   }
 }
--- a/packages/jobs/src/internal/placement.ts
+++ b/packages/jobs/src/internal/placement.ts
@@ -1,4 +1,5 @@
 import type { StepSpec } from '../job.js';
+import type { Obstacle } from './obstacle.js';
 import type { TailModel } from './tail-model.js';
 import { TailRooms } from './tail-room.js';
 import type { WorkerState } from './worker-state.js';
@@ -9,14 +10,16 @@
 /** Judges places for tasks. */
 export abstract class PlacementPolicy {
   /**
-   * How good a place on an otherwise fitting worker is for a task of the step, larger is better;
-   * -Infinity where it must not go. Steps of one kind (`kindOf`) are worth the same.
+   * How good a place on an otherwise fitting worker is for a task of the step, larger is better,
+   * or what keeps it from there. Steps of one kind (`kindOf`) are worth the same.
    */
-  protected abstract score(spec: StepSpec, worker: WorkerState, nowMs: number): number;
+  protected abstract score(spec: StepSpec, worker: WorkerState, nowMs: number): number | Obstacle;
 
-  /** The same for any worker: -Infinity also where it takes nothing or has no room. */
-  look(spec: StepSpec, worker: WorkerState, nowMs: number): number {
-    return mayTake(spec, worker, nowMs) ? this.score(spec, worker, nowMs) : -Infinity;
+  /** The same for any worker, also where it takes nothing or has no room. */
+  look(spec: StepSpec, worker: WorkerState, nowMs: number): number | Obstacle {
+    if (!isOpen(worker, nowMs)) return 'closed';
+    if (!hasLabel(spec, worker)) return 'label';
+    return worker.hasRoomFor(spec) ? this.score(spec, worker, nowMs) : 'room';
   }
 }
 
@@ -36,10 +39,8 @@
   return kind;
 }
 
-function mayTake(spec: StepSpec, worker: WorkerState, nowMs: number): boolean {
-  if (!isOpen(worker, nowMs)) return false;
-  if (!worker.hasRoomFor(spec)) return false;
-  return !spec.requiredLabel || worker.entry.labels.includes(spec.requiredLabel);
+function hasLabel({ requiredLabel }: StepSpec, { entry }: WorkerState): boolean {
+  return !requiredLabel || entry.labels.includes(requiredLabel);
 }
 
 function isOpen(worker: WorkerState, nowMs: number): boolean {
@@ -76,22 +77,25 @@
     this.#rooms = new TailRooms(model);
   }
 
-  protected score(spec: StepSpec, worker: WorkerState, nowMs: number): number {
+  protected score(spec: StepSpec, worker: WorkerState, nowMs: number): number | Obstacle {
     const near = spec.dataRack && worker.entry.labels.includes(spec.dataRack) ? RACK_BONUS : 0;
-    if (spec.fills) return near + this.#fillScore(spec, worker, nowMs);
+    if (spec.fills) {
+      const score = this.#fillScore(spec, worker, nowMs);
+      return typeof score === 'number' ? near + score : score;
+    }
     const free = worker.entry.capacity.cpuMilli - worker.cpuMilli;
     if (spec.targetMs > 0) return near + free / 2 + companyScore(spec, worker);
     return near + free - worker.fillMilli / 4;
   }
 
-  #fillScore(spec: StepSpec, worker: WorkerState, nowMs: number): number {
-    if (worker.isHarmed()) return -Infinity;
+  #fillScore(spec: StepSpec, worker: WorkerState, nowMs: number): number | Obstacle {
+    if (worker.isHarmed()) return 'harmed';
     const { cpuMilli } = worker.entry.capacity;
     const used = worker.cpuMilli - worker.servingMilli * (1 - SERVING_USE);
     const left = cpuMilli - used - worker.fillMilli;
-    if (left < spec.cpuMilli) return -Infinity;
+    if (left < spec.cpuMilli) return 'processors';
     const room = this.#rooms.roomBeside(spec, worker, nowMs);
-    if (room < 0) return -Infinity;
+    if (room < 0) return 'slack';
     // One unit of slack to spare is worth as much as a whole empty worker, and more is no use.
     return left + Math.min(1, room) * cpuMilli;
   }
--- a/packages/jobs/src/internal/report-reader.ts
+++ b/packages/jobs/src/internal/report-reader.ts
@@ -46,6 +46,7 @@
       return;
     }
     run.seen = true;
+    if (row.checkpoint !== run.checkpoint) run.savedMs = nowMs;
     run.checkpoint = row.checkpoint;
     run.measure = row.measure;
     const isOver = run.spec.targetMs > 0 && row.measure > run.spec.targetMs;
@@ -64,7 +65,7 @@
         idleMs,
       });
       worker.health.stoodStill(nowMs);
-      this.#state.stopRun(worker, run, nowMs);
+      this.#state.stopRun(worker, run, 'stands-still', nowMs);
     }
   }
 
@@ -172,7 +173,7 @@
         percent,
       });
       if (percent === 0 && run.spec.checkpointing && run.stopSentMs === 0) {
-        this.#state.stopRun(worker, run, nowMs);
+        this.#state.stopRun(worker, run, 'halted', nowMs);
       }
     }
   }
--- a/packages/jobs/src/internal/round-places.ts
+++ b/packages/jobs/src/internal/round-places.ts
@@ -1,6 +1,8 @@
 import type { StepSpec } from '../job.js';
 import type { TaskRef } from '../task-ref.js';
 import type { PlacementPolicy } from './placement.js';
+import { mostFrequent } from './obstacle.js';
+import type { Obstacle } from './obstacle.js';
 import { kindOf } from './placement.js';
 import type { WorkerState } from './worker-state.js';
 
@@ -19,18 +21,19 @@
   readonly worker: WorkerState;
   /** The worker's version when it was looked at. */
   version: number;
-  score: number;
+  /** How good it is, or what keeps the tasks from there. */
+  score: number | Obstacle;
 }
 
 /** The places for tasks of one kind. */
 export class KindPlaces {
   readonly #places: readonly Place[];
 
-  readonly #look: (worker: WorkerState) => number;
+  readonly #look: (worker: WorkerState) => number | Obstacle;
 
   #isFull = false;
 
-  constructor(workers: readonly WorkerState[], look: (worker: WorkerState) => number) {
+  constructor(workers: readonly WorkerState[], look: (worker: WorkerState) => number | Obstacle) {
     this.#look = look;
     this.#places = workers.map((worker) => ({
       worker,
@@ -48,7 +51,7 @@
     for (const place of this.#places) {
       const { worker } = place;
       if (place.version !== worker.version) this.#lookAgain(place);
-      if (place.score > -Infinity) {
+      if (typeof place.score === 'number') {
         isFull = false;
         const score = worker.entry.id === avoid ? place.score - AVOID : place.score;
         if (score > bestScore && hasShare(ref, spec, worker)) {
@@ -61,6 +64,12 @@
     return best;
   }
 
+  /** What keeps the tasks from most workers. */
+  get obstacle(): Obstacle {
+    const scores = this.#places.map(({ score }) => score);
+    return mostFrequent(scores.filter((score) => typeof score !== 'number'));
+  }
+
   /** What was placed on trial has been taken back. */
   roomReturned(): void {
     this.#isFull = false;
--- /dev/null
+++ b/packages/jobs/src/internal/step-waits.ts
@@ -0,0 +1,48 @@
+import type { TaskProgress } from '../job-progress.js';
+import type { Obstacle, WaitCause } from './obstacle.js';
+
+/** What keeps a step waiting is looked up no more often than this, in milliseconds. */
+const LOOK_AGAIN_MS = 500;
+
+/** The wait of a step that has tasks to start. */
+interface StepWait {
+  readonly sinceMs: number;
+  cause: WaitCause;
+  lookedMs: number;
+}
+
+/** How long steps have had tasks to start, and what kept these from workers. */
+export class StepWaits {
+  readonly #waits = new WeakMap<readonly TaskProgress[], StepWait>();
+
+  /** The step is among those that wait in this round. */
+  waiting(tasks: readonly TaskProgress[], nowMs: number): void {
+    if (this.#waits.has(tasks)) return;
+    this.#waits.set(tasks, { sinceMs: nowMs, cause: 'none', lookedMs: -Infinity });
+  }
+
+  /** The limits of the round left it no turn. */
+  leftOut(tasks: readonly TaskProgress[]): void {
+    const wait = this.#waits.get(tasks);
+    if (wait?.cause === 'none') wait.cause = 'limits';
+  }
+
+  /** A task of it found no place. */
+  placeless(tasks: readonly TaskProgress[], look: () => Obstacle, nowMs: number): void {
+    const wait = this.#waits.get(tasks);
+    if (!wait || nowMs - wait.lookedMs < LOOK_AGAIN_MS) return;
+    wait.cause = look();
+    wait.lookedMs = nowMs;
+  }
+
+  /** All of its tasks have places. */
+  placed(tasks: readonly TaskProgress[]): void {
+    this.#waits.delete(tasks);
+  }
+
+  /** How long the step has had tasks to start, in milliseconds, and what kept them last. */
+  of(tasks: readonly TaskProgress[], nowMs: number): { waitMs: number; keptBy: WaitCause } {
+    const wait = this.#waits.get(tasks);
+    return { waitMs: Math.round(nowMs - (wait?.sinceMs ?? nowMs)), keptBy: wait?.cause ?? 'none' };
+  }
+}
--- a/packages/jobs/src/internal/task-placer.ts
+++ b/packages/jobs/src/internal/task-placer.ts
@@ -10,6 +10,7 @@
 import type { RoundLimits } from './round-limits.js';
 import { RoundBudget } from './round-limits.js';
 import { newRun } from './runs.js';
+import { StepWaits } from './step-waits.js';
 import type { WaitingStep } from './waiting-steps.js';
 import { byUrgency, waitingStepsOf } from './waiting-steps.js';
 import type { WorkerState } from './worker-state.js';
@@ -29,6 +30,8 @@
 
   readonly #turns = new PlacingTurns();
 
+  readonly #waits = new StepWaits();
+
   constructor(state: ClusterState, placement: PlacementPolicy) {
     this.#state = state;
     this.#placement = placement;
@@ -44,15 +47,23 @@
     const budget = new RoundBudget(limits);
     const places = new RoundPlaces(this.#openWorkers(), this.#placement, nowMs);
     const placeless: WaitingStep[] = [];
+    for (const { tasks } of waiting) this.#waits.waiting(tasks, nowMs);
     for (const [count, step] of waiting.entries()) {
       // One step at least is tried, however late it is.
       const mayGoOn = budget.hasStarts && (count === 0 || budget.hasTime);
-      if (!mayGoOn) return this.#cutShort(budget, count, placeless);
+      if (!mayGoOn) {
+        for (const { tasks } of waiting.slice(count)) this.#waits.leftOut(tasks);
+        return this.#cutShort(budget, count, placeless);
+      }
       const ofKind = places.of(step.spec, step.queue.pool);
       const outcome = step.spec.gang
         ? this.#placeGang(step, ofKind, budget, nowMs)
         : this.#placeTasks(step, ofKind, budget, nowMs);
-      if (outcome === 'placeless') placeless.push(step);
+      if (outcome === 'placed') this.#waits.placed(step.tasks);
+      if (outcome === 'placeless') {
+        placeless.push(step);
+        this.#waits.placeless(step.tasks, () => ofKind.obstacle, nowMs);
+      }
       if (outcome === 'cut-short') {
         this.#cutShort(budget, count, placeless);
         return true;
@@ -143,7 +154,7 @@
   }
 
   #bind(
-    { job, spec }: WaitingStep,
+    { job, spec, tasks }: WaitingStep,
     ref: TaskRef,
     task: TaskProgress,
     worker: WorkerState,
@@ -167,6 +178,7 @@
       run,
       worker: worker.entry.id,
       fills: spec.fills,
+      ...this.#waits.of(tasks, nowMs),
     });
   }
 }
--- a/packages/jobs/src/internal/worker-state.ts
+++ b/packages/jobs/src/internal/worker-state.ts
@@ -1,6 +1,7 @@
 import type { StepSpec } from '../job.js';
 import type { TaskRef } from '../task-ref.js';
 import type { WorkerEntry } from '../worker.js';
+import type { StopReason } from './stop-reason.js';
 import { WorkerHealth } from './worker-health.js';
 
 /** A run that occupies room on a worker, or may. */
@@ -18,7 +19,11 @@
   seen: boolean;
   /** When the newest stop was sent; 0 before the first. */
   stopSentMs: number;
+  /** Why it was stopped first; undefined before that. */
+  stopReason: StopReason | undefined;
   checkpoint: string;
+  /** When its checkpoint changed last, or the run was ordered. */
+  savedMs: number;
   percent: number;
   /** When `percent` last rose. */
   movedMs: number;
--- a/packages/jobs/src/job.ts
+++ b/packages/jobs/src/job.ts
@@ -77,7 +77,10 @@
   readonly acceptedMs: number;
 }
 
-export type JobState = 'queued' | 'running' | 'completed' | 'failed' | 'cancelled';
+export type JobState = 'queued' | 'running' | FinalState;
+
+/** A state after which nothing more happens to a job. */
+export type FinalState = 'completed' | 'failed' | 'cancelled';
 
 /** What the operators say of a queue. */
 export interface QueuePolicy {
@@ -94,6 +97,6 @@
 }
 
 /** Whether nothing more will happen to a job in this state. */
-export function isFinal(state: JobState): boolean {
+export function isFinal(state: JobState): state is FinalState {
   return state === 'completed' || state === 'failed' || state === 'cancelled';
 }
--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -15,6 +15,7 @@
 import { NO_LIMITS } from './internal/round-limits.js';
 import { ReportReader } from './internal/report-reader.js';
 import { boundTasks, findTask, newRun, unlistedEntry } from './internal/runs.js';
+import type { StopReason } from './internal/stop-reason.js';
 import { TailModel } from './internal/tail-model.js';
 import { TaskPlacer } from './internal/task-placer.js';
 import type { WorkerRun, WorkerState } from './internal/worker-state.js';
@@ -195,7 +196,7 @@
     const worker = this.#state.workers.get(order.worker);
     const run = worker?.runs.get(taskName(order.task));
     if (!worker || run?.run !== order.run) return false;
-    return worker.listed && !worker.entry.draining && !this.#isUnwanted(worker, run);
+    return worker.listed && !worker.entry.draining && !this.#unwantedReason(worker, run);
   }
 
   /** How long ago the task of a start was bound, in milliseconds; 0 where it is not any more. */
@@ -340,7 +341,7 @@
       if (!isFinal(job.state)) {
         job.closeOccurrences(timeOfDayMs);
         if (isFinal(job.state)) {
-          this.#state.note('job-ended', { job: job.spec.id, state: job.state });
+          this.#state.noteEnd(job);
         }
       }
     }
@@ -358,22 +359,30 @@
     for (const worker of this.#state.workers.values()) {
       for (const run of worker.runs.values()) {
         const again = nowMs - run.stopSentMs >= this.#state.timing.stopAgainMs;
-        const isDue = this.#isUnwanted(worker, run) || mustLeave(worker, run, nowMs);
-        if (again && isDue) this.#state.stopRun(worker, run, nowMs);
+        const reason = again ? this.#stopReason(worker, run, nowMs) : undefined;
+        if (reason) this.#state.stopRun(worker, run, reason, nowMs);
       }
     }
   }
 
-  #isUnwanted(worker: WorkerState, run: WorkerRun): boolean {
+  #stopReason(worker: WorkerState, run: WorkerRun, nowMs: number): StopReason | undefined {
+    const reason = this.#unwantedReason(worker, run);
+    if (reason) return reason;
+    return mustLeave(worker, run, nowMs) ? 'worker-leaves' : undefined;
+  }
+
+  #unwantedReason(worker: WorkerState, run: WorkerRun): StopReason | undefined {
     const job = this.#state.jobs.get(run.ref.jobId);
     const task = job && findTask(job, run.ref);
-    if (this.#state.isUntold(run.ref.jobId)) return false;
-    if (!job || !task || isFinal(job.state)) return true;
-    if (run.stopSentMs > 0) return true;
+    if (this.#state.isUntold(run.ref.jobId)) return undefined;
+    if (!job) return 'unknown-job';
+    if (isFinal(job.state)) return job.state;
+    if (!task) return 'unknown-job';
+    if (run.stopReason) return run.stopReason;
     const isBinding = task.run === run.run && task.worker === worker.entry.id;
-    if (!isBinding || task.phase === 'waiting') return true;
+    if (!isBinding || task.phase === 'waiting') return 'superseded';
     // The other members of a gang end by themselves when one has ended well.
-    return this.#isBrokenGang(job, run);
+    return this.#isBrokenGang(job, run) ? 'broken-gang' : undefined;
   }
 
   #isBrokenGang(job: JobProgress, run: WorkerRun): boolean {
--- a/packages/jobs/src/test/scheduler-harness.ts
+++ b/packages/jobs/src/test/scheduler-harness.ts
@@ -51,6 +51,9 @@
 
   readonly notes: string[] = [];
 
+  /** The fields of the notes, in their order. */
+  readonly noteFields: Record<string, string | number | boolean>[] = [];
+
   readonly model = new TailModel();
 
   readonly scheduler: Scheduler;
@@ -61,7 +64,10 @@
     this.scheduler = new Scheduler(
       TIMING,
       this.nowMs,
-      (event) => this.notes.push(event),
+      (event, fields) => {
+        this.notes.push(event);
+        this.noteFields.push(fields);
+      },
       this.model,
     );
     this.scheduler.setQueues([
@@ -73,6 +79,11 @@
     }
   }
 
+  /** The fields of every note of one event. */
+  fieldsOf(event: string): Record<string, string | number | boolean>[] {
+    return this.noteFields.filter((_, i) => this.notes[i] === event);
+  }
+
   submit(spec: JobSpec): JobProgress {
     const job = new JobProgress(spec);
     this.scheduler.addJob(job);
--- /dev/null
+++ b/packages/jobs/src/test/wait-and-stop-notes_test.ts
@@ -0,0 +1,58 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import {
+  JOB_ID,
+  SchedulerHarness,
+  jobSpec,
+  runningRow,
+  stepSpec,
+  workerEntry,
+} from './scheduler-harness.js';
+
+const SMALL = { capacity: { cpuMilli: 1_000, memMb: 16_000, gpus: 0 } };
+
+test('a binding tells how long the step had tasks to start, and what kept them', () => {
+  const harness = new SchedulerHarness([workerEntry('w1', SMALL)]);
+  harness.submit(jobSpec([stepSpec({ taskCount: 2 })]));
+  const [first] = harness.starts();
+  harness.nowMs += 700;
+  harness.report('w1', { ended: [harness.end(first!, 'done')] });
+  harness.decide();
+  const bindings = harness.fieldsOf('bound').map(({ waitMs, keptBy }) => [waitMs, keptBy]);
+  assert.deepEqual(bindings, [
+    [0, 'none'],
+    [700, 'room'],
+  ]);
+});
+
+test('a stop tells its reason, and the work that no checkpoint holds', () => {
+  const harness = new SchedulerHarness([workerEntry('w1')]);
+  harness.submit(jobSpec([stepSpec({ cpuMilli: 2_000 })]));
+  const [start] = harness.starts();
+  harness.answer(start!, 'done');
+  harness.nowMs += 400;
+  harness.report('w1', { running: [runningRow(start!, { checkpoint: 'c1' })] });
+  harness.nowMs += 500;
+  harness.report('w1', { running: [runningRow(start!, { checkpoint: 'c1', percent: 2 })] });
+  harness.scheduler.cancel(JOB_ID, harness.nowMs);
+  harness.decide();
+  harness.nowMs += 1_000;
+  harness.decide();
+  const stops = harness.fieldsOf('task-stop').map(({ reason, lostCpuMs }) => [reason, lostCpuMs]);
+  assert.deepEqual(stops, [
+    ['cancelled', 1_000],
+    ['cancelled', 0],
+  ]);
+});
+
+test('the end of a job tells how long it took, and how long it may have taken', () => {
+  const harness = new SchedulerHarness([workerEntry('w1')]);
+  harness.submit(jobSpec([stepSpec({ estimateMs: 1_000 })], { acceptedMs: 500 }));
+  const [start] = harness.starts();
+  harness.nowMs += 1_500;
+  harness.report('w1', { ended: [harness.end(start!, 'done')] });
+  harness.decide();
+  assert.deepEqual(harness.fieldsOf('job-ended'), [
+    { job: JOB_ID, queue: 'q', state: 'completed', tookMs: 2_000, objectiveMs: 2_100 },
+  ]);
+});
--- a/packages/runtime/src/internal/node-metrics.ts
+++ b/packages/runtime/src/internal/node-metrics.ts
@@ -5,6 +5,9 @@
 /** Bounds in seconds: an order usually takes a few milliseconds, an answer that is late half a second. */
 const BUCKETS = [0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 2.5];
 
+/** Bounds in seconds: a task with room waits for a round, one without for others to end. */
+const WAIT_BUCKETS = [0.05, 0.1, 0.25, 0.5, 1, 2, 5, 10, 30];
+
 /** By field of the line in which a scheduling node tells its load: the gauge and what it says. */
 const LOAD_GAUGES: Readonly<Record<string, { readonly name: string; readonly help: string }>> = {
   cpuMs: {
@@ -69,6 +72,12 @@
 
   readonly #submits: Histogram;
 
+  readonly #waits: Histogram;
+
+  readonly #stops: Counter;
+
+  readonly #lostCpu: Counter;
+
   readonly #load = new Map<string, Gauge>();
 
   constructor(log: NodeLog, state: () => NodeState) {
@@ -93,6 +102,25 @@
       buckets: BUCKETS,
       registers,
     });
+    this.#waits = new Histogram({
+      name: 'redwingcrank_task_wait_seconds',
+      help: "Time from the turn of a task's step to its binding, by what kept it from workers last.",
+      labelNames: ['kept_by'],
+      buckets: WAIT_BUCKETS,
+      registers,
+    });
+    this.#stops = new Counter({
+      name: 'redwingcrank_task_stops_total',
+      help: 'Stops sent to workers, repeats included, by reason.',
+      labelNames: ['reason'],
+      registers,
+    });
+    this.#lostCpu = new Counter({
+      name: 'redwingcrank_lost_cpu_seconds_total',
+      help: 'Processor time of stopped runs that no checkpoint holds, by reason.',
+      labelNames: ['reason'],
+      registers,
+    });
     for (const [field, { name, help }] of Object.entries(LOAD_GAUGES)) {
       this.#load.set(field, new Gauge({ name, help, registers }));
     }
@@ -110,11 +138,22 @@
     this.#events.inc({ event, outcome });
     const seconds = Number(fields.tookMs) / 1_000;
     if (event === 'order') this.#orders.observe({ kind: String(fields.kind), outcome }, seconds);
+    if (event === 'bound') this.#bound(fields);
+    if (event === 'task-stop') this.#stopped(fields);
     if (event === 'term-load') this.#loaded(fields);
     if (event === 'term-end') this.#loaded({});
     if (event === 'submit') this.#submits.observe({ outcome }, seconds);
   }
 
+  #bound({ waitMs, keptBy }: LogFields): void {
+    this.#waits.observe({ kept_by: String(keptBy) }, Number(waitMs) / 1_000);
+  }
+
+  #stopped({ reason, lostCpuMs }: LogFields): void {
+    this.#stops.inc({ reason: String(reason) });
+    this.#lostCpu.inc({ reason: String(reason) }, Number(lostCpuMs) / 1_000);
+  }
+
   /** A node that does not schedule any more shows no load. */
   #loaded(fields: LogFields): void {
     for (const [field, gauge] of this.#load) gauge.set(Number(fields[field] ?? 0) / 1_000);
