Serving tasks of two images share a worker only where neither finds room elsewhere

Cause: an image that presses on any serving task of a worker is kept from it; on a fifth of the workers two serving images were beside each other, and a large worker with much free drew every image.

--- a/packages/jobs/src/internal/placement.ts
+++ b/packages/jobs/src/internal/placement.ts
@@ -61,8 +61,11 @@
 /** What company of the same image is worth to a serving task, in thousandths of a core each. */
 const SAME_IMAGE_BONUS = 6_000;
 
-/** What company of each other image costs it. */
-const OTHER_IMAGE_COST = 3_000;
+/**
+ * What company of each other image costs it: more than any free processors are worth. An image that
+ * presses on either of two is kept from a worker that has both.
+ */
+const OTHER_IMAGE_COST = 20_000;
 
 /**
  * Puts each task where the most is left over; serving tasks beside others of their image, so that
