What bounds a job's wait: a share of the starts for overdue jobs, owed tasks with much room

Change: one start in twenty goes to jobs that had none at a worker for 15 s; while less than half of the processors is reserved and no job in time is short of room, each job is owed two tasks before late ones get more; both also go where they can work at 30 % of their speed.

--- a/packages/jobs/src/internal/cluster-state.ts
+++ b/packages/jobs/src/internal/cluster-state.ts
@@ -68,6 +68,19 @@
     return worker;
   }
 
+  /** The part of the listed workers' processors that tasks have reserved. */
+  reservedShare(): number {
+    let reserved = 0;
+    let all = 0;
+    for (const { listed, cpuMilli, entry } of this.workers.values()) {
+      if (listed) {
+        reserved += cpuMilli;
+        all += entry.capacity.cpuMilli;
+      }
+    }
+    return all > 0 ? reserved / all : 1;
+  }
+
   endJob(job: JobProgress, state: JobState, timeOfDayMs: number): void {
     job.finish(state, timeOfDayMs);
     this.changed.add(job);
--- a/packages/jobs/src/internal/placement.ts
+++ b/packages/jobs/src/internal/placement.ts
@@ -15,11 +15,19 @@
    */
   protected abstract score(spec: StepSpec, worker: WorkerState, nowMs: number): number | Obstacle;
 
+  /** The same for a task of a job that starves: better it works slowly than not at all. */
+  protected abstract starvedScore(
+    spec: StepSpec,
+    worker: WorkerState,
+    nowMs: number,
+  ): number | Obstacle;
+
   /** The same for any worker, also where it takes nothing or has no room. */
-  look(spec: StepSpec, worker: WorkerState, nowMs: number): number | Obstacle {
+  look(spec: StepSpec, worker: WorkerState, nowMs: number, isStarved = false): number | Obstacle {
     if (!isOpen(worker, nowMs)) return 'closed';
     if (!hasLabel(spec, worker)) return 'label';
-    return worker.hasRoomFor(spec) ? this.score(spec, worker, nowMs) : 'room';
+    if (!worker.hasRoomFor(spec)) return 'room';
+    return isStarved ? this.starvedScore(spec, worker, nowMs) : this.score(spec, worker, nowMs);
   }
 }
 
@@ -67,6 +75,12 @@
  */
 const OTHER_IMAGE_COST = 20_000;
 
+/** A task of a job that starves goes where it can work at this share of its speed at least. */
+const LEAST_STARVED_SHARE = 0.3;
+
+/** Larger than any score, in thousandths of a core. */
+const STARVED_COST = 10_000_000;
+
 /**
  * Puts each task where the most is left over; serving tasks beside others of their image, so that
  * few workers are closed to any one filling image; and filling tasks only where the tails of the
@@ -91,6 +105,14 @@
     return near + free - worker.fillMilli / 4;
   }
 
+  protected starvedScore(spec: StepSpec, worker: WorkerState, nowMs: number): number | Obstacle {
+    const score = this.score(spec, worker, nowMs);
+    if (typeof score === 'number' || score === 'harmed') return score;
+    const share = this.#rooms.shareBeside(spec, worker, nowMs);
+    // Below every place where it could work at full speed.
+    return share < LEAST_STARVED_SHARE ? score : (share - 2) * STARVED_COST;
+  }
+
   #fillScore(spec: StepSpec, worker: WorkerState, nowMs: number): number | Obstacle {
     if (worker.isHarmed()) return 'harmed';
     const { cpuMilli } = worker.entry.capacity;
--- a/packages/jobs/src/internal/round-places.ts
+++ b/packages/jobs/src/internal/round-places.ts
@@ -111,12 +111,12 @@
   }
 
   /** The places for tasks of a step in the workers of a pool. */
-  of(spec: StepSpec, pool: string): KindPlaces {
-    const key = `${kindOf(spec)} ${pool}`;
+  of(spec: StepSpec, pool: string, isStarved: boolean): KindPlaces {
+    const key = `${kindOf(spec)} ${pool} ${isStarved}`;
     const known = this.#kinds.get(key);
     if (known) return known;
     const places = new KindPlaces(this.#pools.get(pool) ?? [], (worker) =>
-      this.#policy.look(spec, worker, this.#nowMs),
+      this.#policy.look(spec, worker, this.#nowMs, isStarved),
     );
     this.#kinds.set(key, places);
     return places;
--- a/packages/jobs/src/internal/tail-room.ts
+++ b/packages/jobs/src/internal/tail-room.ts
@@ -14,6 +14,9 @@
 /** So far ahead slack is expected, in ms: a task that is halted sooner has lost its start. */
 const AHEAD_MS = 2_500;
 
+/** The slack that is kept where a task of a job that starves is placed. */
+const STARVED_SLACK = 1.15;
+
 /** Taking less slack than this is not worth a thought. */
 const NEGLIGIBLE_PRESS = 0.05;
 
@@ -48,6 +51,22 @@
     return least;
   }
 
+  /** The share of its speed at which a task of the step could work there, with all beside it. */
+  shareBeside(spec: StepSpec, worker: WorkerState, nowMs: number): number {
+    const parts = claimedParts(worker);
+    const { cpuMilli } = worker.entry.capacity;
+    parts.set(spec.image, (parts.get(spec.image) ?? 0) + spec.cpuMilli / cpuMilli);
+    let share = 1;
+    for (const run of worker.runs.values()) {
+      const { image, targetMs } = run.spec;
+      if (targetMs > 0 && this.#model.press.weight(image, spec.image) > NEGLIGIBLE_PRESS) {
+        const slack = this.#model.ownSlack(run, worker, nowMs, AHEAD_MS) - STARVED_SLACK;
+        share = Math.min(share, slack / this.#model.press.press(image, parts));
+      }
+    }
+    return share;
+  }
+
   #roomsOf(worker: WorkerState, nowMs: number): ReadonlyMap<string, number> {
     const known = this.#known.get(worker);
     if (known?.version === worker.version) return known.rooms;
--- a/packages/jobs/src/internal/task-placer.ts
+++ b/packages/jobs/src/internal/task-placer.ts
@@ -1,4 +1,5 @@
-import type { TaskProgress } from '../job-progress.js';
+import type { JobProgress, TaskProgress } from '../job-progress.js';
+import type { StepSpec } from '../job.js';
 import { isFinal } from '../job.js';
 import type { TaskRef } from '../task-ref.js';
 import { taskName } from '../task-ref.js';
@@ -10,9 +11,11 @@
 import type { RoundLimits } from './round-limits.js';
 import { RoundBudget } from './round-limits.js';
 import { newRun } from './runs.js';
+import type { Owed } from './starved-jobs.js';
+import { OVERDUE, StarvedJobs } from './starved-jobs.js';
 import { StepWaits } from './step-waits.js';
 import type { WaitingStep } from './waiting-steps.js';
-import { byUrgency, waitingStepsOf } from './waiting-steps.js';
+import { IN_TIME, byUrgency, waitingStepsOf } from './waiting-steps.js';
 import type { WorkerState } from './worker-state.js';
 
 /**
@@ -22,6 +25,9 @@
  */
 type StepOutcome = 'placed' | 'placeless' | 'cut-short';
 
+/** While less of the workers' processors is reserved, their room is no reason to let a job wait. */
+const MUCH_ROOM = 0.5;
+
 /** Gives waiting tasks to workers. */
 export class TaskPlacer {
   readonly #state: ClusterState;
@@ -32,6 +38,11 @@
 
   readonly #waits = new StepWaits();
 
+  readonly #starved = new StarvedJobs();
+
+  /** In the last round a job that could still end in time found no place. */
+  #isShort = false;
+
   constructor(state: ClusterState, placement: PlacementPolicy) {
     this.#state = state;
     this.#placement = placement;
@@ -42,11 +53,12 @@
    * ended it while there may be room for more.
    */
   placeAll(nowMs: number, limits: RoundLimits): boolean {
-    const waiting = this.#turns.inOrder([...this.#waitingSteps()].sort(byUrgency));
+    const waiting = this.#turns.inOrder([...this.#waitingSteps(nowMs)].sort(byUrgency));
     // From here on: with thousands of waiting steps the sorting takes its time as well.
     const budget = new RoundBudget(limits);
     const places = new RoundPlaces(this.#openWorkers(), this.#placement, nowMs);
     const placeless: WaitingStep[] = [];
+    this.#isShort = false;
     for (const { tasks } of waiting) this.#waits.waiting(tasks, nowMs);
     for (const [count, step] of waiting.entries()) {
       // One step at least is tried, however late it is.
@@ -55,13 +67,14 @@
         for (const { tasks } of waiting.slice(count)) this.#waits.leftOut(tasks);
         return this.#cutShort(budget, count, placeless);
       }
-      const ofKind = places.of(step.spec, step.queue.pool);
+      const ofKind = places.of(step.spec, step.queue.pool, step.spec.fills && step.most < Infinity);
       const outcome = step.spec.gang
         ? this.#placeGang(step, ofKind, budget, nowMs)
         : this.#placeTasks(step, ofKind, budget, nowMs);
-      if (outcome === 'placed') this.#waits.placed(step.tasks);
+      if (outcome === 'placed' && step.most === Infinity) this.#waits.placed(step.tasks);
       if (outcome === 'placeless') {
         placeless.push(step);
+        this.#isShort ||= step.rank === IN_TIME;
         this.#waits.placeless(step.tasks, () => ofKind.obstacle, nowMs);
       }
       if (outcome === 'cut-short') {
@@ -88,17 +101,32 @@
     return true;
   }
 
-  *#waitingSteps(): Generator<WaitingStep> {
+  *#waitingSteps(nowMs: number): Generator<WaitingStep> {
+    const hasMuchRoom = !this.#isShort && this.#state.reservedShare() < MUCH_ROOM;
+    this.#starved.beginRound();
     for (const job of this.#state.jobs.values()) {
-      if (!isFinal(job.state)) {
-        const queue = this.#state.queues.get(job.spec.queue);
-        for (const occurrence of job.occurrences.values()) {
-          yield* waitingStepsOf(job, queue, occurrence, this.#state.timeOfDayMs);
-        }
+      if (!isFinal(job.state)) yield* this.#stepsOf(job, hasMuchRoom, nowMs);
+    }
+  }
+
+  /** The first step of a job that starves stands twice: for the tasks that are owed, and the rest. */
+  *#stepsOf(job: JobProgress, hasMuchRoom: boolean, nowMs: number): Generator<WaitingStep> {
+    const queue = this.#state.queues.get(job.spec.queue);
+    let isFirst = true;
+    for (const occurrence of job.occurrences.values()) {
+      for (const step of waitingStepsOf(job, queue, occurrence, this.#state.timeOfDayMs)) {
+        const owed = isFirst ? this.#owed(job, step.spec, hasMuchRoom, nowMs) : undefined;
+        if (owed && owed.rank < step.rank) yield { ...step, ...owed };
+        isFirst = false;
+        yield step;
       }
     }
   }
 
+  #owed(job: JobProgress, spec: StepSpec, hasMuchRoom: boolean, nowMs: number): Owed | undefined {
+    return spec.lasting ? undefined : this.#starved.owed(job, hasMuchRoom && spec.fills, nowMs);
+  }
+
   #placeTasks(
     step: WaitingStep,
     places: KindPlaces,
@@ -116,7 +144,9 @@
         if (!worker) return 'placeless';
         this.#bind(step, ref, task, worker, task.run + 1, nowMs);
         budget.started(1);
+        this.#starved.started(step.rank === OVERDUE);
         started += 1;
+        if (started === step.most) return 'placed';
       }
     }
     return 'placed';
@@ -150,6 +180,7 @@
       this.#bind(step, ref, task, worker, run, nowMs);
     }
     budget.started(placed.length);
+    this.#starved.started(step.rank === OVERDUE);
     return 'placed';
   }
 
--- a/packages/jobs/src/internal/waiting-steps.ts
+++ b/packages/jobs/src/internal/waiting-steps.ts
@@ -7,16 +7,21 @@
  * Which steps of one priority come first where there is not room for all.
  *
  * - 0: lasting tasks that were at work before: whoever relies on them is without them now.
- * - 1: steps of jobs that can still end in time.
- * - 2: lasting tasks that were never at work. They hold their room for minutes, so a short job
+ * - 1: one task of a job of which none has been at a worker for long.
+ * - 2: steps of jobs that can still end in time.
+ * - 3: lasting tasks that were never at work. They hold their room for minutes, so a short job
  *   that they displace earns four times what they would with the same processor time.
- * - 3: steps of jobs that can only end late.
- * - 4: steps of jobs that end too late to be of use.
+ * - 4: the first tasks of jobs that have few at workers, while these have much room.
+ * - 5: steps of jobs that can only end late.
+ * - 6: steps of jobs that end too late to be of use.
  */
-export type Rank = 0 | 1 | 2 | 3 | 4;
+export type Rank = 0 | 1 | 2 | 3 | 4 | 5 | 6;
+
+/** The rank of steps of jobs that can still end in time. */
+export const IN_TIME: Rank = 2;
 
 /** By how much hope a short job has: its rank. */
-const RANKS: readonly Rank[] = [1, 3, 4];
+const RANKS: readonly Rank[] = [IN_TIME, 5, 6];
 
 /** A step with tasks that could be started now. */
 export interface WaitingStep {
@@ -28,6 +33,8 @@
   readonly rank: Rank;
   /** Time of day by which the job should have ended. */
   readonly deadlineMs: number;
+  /** Only so many of the tasks have this rank; the step stands once more for the rest. */
+  readonly most: number;
 }
 
 /** The steps of one occurrence that have tasks to start and wait for nothing else. */
@@ -49,13 +56,13 @@
         ? lastingRank(tasks)
         : RANKS[hopeOf(job.spec, queue, step, sinceMs, timeOfDayMs)]!;
       const deadlineMs = sinceMs + objectiveMs(job.spec, queue);
-      yield { job, queue, spec, ref, tasks, rank, deadlineMs };
+      yield { job, queue, spec, ref, tasks, rank, deadlineMs, most: Infinity };
     }
   }
 }
 
 function lastingRank(tasks: readonly TaskProgress[]): Rank {
-  return tasks.some(({ phase, run }) => phase === 'waiting' && run > 0) ? 0 : 2;
+  return tasks.some(({ phase, run }) => phase === 'waiting' && run > 0) ? 0 : 3;
 }
 
 /** When the work of an occurrence was asked for: at its due time, or with the job. */
--- a/packages/jobs/src/job-progress.ts
+++ b/packages/jobs/src/job-progress.ts
@@ -128,6 +128,20 @@
     return false;
   }
 
+  /** How many tasks are given to workers; counted up to `most`. */
+  boundCount(most: number): number {
+    let count = 0;
+    for (const { steps } of this.occurrences.values()) {
+      for (const tasks of steps) {
+        for (const { phase } of tasks) {
+          if (phase === 'bound') count += 1;
+          if (count >= most) return count;
+        }
+      }
+    }
+    return count;
+  }
+
   /** Reads back what `encode` has written for the same job. */
   static decode(spec: JobSpec, text: string): JobProgress {
     const rec = JSON.parse(text) as ProgressRecord;
