--- a/packages/jobs/src/index.ts
+++ b/packages/jobs/src/index.ts
@@ -5,5 +5,5 @@
 export * from './order.js';
 export * from './scheduler.js';
 export type { PlacementPolicy } from './internal/placement.js';
-export type { PressWeights } from './internal/press-model.js';
+export type { InterferenceWeights } from './internal/interference-model.js';
 export type { WorkerState } from './internal/worker-state.js';
--- a/packages/jobs/src/internal/press-model.ts
+++ b/packages/jobs/src/internal/interference-model.ts
@@ -1,8 +1,4 @@
-/**
- * What one sample keeps of its weight when the next of its image comes: disturbance shifts. About
- * 2,000 samples count, some twenty seconds of today's clusters; with a quarter of them the weights
- * of images that run on few workers were mostly noise.
- */
+/** What one sample keeps of its weight when the next of its image comes: interference shifts. */
 const FADE = 0.9995;
 
 /** Pulls what was hardly seen towards no disturbance; in squares of a host's part. */
@@ -27,7 +23,7 @@
 const KNOWN_BEFORE = 0.1;
 
 /** By serving image, the weights of filling images. */
-export type PressWeights = Readonly<Record<string, Readonly<Record<string, number>>>>;
+export type InterferenceWeights = Readonly<Record<string, Readonly<Record<string, number>>>>;
 
 /** One measured tail and what filled the same worker at that time. */
 export interface TailSample {
@@ -138,10 +134,9 @@
 /**
  * Learns how much slack each filling image takes from each serving image. The slack is taken as a
  * sum: what the image has by itself, less, for each filling image, a weight times the part of the
- * worker that it uses. Of 45 pairs of images measured so, most had weights near 0 and one in three
- * between 3 and 12.
+ * worker that it uses.
  */
-export class PressModel {
+export class InterferenceModel {
   readonly #fits = new Map<string, ImageFit>();
 
   learn({ image, slack, parts }: TailSample): void {
@@ -149,7 +144,7 @@
   }
 
   /** Starts from what an earlier scheduling node has learned. */
-  assume(weights: PressWeights): void {
+  assume(weights: InterferenceWeights): void {
     for (const [serving, byFill] of Object.entries(weights)) {
       for (const [fill, weight] of Object.entries(byFill))
         this.#fitOf(serving).assume(fill, weight);
@@ -157,7 +152,7 @@
   }
 
   /** What has been learned so far, for a later scheduling node. */
-  weights(): PressWeights {
+  weights(): InterferenceWeights {
     return Object.fromEntries([...this.#fits].map(([image, fit]) => [image, fit.weights()]));
   }
 
@@ -167,7 +162,7 @@
   }
 
   /** The slack that these parts of a host take. */
-  press(serving: string, parts: ReadonlyMap<string, number>): number {
+  lostSlack(serving: string, parts: ReadonlyMap<string, number>): number {
     let sum = 0;
     for (const [filling, part] of parts) sum += this.weight(serving, filling) * part;
     return sum;
--- a/packages/jobs/src/internal/pacing.ts
+++ b/packages/jobs/src/internal/pacing.ts
@@ -5,14 +5,15 @@
 
 /**
  * Filling tasks work as fast as leaves serving tasks this slack; 1 is a tail at its target. It goes
- * by the slack expected in a second. A little less than is kept when placing, so that what was just placed may work.
+ * by the slack expected in a second. A little less than is kept when placing, so that what was just
+ * placed may work.
  */
 const PACING_SLACK = 1.15;
 
 /** So far ahead slack is expected, in ms: until the next report a second may pass. */
 const AHEAD_MS = 1_000;
 
-/** Above this part of its target a tail is too long: what presses on it works slower at once. */
+/** Above this part of its target a tail is too long: what disturbs it works slower at once. */
 const NEAR_TARGET = 0.9;
 
 /** Paces are multiples of this, in percent; a smaller change is not worth a call. */
@@ -24,7 +25,7 @@
 /** The tail is measured over half a second; a change shows after that and one renewal, in ms. */
 const SETTLE_MS = 700;
 
-/** Images that press wait longer before they speed up: the load swings within seconds. */
+/** Disturbing images wait longer before they speed up: the load swings within seconds. */
 const SPEED_UP_MS = 1_200;
 
 /** A filling image that takes less slack than this is not to blame for a tail. */
@@ -84,7 +85,7 @@
   return false;
 }
 
-/** By filling image that presses on a tail here: the share of its speed that the tail allows. */
+/** By filling image that disturbs a tail here: the share of its speed that the tail allows. */
 function limitsOf(
   worker: WorkerState,
   serving: readonly WorkerRun[],
@@ -96,27 +97,27 @@
     limits.set(fill, Math.min(share, limits.get(fill) ?? 1));
   };
   for (const run of serving) {
-    const presses = pressesOn(run.spec.image, worker, model);
-    const full = presses.reduce((sum, { press }) => sum + press, 0);
+    const interferences = interferenceOn(run.spec.image, worker, model);
+    const full = interferences.reduce((sum, { lostSlack }) => sum + lostSlack, 0);
     const share = (model.ownSlack(run, worker, nowMs, AHEAD_MS) - PACING_SLACK) / full;
-    for (const { fill } of presses) limit(fill, Math.max(0, share));
-    if (presses.length === 0 && ratioOf(run) > 1) {
+    for (const { fill } of interferences) limit(fill, Math.max(0, share));
+    if (interferences.length === 0 && ratioOf(run) > 1) {
       for (const fill of worker.claimedFills().keys()) limit(fill, UNKNOWN_CAUSE_SHARE);
     }
   }
   return limits;
 }
 
-interface Press {
+interface Interference {
   readonly fill: string;
   /** The slack that the image's runs here take when they work at full speed. */
-  readonly press: number;
+  readonly lostSlack: number;
 }
 
-function pressesOn(image: string, worker: WorkerState, model: TailModel): Press[] {
+function interferenceOn(image: string, worker: WorkerState, model: TailModel): Interference[] {
   return [...claimedParts(worker)]
-    .map(([fill, part]) => ({ fill, press: model.press.weight(image, fill) * part }))
-    .filter(({ press }) => press > BLAME);
+    .map(([fill, part]) => ({ fill, lostSlack: model.interference.weight(image, fill) * part }))
+    .filter(({ lostSlack }) => lostSlack > BLAME);
 }
 
 function nextPace(pace: number, limit: number | undefined, worst: number, sinceMs: number): number {
--- a/packages/jobs/src/internal/placement.ts
+++ b/packages/jobs/src/internal/placement.ts
@@ -71,7 +71,7 @@
 
 /**
  * What company of each other image costs it: more than any free processors are worth. An image that
- * presses on either of two is kept from a worker that has both.
+ * disturbs either of two is kept from a worker that has both.
  */
 const OTHER_IMAGE_COST = 20_000;
 
--- a/packages/jobs/src/internal/tail-model.ts
+++ b/packages/jobs/src/internal/tail-model.ts
@@ -1,17 +1,14 @@
 import { fillParts } from './fill-parts.js';
-import { PressModel, slackOf } from './press-model.js';
+import { InterferenceModel, slackOf } from './interference-model.js';
 import { ServingLoads } from './serving-loads.js';
 import type { WorkerRun, WorkerState } from './worker-state.js';
 
-/**
- * The slack of a serving task is taken to be this while nothing was measured: three in four had
- * more when alone.
- */
+/** The slack of a serving task is taken to be this while nothing was measured. */
 const UNMEASURED_SLACK = 1.7;
 
-/** What is known of the tails of serving tasks: their own load, and what presses on them. */
+/** What is known of the tails of serving tasks: their own load, and what disturbs them. */
 export class TailModel {
-  readonly press = new PressModel();
+  readonly interference = new InterferenceModel();
 
   readonly loads = new ServingLoads();
 
@@ -22,9 +19,9 @@
       if (hasTail(run)) {
         const { image } = run.spec;
         const slack = measuredSlack(run);
-        this.loads.observe(run.ref, slack + this.press.press(image, parts), nowMs);
+        this.loads.observe(run.ref, slack + this.interference.lostSlack(image, parts), nowMs);
         const ownSlack = this.loads.now(run.ref, nowMs)!;
-        this.press.learn({ image, slack: slack - ownSlack, parts });
+        this.interference.learn({ image, slack: slack - ownSlack, parts });
       }
     }
   }
@@ -34,7 +31,7 @@
     const least = this.loads.leastAhead(run.ref, nowMs, aheadMs);
     if (least !== undefined) return least;
     if (!hasTail(run)) return UNMEASURED_SLACK;
-    return measuredSlack(run) + this.press.press(run.spec.image, fillParts(worker));
+    return measuredSlack(run) + this.interference.lostSlack(run.spec.image, fillParts(worker));
   }
 }
 
--- a/packages/jobs/src/internal/tail-room.ts
+++ b/packages/jobs/src/internal/tail-room.ts
@@ -5,9 +5,7 @@
 
 /**
  * The slack that serving tasks keep when filling tasks are placed beside them; 1 is a tail at its
- * target. Of two clusters the one with more images that press earned most with this: with 1.5 a
- * fifth less of the filling work ended in time, with 0.9 targets were missed for half as long again
- * and no more of it did.
+ * target.
  */
 const PLACING_SLACK = 1.2;
 
@@ -18,7 +16,7 @@
 const STARVED_SLACK = 1.15;
 
 /** Taking less slack than this is not worth a thought. */
-const NEGLIGIBLE_PRESS = 0.05;
+const NEGLIGIBLE_INTERFERENCE = 0.05;
 
 interface KnownRooms {
   readonly version: number;
@@ -28,7 +26,7 @@
 
 /**
  * How much more slack filling tasks may take from the serving tasks of a worker. It goes by the
- * tails as they are now, not by their usual value: an image that presses hard fits beside serving
+ * tails as they are now, not by their usual value: an image that disturbs much fits beside serving
  * tasks that have little to do for a while, and nowhere else.
  */
 export class TailRooms {
@@ -40,13 +38,13 @@
     this.#model = model;
   }
 
-  /** What is left after a task of the step is started there; Infinity if it presses on nobody. */
+  /** What is left after a task of the step is started there; Infinity if it disturbs nobody. */
   roomBeside(spec: StepSpec, worker: WorkerState, nowMs: number): number {
     const part = spec.cpuMilli / worker.entry.capacity.cpuMilli;
     let least = Infinity;
     for (const [image, room] of this.#roomsOf(worker, nowMs)) {
-      const press = this.#model.press.weight(image, spec.image) * part;
-      if (press > NEGLIGIBLE_PRESS) least = Math.min(least, room - press);
+      const lost = this.#model.interference.weight(image, spec.image) * part;
+      if (lost > NEGLIGIBLE_INTERFERENCE) least = Math.min(least, room - lost);
     }
     return least;
   }
@@ -59,9 +57,12 @@
     let share = 1;
     for (const run of worker.runs.values()) {
       const { image, targetMs } = run.spec;
-      if (targetMs > 0 && this.#model.press.weight(image, spec.image) > NEGLIGIBLE_PRESS) {
+      if (
+        targetMs > 0 &&
+        this.#model.interference.weight(image, spec.image) > NEGLIGIBLE_INTERFERENCE
+      ) {
         const slack = this.#model.ownSlack(run, worker, nowMs, AHEAD_MS) - STARVED_SLACK;
-        share = Math.min(share, slack / this.#model.press.press(image, parts));
+        share = Math.min(share, slack / this.#model.interference.lostSlack(image, parts));
       }
     }
     return share;
@@ -86,7 +87,7 @@
     }
     const claimed = claimedParts(worker);
     for (const [image, room] of rooms) {
-      rooms.set(image, room - this.#model.press.press(image, claimed));
+      rooms.set(image, room - this.#model.interference.lostSlack(image, claimed));
     }
     return rooms;
   }
--- a/packages/jobs/src/internal/urgency.ts
+++ b/packages/jobs/src/internal/urgency.ts
@@ -10,7 +10,7 @@
  * - 1: it can only end late.
  * - 2: it ends too late to be of use, whatever is done.
  */
-export type Hope = 0 | 1 | 2;
+export type Feasibility = 0 | 1 | 2;
 
 const tailsOf = new WeakMap<JobSpec, readonly number[]>();
 
@@ -35,13 +35,13 @@
 }
 
 /** What is left for a job that must still do a step and all that follows it. */
-export function hopeOf(
+export function feasibilityOf(
   spec: JobSpec,
   queue: QueuePolicy,
   step: number,
   sinceMs: number,
   timeOfDayMs: number,
-): Hope {
+): Feasibility {
   if (spec.steps[step]!.lasting) return 0;
   const endMs = timeOfDayMs + chainTails(spec)[step]!;
   const objective = objectiveMs(spec, queue);
--- a/packages/jobs/src/internal/waiting-steps.ts
+++ b/packages/jobs/src/internal/waiting-steps.ts
@@ -1,7 +1,7 @@
 import type { QueuePolicy, StepSpec } from '../job.js';
 import type { JobProgress, Occurrence, TaskProgress } from '../job-progress.js';
 import type { TaskRef } from '../task-ref.js';
-import { hopeOf, objectiveMs } from './urgency.js';
+import { feasibilityOf, objectiveMs } from './urgency.js';
 
 /**
  * Which steps of one priority come first where there is not room for all.
@@ -20,7 +20,7 @@
 /** The rank of steps of jobs that can still end in time. */
 export const IN_TIME: Rank = 2;
 
-/** By how much hope a short job has: its rank. */
+/** The rank of a short job by what it can still attain. */
 const RANKS: readonly Rank[] = [IN_TIME, 5, 6];
 
 /** A step with tasks that could be started now. */
@@ -54,7 +54,7 @@
       const spec = job.spec.steps[step]!;
       const rank = spec.lasting
         ? lastingRank(tasks)
-        : RANKS[hopeOf(job.spec, queue, step, sinceMs, timeOfDayMs)]!;
+        : RANKS[feasibilityOf(job.spec, queue, step, sinceMs, timeOfDayMs)]!;
       const deadlineMs = sinceMs + objectiveMs(job.spec, queue);
       yield { job, queue, spec, ref, tasks, rank, deadlineMs, most: Infinity };
     }
--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -10,7 +10,7 @@
 import { mustLeave } from './internal/evacuation.js';
 import type { PlacementPolicy } from './internal/placement.js';
 import { MostLeftOver } from './internal/placement.js';
-import type { PressWeights } from './internal/press-model.js';
+import type { InterferenceWeights } from './internal/interference-model.js';
 import type { RoundLimits } from './internal/round-limits.js';
 import { NO_LIMITS } from './internal/round-limits.js';
 import { ReportReader } from './internal/report-reader.js';
@@ -78,14 +78,14 @@
     return this.#state.workers;
   }
 
-  /** What was learned of how images press on each other, for a later scheduling node. */
-  get learned(): PressWeights {
-    return this.#model.press.weights();
+  /** What was learned of how images disturb each other, for a later scheduling node. */
+  get learned(): InterferenceWeights {
+    return this.#model.interference.weights();
   }
 
   /** Starts from what an earlier scheduling node has learned. */
-  assume(learned: PressWeights): void {
-    this.#model.press.assume(learned);
+  assume(learned: InterferenceWeights): void {
+    this.#model.interference.assume(learned);
   }
 
   /** By worker, when leases that earlier nodes have given are over, where more than the rule is known. */
--- a/packages/jobs/src/test/pacing_test.ts
+++ b/packages/jobs/src/test/pacing_test.ts
@@ -50,7 +50,7 @@
   const harness = new SchedulerHarness([workerEntry('w1')]);
   for (let i = 0; i < 100; i += 1) {
     const parts = new Map([['loud', i % 2 ? 0.3 : 0]]);
-    harness.model.press.learn({ image: 'web', slack: i % 2 ? 1 / 3 : 2, parts });
+    harness.model.interference.learn({ image: 'web', slack: i % 2 ? 1 / 3 : 2, parts });
   }
   harness.submit(jobSpec([SERVING], { id: '00000000000000a1' }));
   const fill = stepSpec({ fills: true, image: 'loud', cpuMilli: 200 });
--- a/packages/jobs/src/test/serving-company_test.ts
+++ b/packages/jobs/src/test/serving-company_test.ts
@@ -8,7 +8,7 @@
 
 test('two serving images share a worker only where neither finds room elsewhere', () => {
   // Guards against workers closed to best-effort images one by one: a large worker with much free
-  // drew serving tasks of every image, and what presses on any of them found no place there.
+  // drew serving tasks of every image, and what disturbs any of them found no place there.
   const large = { capacity: { cpuMilli: 48_000, memMb: 128_000, gpus: 0 } };
   const harness = new SchedulerHarness([workerEntry('large', large), workerEntry('small')]);
   harness.submit(jobSpec([serving('web', 8_000)], { id: '00000000000000a1' }));
--- a/packages/jobs/src/test/serving-loads_test.ts
+++ b/packages/jobs/src/test/serving-loads_test.ts
@@ -66,7 +66,11 @@
   const harness = new SchedulerHarness([workerEntry('w1')]);
   for (let i = 0; i < 200; i += 1) {
     const part = i % 2 ? 0.1 : 0;
-    harness.model.press.learn({ image: 'web', slack: -6 * part, parts: new Map([['loud', part]]) });
+    harness.model.interference.learn({
+      image: 'web',
+      slack: -6 * part,
+      parts: new Map([['loud', part]]),
+    });
   }
   const serving = stepSpec({
     lasting: true,
@@ -90,7 +94,7 @@
   return harness.starts().some(({ task }) => task.jobId.endsWith('a2'));
 }
 
-test('no pressing task is started at the crest of the slack, where it falls within the task', () => {
+test('no disturbing task is started at the crest of the slack, where it falls within the task', () => {
   // At 0.5 s and at 4.5 s of the swing the slack is the same, 2.5. At 0.5 s it stays above that for four
   // seconds; at 4.5 s it is at its low before the task is done.
   assert.equal(startsAt(500), true);
--- a/packages/jobs/src/test/starved-jobs_test.ts
+++ b/packages/jobs/src/test/starved-jobs_test.ts
@@ -51,7 +51,7 @@
   for (let i = 0; i < 200; i += 1) {
     const part = i % 2 ? 0.1 : 0;
     const parts = new Map([['crunch', part]]);
-    harness.model.press.learn({ image: 'web', slack: -6 * part, parts });
+    harness.model.interference.learn({ image: 'web', slack: -6 * part, parts });
   }
   const serving = stepSpec({ lasting: true, targetMs: 20, image: 'web', cpuMilli: 2_000 });
   harness.submit(jobSpec([serving], { id: 'web' }));
@@ -67,7 +67,7 @@
 }
 
 test('a task of a starved job works slowly where no worker has slack for its full speed', () => {
-  // Guards against jobs whose image presses on every serving task: no worker ever had the slack for
+  // Guards against jobs whose image disturbs every serving task: no worker ever had the slack for
   // a whole task of theirs, though all had the processors. A job in time waits for a better place.
   assert.deepEqual(startedBesideLittleSlack(60_000), ['job']);
   assert.deepEqual(startedBesideLittleSlack(0), []);
--- a/packages/jobs/src/test/tail-model_test.ts
+++ b/packages/jobs/src/test/tail-model_test.ts
@@ -15,7 +15,7 @@
 const REPORT_MS = 500;
 
 /** A worker's whole processors in use by the filling image take this much slack. */
-const PRESS = 6;
+const DISTURBANCE = 6;
 
 const SERVING = stepSpec({
   lasting: true,
@@ -38,11 +38,11 @@
 }
 
 /** What the filling image does to the serving one is known. */
-function learnPress(harness: SchedulerHarness): void {
+function learnInterference(harness: SchedulerHarness): void {
   for (let i = 0; i < 200; i += 1) {
     const part = i % 2 ? 0.1 : 0;
     const parts = new Map([['loud', part]]);
-    harness.model.press.learn({ image: 'web', slack: -PRESS * part, parts });
+    harness.model.interference.learn({ image: 'web', slack: -DISTURBANCE * part, parts });
   }
 }
 
@@ -57,13 +57,13 @@
 
 function startsLoud(slack: number): boolean {
   const { harness, webs } = twoServing();
-  learnPress(harness);
+  learnInterference(harness);
   for (let report = 0; report < 4; report += 1) reportSlack(harness, webs, slack);
   harness.submit(jobSpec([LOUD], { id: '00000000000000a2' }));
   return harness.starts().some(({ task }) => task.jobId.endsWith('a2'));
 }
 
-test('an image that presses on every serving task still runs, beside those with little to do', () => {
+test('an image that disturbs every serving task still runs, beside those with little to do', () => {
   // Every worker serves, and the filling image lengthens every tail. Kept away from all of them
   // for good, its jobs would never end. Beside tasks that are far from their targets just now a
   // few of its tasks do no harm; beside tasks near their targets they would.
@@ -71,11 +71,11 @@
   assert.equal(startsLoud(1.3), false);
 });
 
-test('a tail that is about to grow is no place for an image that presses', () => {
+test('a tail that is about to grow is no place for a disturbing image', () => {
   // The slack is still large enough, but falls report by report: the serving task's callers are
   // on their way up. When the filling task has come to work, the tail would be over its target.
   const { harness, webs } = twoServing();
-  learnPress(harness);
+  learnInterference(harness);
   for (const slack of [3, 2.8, 2.6, 2.4, 2.2, 2]) reportSlack(harness, webs, slack);
   harness.submit(jobSpec([LOUD], { id: '00000000000000a2' }));
   assert.deepEqual(harness.starts(), []);
@@ -101,14 +101,14 @@
       harness.report(web.worker, { running });
     }
   }
-  assert.ok(harness.model.press.weight('web', 'quiet') < 1.5);
+  assert.ok(harness.model.interference.weight('web', 'quiet') < 1.5);
 });
 
 test('a later scheduling node starts from what the one before has learned', () => {
   // The scheduling node dies. The next one knows nothing of the images: it would put the loud one
   // beside serving tasks with little slack, whose users wait until it has learned once more.
   const before = twoServing();
-  learnPress(before.harness);
+  learnInterference(before.harness);
   const { harness, webs } = twoServing();
   harness.scheduler.assume(before.harness.scheduler.learned);
   for (let report = 0; report < 4; report += 1) reportSlack(harness, webs, 1.3);
--- a/packages/runtime/src/internal/housekeeping.ts
+++ b/packages/runtime/src/internal/housekeeping.ts
@@ -1,4 +1,4 @@
-import type { PressWeights } from '@redwingcrank/jobs';
+import type { InterferenceWeights } from '@redwingcrank/jobs';
 import { isFinal } from '@redwingcrank/jobs';
 import type { KeyedLog, KeyedWrite } from '../keyed-log.js';
 import { steadyMs } from './delay.js';
@@ -39,7 +39,7 @@
   }
 
   /** The record of what was learned of images, where it is due. */
-  learned(weights: PressWeights): KeyedWrite[] {
+  learned(weights: InterferenceWeights): KeyedWrite[] {
     if (steadyMs() < this.#learnedMs) return [];
     this.#learnedMs = steadyMs() + LEARNED_EVERY_MS;
     return [{ key: learnedKey(), value: encodeLearned(weights) }];
--- a/packages/runtime/src/internal/work-records.ts
+++ b/packages/runtime/src/internal/work-records.ts
@@ -1,4 +1,4 @@
-import type { PressWeights } from '@redwingcrank/jobs';
+import type { InterferenceWeights } from '@redwingcrank/jobs';
 import type { Decoded, RecordFault } from '../record-fault.js';
 import { parseObject } from './parse-object.js';
 import { UNTOLD_LEASE_MS, surelyOverMs } from './timing.js';
@@ -139,13 +139,13 @@
   return { value: { node, cores, epoch } };
 }
 
-export function encodeLearned(weights: PressWeights): string {
+export function encodeLearned(weights: InterferenceWeights): string {
   return JSON.stringify(weights);
 }
 
 /** What was learned of images, according to a record: each weight is a number. */
-export function decodeLearned(text: string): Decoded<PressWeights> {
-  const weights = parseObject<PressWeights>(text);
+export function decodeLearned(text: string): Decoded<InterferenceWeights> {
+  const weights = parseObject<InterferenceWeights>(text);
   if (!weights) return { fault: { reason: 'unreadable', field: 'value' } };
   return isTable(weights, isRow) ? { value: weights } : wrongType('value');
 }
--- a/packages/runtime/src/internal/work-table.ts
+++ b/packages/runtime/src/internal/work-table.ts
@@ -1,5 +1,5 @@
 import { Subject } from 'rxjs';
-import type { JobSpec, JobState, PressWeights } from '@redwingcrank/jobs';
+import type { JobSpec, JobState, InterferenceWeights } from '@redwingcrank/jobs';
 import { JobProgress, isFinal } from '@redwingcrank/jobs';
 import type { KeyedRecord } from '../keyed-log.js';
 import type { Decoded, RecordFault } from '../record-fault.js';
@@ -63,7 +63,7 @@
 
   #leaderGapMs = 0;
 
-  #learned: PressWeights = {};
+  #learned: InterferenceWeights = {};
 
   readonly changes$ = new Subject<WorkChange>();
 
@@ -97,8 +97,8 @@
     return this.#leaderGapMs;
   }
 
-  /** What scheduling nodes have learned of how images press on each other. */
-  get learned(): PressWeights {
+  /** What scheduling nodes have learned of how images disturb each other. */
+  get learned(): InterferenceWeights {
     return this.#learned;
   }
 
