--- /dev/null
+++ b/packages/jobs/src/internal/stop-rules.ts
@@ -0,0 +1,44 @@
+import { isFinal } from '../job.js';
+import type { JobProgress } from '../job-progress.js';
+import type { ClusterState } from './cluster-state.js';
+import { mustLeave } from './evacuation.js';
+import { findTask } from './runs.js';
+import type { StopReason } from './stop-reason.js';
+import type { WorkerRun, WorkerState } from './worker-state.js';
+
+/** Which runs must not go on where they are. */
+export class StopRules {
+  readonly #state: ClusterState;
+
+  constructor(state: ClusterState) {
+    this.#state = state;
+  }
+
+  /** Why the run is to be stopped; undefined where it may go on. */
+  reason(worker: WorkerState, run: WorkerRun, nowMs: number): StopReason | undefined {
+    const reason = this.unwanted(worker, run);
+    if (reason) return reason;
+    return mustLeave(worker, run, nowMs) ? 'worker-leaves' : undefined;
+  }
+
+  /** Why no job asks for the run, there or anywhere; undefined where one does. */
+  unwanted(worker: WorkerState, run: WorkerRun): StopReason | undefined {
+    if (this.#state.isUntold(run.ref.jobId)) return undefined;
+    const job = this.#state.jobs.get(run.ref.jobId);
+    if (!job) return 'unknown-job';
+    if (isFinal(job.state)) return job.state;
+    const task = findTask(job, run.ref);
+    if (!task) return 'unknown-job';
+    if (run.stopReason) return run.stopReason;
+    const isBinding = task.run === run.run && task.worker === worker.entry.id;
+    if (!isBinding || task.phase === 'waiting') return 'superseded';
+    // The other members of a gang end by themselves when one has ended well.
+    return isBrokenGang(job, run) ? 'broken-gang' : undefined;
+  }
+}
+
+function isBrokenGang(job: JobProgress, { spec, ref }: WorkerRun): boolean {
+  if (!spec.gang) return false;
+  const tasks = job.occurrences.get(ref.occurrence)!.steps[ref.step]!;
+  return tasks.some(({ phase }) => phase === 'waiting');
+}
--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -7,18 +7,17 @@
 import type { WorkerEntry, WorkerReport } from './worker.js';
 import { ClusterState } from './internal/cluster-state.js';
 import type { Note, SchedulerTiming } from './internal/cluster-state.js';
-import { mustLeave } from './internal/evacuation.js';
 import type { PlacementPolicy } from './internal/placement.js';
 import { MostLeftOver } from './internal/placement.js';
 import type { InterferenceWeights } from './internal/interference-model.js';
 import type { RoundLimits } from './internal/round-limits.js';
 import { NO_LIMITS } from './internal/round-limits.js';
 import { ReportReader } from './internal/report-reader.js';
-import { boundTasks, findTask, newRun, unlistedEntry } from './internal/runs.js';
-import type { StopReason } from './internal/stop-reason.js';
+import { boundTasks, newRun, unlistedEntry } from './internal/runs.js';
+import { StopRules } from './internal/stop-rules.js';
 import { TailModel } from './internal/tail-model.js';
 import { TaskPlacer } from './internal/task-placer.js';
-import type { WorkerRun, WorkerState } from './internal/worker-state.js';
+import type { WorkerState } from './internal/worker-state.js';
 
 export type { Note, SchedulerTiming } from './internal/cluster-state.js';
 export type { RoundLimits } from './internal/round-limits.js';
@@ -52,6 +51,8 @@
 
   readonly #placer: TaskPlacer;
 
+  readonly #stopRules: StopRules;
+
   readonly #model: TailModel;
 
   /** When leases that earlier nodes have given are over, where more than the rule is known. */
@@ -68,6 +69,7 @@
     this.#model = model;
     this.#reader = new ReportReader(this.#state, model);
     this.#placer = new TaskPlacer(this.#state, placement);
+    this.#stopRules = new StopRules(this.#state);
   }
 
   get jobs(): ReadonlyMap<string, JobProgress> {
@@ -196,7 +198,7 @@
     const worker = this.#state.workers.get(order.worker);
     const run = worker?.runs.get(taskName(order.task));
     if (!worker || run?.run !== order.run) return false;
-    return worker.listed && !worker.entry.draining && !this.#unwantedReason(worker, run);
+    return worker.listed && !worker.entry.draining && !this.#stopRules.unwanted(worker, run);
   }
 
   /** How long ago the task of a start was bound, in milliseconds; 0 where it is not any more. */
@@ -359,35 +361,9 @@
     for (const worker of this.#state.workers.values()) {
       for (const run of worker.runs.values()) {
         const again = nowMs - run.stopSentMs >= this.#state.timing.stopAgainMs;
-        const reason = again ? this.#stopReason(worker, run, nowMs) : undefined;
+        const reason = again ? this.#stopRules.reason(worker, run, nowMs) : undefined;
         if (reason) this.#state.stopRun(worker, run, reason, nowMs);
       }
     }
   }
-
-  #stopReason(worker: WorkerState, run: WorkerRun, nowMs: number): StopReason | undefined {
-    const reason = this.#unwantedReason(worker, run);
-    if (reason) return reason;
-    return mustLeave(worker, run, nowMs) ? 'worker-leaves' : undefined;
-  }
-
-  #unwantedReason(worker: WorkerState, run: WorkerRun): StopReason | undefined {
-    const job = this.#state.jobs.get(run.ref.jobId);
-    const task = job && findTask(job, run.ref);
-    if (this.#state.isUntold(run.ref.jobId)) return undefined;
-    if (!job) return 'unknown-job';
-    if (isFinal(job.state)) return job.state;
-    if (!task) return 'unknown-job';
-    if (run.stopReason) return run.stopReason;
-    const isBinding = task.run === run.run && task.worker === worker.entry.id;
-    if (!isBinding || task.phase === 'waiting') return 'superseded';
-    // The other members of a gang end by themselves when one has ended well.
-    return this.#isBrokenGang(job, run) ? 'broken-gang' : undefined;
-  }
-
-  #isBrokenGang(job: JobProgress, run: WorkerRun): boolean {
-    if (!run.spec.gang) return false;
-    const tasks = job.occurrences.get(run.ref.occurrence)!.steps[run.ref.step]!;
-    return tasks.some(({ phase }) => phase === 'waiting');
-  }
 }
