--- /dev/null
+++ b/packages/runtime/src/test/scheduling-metrics_test.ts
@@ -0,0 +1,18 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { NodeMetrics } from '../internal/node-metrics.js';
+import { NodeLog } from '../node-log.js';
+
+const NODE_STATE = { isLeading: true, viewAgeMs: 0, jobs: new Map<string, number>(), faults: [] };
+
+test('waits are counted by what kept the tasks, stops and lost work by reason', async () => {
+  const log = new NodeLog('n1', 'silent');
+  const metrics = new NodeMetrics(log, () => NODE_STATE);
+  log.emit('info', 'bound', { task: 'a.0.0.0', run: 1, waitMs: 700, keptBy: 'slack' });
+  log.emit('info', 'task-stop', { task: 'a.0.0.0', run: 1, reason: 'halted', lostCpuMs: 1_500 });
+  log.emit('info', 'task-stop', { task: 'a.0.0.0', run: 1, reason: 'halted', lostCpuMs: 0 });
+  const text = await metrics.text();
+  assert.match(text, /redwingcrank_task_wait_seconds_sum\{kept_by="slack"\} 0\.7/);
+  assert.match(text, /redwingcrank_task_stops_total\{reason="halted"\} 2/);
+  assert.match(text, /redwingcrank_lost_cpu_seconds_total\{reason="halted"\} 1\.5/);
+});
