What keeps tasks of a kind waiting is looked up once until a place changes

Cause: each step without a place asked every worker's score again for the reason of its wait. Change: kept with the places of the kind. packages/jobs: 46 tests passed.

--- a/packages/jobs/src/internal/round-places.ts
+++ b/packages/jobs/src/internal/round-places.ts
@@ -33,6 +33,9 @@
 
   #isFull = false;
 
+  /** Known until a place is looked at again. */
+  #obstacle: Obstacle | undefined;
+
   constructor(workers: readonly WorkerState[], look: (worker: WorkerState) => number | Obstacle) {
     this.#look = look;
     this.#places = workers.map((worker) => ({
@@ -66,8 +69,11 @@
 
   /** What keeps the tasks from most workers. */
   get obstacle(): Obstacle {
-    const scores = this.#places.map(({ score }) => score);
-    return mostFrequent(scores.filter((score) => typeof score !== 'number'));
+    if (this.#obstacle === undefined) {
+      const scores = this.#places.map(({ score }) => score);
+      this.#obstacle = mostFrequent(scores.filter((score) => typeof score !== 'number'));
+    }
+    return this.#obstacle;
   }
 
   /** What was placed on trial has been taken back. */
@@ -76,6 +82,7 @@
   }
 
   #lookAgain(place: Place): void {
+    this.#obstacle = undefined;
     place.version = place.worker.version;
     place.score = this.#look(place.worker);
   }
