An overdue job that finds no place waits anew, behind the others

Cause: the turns of overdue jobs went to the oldest first; five jobs that no worker can ever hold took every one of them, and no other overdue job had its task placed. Change: without a place the job counts as idle from then on.

--- a/packages/jobs/src/internal/starved-jobs.ts
+++ b/packages/jobs/src/internal/starved-jobs.ts
@@ -54,6 +54,14 @@
     return { rank: OWED, most: OWED_TASKS - bound };
   }
 
+  /**
+   * No worker had a place for an overdue job. It waits anew: jobs that can never be placed would
+   * otherwise take every turn.
+   */
+  foundNoPlace(job: JobProgress, nowMs: number): void {
+    this.#idleSinceMs.set(job, nowMs);
+  }
+
   /** A task was started, for an overdue job or in the usual order. */
   started(isOverdue: boolean): void {
     const saved = this.#savedStarts + (isOverdue ? -1 : OVERDUE_SHARE);
--- a/packages/jobs/src/internal/task-placer.ts
+++ b/packages/jobs/src/internal/task-placer.ts
@@ -75,6 +75,7 @@
       if (outcome === 'placeless') {
         placeless.push(step);
         this.#isShort ||= step.rank === IN_TIME;
+        if (step.rank === OVERDUE) this.#starved.foundNoPlace(step.job, nowMs);
         this.#waits.placeless(step.tasks, () => ofKind.obstacle, nowMs);
       }
       if (outcome === 'cut-short') {
--- a/packages/jobs/src/test/starved-jobs_test.ts
+++ b/packages/jobs/src/test/starved-jobs_test.ts
@@ -31,6 +31,28 @@
   assert.ok(startedMs > 0 && startedMs <= 60_000 + 36_000, `${startedMs}`);
 });
 
+test('jobs that can never be placed do not take the turns of other overdue jobs', () => {
+  // Guards against a handful of impossible jobs that stand first in every round for good.
+  const small = { capacity: { cpuMilli: 1_000, memMb: 16_000, gpus: 0 } };
+  const harness = new SchedulerHarness([workerEntry('w1', small)]);
+  harness.nowMs = 60_000;
+  harness.report('w1');
+  for (let i = 0; i < 10; i += 1) {
+    harness.submit(jobSpec([stepSpec({ gpus: 8 })], { id: `impossible${i}`, acceptedMs: 0 }));
+  }
+  harness.submit(jobSpec([stepSpec()], { id: OLD_ID, acceptedMs: 0 }));
+  let hasStarted = false;
+  for (let second = 0; second < 60 && !hasStarted; second += 1) {
+    const id = second.toString(16).padStart(16, '0');
+    harness.submit(jobSpec([stepSpec()], { id, acceptedMs: harness.nowMs }));
+    const [start] = harness.starts();
+    hasStarted = start!.task.jobId === OLD_ID;
+    harness.nowMs += 1_000;
+    harness.report('w1', { ended: [harness.end(start!, 'done')] });
+  }
+  assert.ok(hasStarted);
+});
+
 test('with little reserved, every waiting job has a task at work before late ones have many', () => {
   // Guards against accepted jobs with nothing running for a minute beside idle processors: the room
   // that came free went to the jobs that were less late, task by task.
