Overdue jobs have their turns in the order in which they became overdue

What callers see: with many overdue jobs an accepted job never has a task at work. Cause: turns went to the jobs taken on first. A job of many tasks is overdue again 15 s after its turn, so the first ones of a crowd took every turn; and one that found no place because everything was taken lost its turn for another 15 s. Change: turns go by the time since when a job is overdue. A job without a place goes behind the others only where the round had a place for somebody else. Each step of the job may use the turn, not the first one alone. Turns keep their place where rounds are cut short: steps not yet tried went before them. The line of a binding tells its rank. Bound: 15 s, then one start in twenty for each job that was overdue before.

--- a/packages/jobs/src/internal/placing-turns.ts
+++ b/packages/jobs/src/internal/placing-turns.ts
@@ -1,10 +1,12 @@
+import { OVERDUE } from './starved-jobs.js';
 import type { WaitingStep } from './waiting-steps.js';
 
 /**
  * Whose turn it is where rounds end before every waiting step was tried. By urgency alone, steps
  * that find no place would take the time of every round, and others for which there is room would
- * never be tried. So a step that found none stands behind those that were not tried since; lasting
- * tasks that were at work before are few, and keep their place.
+ * never be tried. So a step that found none stands behind those that were not tried since. Lasting
+ * tasks that were at work before are few, and keep their place, as do the turns of overdue jobs:
+ * behind a steady stream of new steps these would never come.
  */
 export class PlacingTurns {
   readonly #tried = new Set<string>();
@@ -15,7 +17,7 @@
   /** The steps, most urgent first, in the order of their turns. */
   inOrder(steps: readonly WaitingStep[]): readonly WaitingStep[] {
     const isFirst = (step: WaitingStep): boolean =>
-      step.rank === 0 || !this.#tried.has(keyOf(step));
+      step.rank <= OVERDUE || !this.#tried.has(keyOf(step));
     const first = this.#tried.size > 0 ? steps.filter(isFirst) : steps;
     this.#untriedCount = first.length;
     if (first.length === steps.length) return steps;
--- a/packages/jobs/src/internal/starved-jobs.ts
+++ b/packages/jobs/src/internal/starved-jobs.ts
@@ -9,6 +9,9 @@
 /** Starts that overdue jobs may have saved up, so that a quiet hour earns them no burst. */
 const MAX_SAVED_STARTS = 5;
 
+/** Places are looked for on behalf of so many overdue jobs in one round at most. */
+const MAX_TURNS = 16;
+
 /** While workers have much room, every job is owed so many tasks at workers. */
 const OWED_TASKS = 2;
 
@@ -18,63 +21,90 @@
 /** The rank of tasks that a job is owed. */
 export const OWED = 4;
 
-/** Tasks of a job that go before where its deadline would put them. */
-export interface Owed {
-  readonly rank: typeof OVERDUE | typeof OWED;
-  readonly most: number;
+/** A job with tasks to start and none at a worker. */
+interface IdleJob {
+  readonly sinceMs: number;
+  /** Overdue jobs have their turns in the order of this: when it became due, or found no place. */
+  turnMs: number;
 }
 
 /**
  * Jobs that get too little. By urgency alone a job that is late for good comes last in every
  * round, and under a steady load it never runs again. A small part of all starts is theirs whatever
  * the load; with much room they come before the bulk of what is late.
+ *
+ * Overdue jobs take turns, the one that is overdue longest first. In any other order those at the
+ * front are overdue again before the last had a turn, and that one waits without bound.
  */
 export class StarvedJobs {
-  /** Since when jobs that have tasks to start have none at a worker. */
-  readonly #idleSinceMs = new WeakMap<JobProgress, number>();
+  readonly #idle = new WeakMap<JobProgress, IdleJob>();
 
   #savedStarts = 0;
 
-  /** So many overdue jobs may still be served in this round. */
-  #mayServe = 0;
+  /** Overdue jobs for which this round found no place. */
+  readonly #placeless = new Set<JobProgress>();
 
-  /** A round of looks at all jobs begins. */
-  beginRound(): void {
-    this.#mayServe = Math.floor(this.#savedStarts);
-  }
+  /** Whether this round has started a task. */
+  #hasStarted = false;
 
-  /** Looks at a job in a round. */
-  owed(job: JobProgress, hasMuchRoom: boolean, nowMs: number): Owed | undefined {
-    const bound = job.boundCount(OWED_TASKS);
-    if (this.#isOverdue(job, bound, nowMs) && this.#mayServe > 0) {
-      this.#mayServe -= 1;
-      return { rank: OVERDUE, most: 1 };
+  /** Looks at a job that has tasks to start; returns whether it is overdue. */
+  isOverdue(job: JobProgress, nowMs: number): boolean {
+    if (job.boundCount(1) > 0) {
+      this.#idle.delete(job);
+      return false;
     }
-    if (!hasMuchRoom || bound >= OWED_TASKS) return undefined;
-    return { rank: OWED, most: OWED_TASKS - bound };
+    const idle = this.#idle.get(job) ?? { sinceMs: nowMs, turnMs: nowMs + MAX_IDLE_MS };
+    this.#idle.set(job, idle);
+    return nowMs - idle.sinceMs > MAX_IDLE_MS;
+  }
+
+  /** The overdue jobs whose turn it is in this round, in the order of their turns. */
+  turnsOf(overdue: readonly JobProgress[]): readonly JobProgress[] {
+    if (this.#savedStarts < 1) return [];
+    return [...overdue].sort((a, b) => this.turnMs(a) - this.turnMs(b)).slice(0, MAX_TURNS);
+  }
+
+  /** Overdue jobs with a lower value have their turns first. */
+  turnMs(job: JobProgress): number {
+    return this.#idle.get(job)?.turnMs ?? Infinity;
+  }
+
+  /** Whether a task of an overdue job may still be started in this round. */
+  mayStart(job: JobProgress): boolean {
+    return this.#savedStarts >= 1 && this.#idle.has(job);
+  }
+
+  /** How many tasks of a job go first while workers have much room. */
+  owedTasks(job: JobProgress): number {
+    return OWED_TASKS - job.boundCount(OWED_TASKS);
+  }
+
+  /** No worker had a place for an overdue job. */
+  foundNoPlace(job: JobProgress): void {
+    this.#placeless.add(job);
   }
 
   /**
-   * No worker had a place for an overdue job. It waits anew: jobs that can never be placed would
-   * otherwise take every turn.
+   * A round is over. Where it found places for others, overdue jobs without one wait behind the rest:
+   * jobs that can never be placed would otherwise take every turn. Where it found none at all they
+   * keep their turns: the next room that comes free may be theirs.
    */
-  foundNoPlace(job: JobProgress, nowMs: number): void {
-    this.#idleSinceMs.set(job, nowMs);
+  endRound(nowMs: number): void {
+    if (this.#hasStarted) {
+      for (const job of this.#placeless) {
+        const idle = this.#idle.get(job);
+        if (idle) idle.turnMs = nowMs;
+      }
+    }
+    this.#placeless.clear();
+    this.#hasStarted = false;
   }
 
-  /** A task was started, for an overdue job or in the usual order. */
-  started(isOverdue: boolean): void {
+  /** A task of a job was started, as an overdue one's or in the usual order. */
+  started(job: JobProgress, isOverdue: boolean): void {
+    this.#hasStarted = true;
+    this.#idle.delete(job);
     const saved = this.#savedStarts + (isOverdue ? -1 : OVERDUE_SHARE);
     this.#savedStarts = Math.max(0, Math.min(MAX_SAVED_STARTS, saved));
   }
-
-  #isOverdue(job: JobProgress, bound: number, nowMs: number): boolean {
-    if (bound > 0) {
-      this.#idleSinceMs.delete(job);
-      return false;
-    }
-    const sinceMs = this.#idleSinceMs.get(job) ?? nowMs;
-    this.#idleSinceMs.set(job, sinceMs);
-    return nowMs - sinceMs > MAX_IDLE_MS;
-  }
 }
--- a/packages/jobs/src/internal/task-placer.ts
+++ b/packages/jobs/src/internal/task-placer.ts
@@ -1,5 +1,4 @@
 import type { JobProgress, TaskProgress } from '../job-progress.js';
-import type { StepSpec } from '../job.js';
 import { isFinal } from '../job.js';
 import type { TaskRef } from '../task-ref.js';
 import { taskName } from '../task-ref.js';
@@ -11,8 +10,7 @@
 import type { RoundLimits } from './round-limits.js';
 import { RoundBudget } from './round-limits.js';
 import { newRun } from './runs.js';
-import type { Owed } from './starved-jobs.js';
-import { OVERDUE, StarvedJobs } from './starved-jobs.js';
+import { OVERDUE, OWED, StarvedJobs } from './starved-jobs.js';
 import { StepWaits } from './step-waits.js';
 import type { WaitingStep } from './waiting-steps.js';
 import { IN_TIME, byUrgency, waitingStepsOf } from './waiting-steps.js';
@@ -53,6 +51,12 @@
    * ended it while there may be room for more.
    */
   placeAll(nowMs: number, limits: RoundLimits): boolean {
+    const isCutShort = this.#place(nowMs, limits);
+    this.#starved.endRound(nowMs);
+    return isCutShort;
+  }
+
+  #place(nowMs: number, limits: RoundLimits): boolean {
     const waiting = this.#turns.inOrder([...this.#waitingSteps(nowMs)].sort(byUrgency));
     // From here on: with thousands of waiting steps the sorting takes its time as well.
     const budget = new RoundBudget(limits);
@@ -68,14 +72,12 @@
         return this.#cutShort(budget, count, placeless);
       }
       const ofKind = places.of(step.spec, step.queue.pool, step.spec.fills && step.most < Infinity);
-      const outcome = step.spec.gang
-        ? this.#placeGang(step, ofKind, budget, nowMs)
-        : this.#placeTasks(step, ofKind, budget, nowMs);
+      const outcome = this.#placeStep(step, ofKind, budget, nowMs);
       if (outcome === 'placed' && step.most === Infinity) this.#waits.placed(step.tasks);
       if (outcome === 'placeless') {
         placeless.push(step);
         this.#isShort ||= step.rank === IN_TIME;
-        if (step.rank === OVERDUE) this.#starved.foundNoPlace(step.job, nowMs);
+        if (step.rank === OVERDUE) this.#starved.foundNoPlace(step.job);
         this.#waits.placeless(step.tasks, () => ofKind.obstacle, nowMs);
       }
       if (outcome === 'cut-short') {
@@ -104,28 +106,51 @@
 
   *#waitingSteps(nowMs: number): Generator<WaitingStep> {
     const hasMuchRoom = !this.#isShort && this.#state.reservedShare() < MUCH_ROOM;
-    this.#starved.beginRound();
+    const overdue = new Map<JobProgress, WaitingStep[]>();
     for (const job of this.#state.jobs.values()) {
-      if (!isFinal(job.state)) yield* this.#stepsOf(job, hasMuchRoom, nowMs);
+      if (!isFinal(job.state)) {
+        const steps = [...this.#stepsOf(job)];
+        yield* steps;
+        const ending = steps.filter(({ spec }) => !spec.lasting);
+        if (ending.length > 0) {
+          if (this.#starved.isOverdue(job, nowMs)) overdue.set(job, ending);
+          if (hasMuchRoom) yield* this.#owedSteps(job, ending);
+        }
+      }
+    }
+    for (const job of this.#starved.turnsOf([...overdue.keys()])) {
+      for (const step of overdue.get(job)!) {
+        const orderMs = this.#starved.turnMs(job);
+        if (step.rank > OVERDUE) yield { ...step, rank: OVERDUE, orderMs, most: 1 };
+      }
     }
   }
 
-  /** The first step of a job that starves stands twice: for the tasks that are owed, and the rest. */
-  *#stepsOf(job: JobProgress, hasMuchRoom: boolean, nowMs: number): Generator<WaitingStep> {
+  *#stepsOf(job: JobProgress): Generator<WaitingStep> {
     const queue = this.#state.queues.get(job.spec.queue);
-    let isFirst = true;
     for (const occurrence of job.occurrences.values()) {
-      for (const step of waitingStepsOf(job, queue, occurrence, this.#state.timeOfDayMs)) {
-        const owed = isFirst ? this.#owed(job, step.spec, hasMuchRoom, nowMs) : undefined;
-        if (owed && owed.rank < step.rank) yield { ...step, ...owed };
-        isFirst = false;
-        yield step;
-      }
+      yield* waitingStepsOf(job, queue, occurrence, this.#state.timeOfDayMs);
     }
   }
 
-  #owed(job: JobProgress, spec: StepSpec, hasMuchRoom: boolean, nowMs: number): Owed | undefined {
-    return spec.lasting ? undefined : this.#starved.owed(job, hasMuchRoom && spec.fills, nowMs);
+  /** The first step of a job stands twice: for the tasks that are owed, and the rest. */
+  *#owedSteps(job: JobProgress, steps: readonly WaitingStep[]): Generator<WaitingStep> {
+    const [first] = steps;
+    const most = this.#starved.owedTasks(job);
+    if (first?.spec.fills && first.rank > OWED && most > 0) yield { ...first, rank: OWED, most };
+  }
+
+  #placeStep(
+    step: WaitingStep,
+    places: KindPlaces,
+    budget: RoundBudget,
+    nowMs: number,
+  ): StepOutcome {
+    // Its tasks stand once more in the usual order.
+    if (step.rank === OVERDUE && !this.#starved.mayStart(step.job)) return 'placed';
+    return step.spec.gang
+      ? this.#placeGang(step, places, budget, nowMs)
+      : this.#placeTasks(step, places, budget, nowMs);
   }
 
   #placeTasks(
@@ -145,7 +170,7 @@
         if (!worker) return 'placeless';
         this.#bind(step, ref, task, worker, task.run + 1, nowMs);
         budget.started(1);
-        this.#starved.started(step.rank === OVERDUE);
+        this.#starved.started(step.job, step.rank === OVERDUE);
         started += 1;
         if (started === step.most) return 'placed';
       }
@@ -181,12 +206,12 @@
       this.#bind(step, ref, task, worker, run, nowMs);
     }
     budget.started(placed.length);
-    this.#starved.started(step.rank === OVERDUE);
+    this.#starved.started(step.job, step.rank === OVERDUE);
     return 'placed';
   }
 
   #bind(
-    { job, spec, tasks }: WaitingStep,
+    { job, spec, tasks, rank }: WaitingStep,
     ref: TaskRef,
     task: TaskProgress,
     worker: WorkerState,
@@ -210,6 +235,7 @@
       run,
       worker: worker.entry.id,
       fills: spec.fills,
+      rank,
       ...this.#waits.of(tasks, nowMs),
     });
   }
--- a/packages/jobs/src/internal/waiting-steps.ts
+++ b/packages/jobs/src/internal/waiting-steps.ts
@@ -7,7 +7,7 @@
  * Which steps of one priority come first where there is not room for all.
  *
  * - 0: lasting tasks that were at work before: whoever relies on them is without them now.
- * - 1: one task of a job of which none has been at a worker for long.
+ * - 1: one task of a job of which none has been at a worker for long, in the order of their turns.
  * - 2: steps of jobs that can still end in time.
  * - 3: lasting tasks that were never at work. They hold their room for minutes, so a short job
  *   that they displace earns four times what they would with the same processor time.
@@ -31,8 +31,8 @@
   readonly ref: TaskRef;
   readonly tasks: TaskProgress[];
   readonly rank: Rank;
-  /** Time of day by which the job should have ended. */
-  readonly deadlineMs: number;
+  /** Of one rank the lowest goes first: the time of day by which the job should have ended. */
+  readonly orderMs: number;
   /** Only so many of the tasks have this rank; the step stands once more for the rest. */
   readonly most: number;
 }
@@ -55,8 +55,8 @@
       const rank = spec.lasting
         ? lastingRank(tasks)
         : RANKS[feasibilityOf(job.spec, queue, step, sinceMs, timeOfDayMs)]!;
-      const deadlineMs = sinceMs + objectiveMs(job.spec, queue);
-      yield { job, queue, spec, ref, tasks, rank, deadlineMs, most: Infinity };
+      const orderMs = sinceMs + objectiveMs(job.spec, queue);
+      yield { job, queue, spec, ref, tasks, rank, orderMs, most: Infinity };
     }
   }
 }
@@ -78,5 +78,5 @@
 export function byUrgency(a: WaitingStep, b: WaitingStep): number {
   if (a.queue.priority !== b.queue.priority) return a.queue.priority - b.queue.priority;
   if (a.rank !== b.rank) return a.rank - b.rank;
-  return a.deadlineMs - b.deadlineMs;
+  return a.orderMs - b.orderMs;
 }
