A job that waits for its turn to be stored is taken back when the store is lost

What callers see: 504 for a job that certainly has not run, and the job may run all the same. Cause: while an append is under way, later jobs wait for the next one. When the store was lost, or the caller's time was over, they were told unknown, though nothing had been sent; and the next append sent them, into a store that was away. Change: what waits is taken back; its caller is told that it has not run, and it is never sent. Looked for elsewhere: a cancel goes the same way and is mended with it; stops and starts do not wait here.

--- a/packages/runtime/src/internal/append-batcher.ts
+++ b/packages/runtime/src/internal/append-batcher.ts
@@ -5,6 +5,13 @@
   readonly settle: (result: AppendResult) => void;
 }
 
+/** A record that was handed in to be appended. */
+export interface BatchedAppend {
+  readonly result: Promise<AppendResult>;
+  /** Takes the record back; false where it has been sent, or was taken back before. */
+  withdraw(): boolean;
+}
+
 /** Records in one append at most: more would hold up the first of them. */
 const MAX_BATCH = 200;
 
@@ -15,7 +22,7 @@
 export class AppendBatcher {
   readonly #target: KeyedLog;
 
-  #waiting: Waiting[] = [];
+  readonly #waiting = new Set<Waiting>();
 
   #isBusy = false;
 
@@ -23,17 +30,22 @@
     this.#target = target;
   }
 
-  append(rec: KeyedWrite): Promise<AppendResult> {
-    return new Promise((resolve) => {
-      this.#waiting.push({ rec, settle: resolve });
-      if (!this.#isBusy) this.#drain();
+  append(rec: KeyedWrite): BatchedAppend {
+    let settle: (result: AppendResult) => void = () => {};
+    const result = new Promise<AppendResult>((resolve) => {
+      settle = resolve;
     });
+    const waiting = { rec, settle };
+    this.#waiting.add(waiting);
+    if (!this.#isBusy) this.#drain();
+    return { result, withdraw: () => this.#waiting.delete(waiting) };
   }
 
   async #drain(): Promise<void> {
     this.#isBusy = true;
-    while (this.#waiting.length > 0) {
-      const batch = this.#waiting.splice(0, MAX_BATCH);
+    while (this.#waiting.size > 0) {
+      const batch = [...this.#waiting].slice(0, MAX_BATCH);
+      for (const waiting of batch) this.#waiting.delete(waiting);
       const result = await this.#target.append(batch.map(({ rec }) => rec));
       for (const { settle } of batch) settle(result);
     }
--- a/packages/runtime/src/job-service.ts
+++ b/packages/runtime/src/job-service.ts
@@ -1,7 +1,7 @@
 import type { Observable } from 'rxjs';
-import { firstValueFrom, from, merge, race, timer } from 'rxjs';
+import { firstValueFrom, from, map, merge, race, timer } from 'rxjs';
 import type { JobSpec, JobState } from '@redwingcrank/jobs';
-import type { KeyedLog } from './keyed-log.js';
+import type { KeyedLog, KeyedWrite } from './keyed-log.js';
 import type { NodeLog } from './node-log.js';
 import { AppendBatcher } from './internal/append-batcher.js';
 import { encodeJob } from './internal/job-record.js';
@@ -34,6 +34,34 @@
 /** The pause before an unanswered append is repeated, in milliseconds. */
 const REPEAT_MS = 50;
 
+/** Whether a record is stored, and what says so. */
+interface StoreResult {
+  readonly outcome: 'stored' | 'not-run' | 'unknown';
+  readonly reason: StoreReason;
+  /** How often the record was sent. */
+  readonly sends: number;
+}
+
+/**
+ * - `confirmed`: the store has answered that it is stored.
+ * - `store-lost`: nothing was sent, as the store cannot be read.
+ * - `withdrawn`: the store was lost, or the time was over, before it was its turn to be sent.
+ * - `store-refused`: the store has answered that it did nothing.
+ * - `lost-under-way`: the store was lost before it answered.
+ * - `deadline`: the time was over before it answered.
+ * - `no-answer`: the connection ended without an answer, and the store is lost.
+ * - `refused-after-loss`: the store did nothing now, but an earlier attempt has no answer.
+ */
+type StoreReason =
+  | 'confirmed'
+  | 'store-lost'
+  | 'withdrawn'
+  | 'store-refused'
+  | 'lost-under-way'
+  | 'deadline'
+  | 'no-answer'
+  | 'refused-after-loss';
+
 /** What the service needs to know of the node's view of the work log. */
 export interface WorkView {
   readonly table: WorkTable;
@@ -74,7 +102,7 @@
     const known = this.#find(spec.id);
     if (known) return this.#repeated(spec, known);
     const write = { key: jobKey(spec.id), value: encodeJob(spec) };
-    const outcome = this.#canStore() ? await this.#store(write, deadlineMs) : 'not-run';
+    const { outcome, reason, sends } = await this.#store(write, deadlineMs);
     if (outcome === 'stored' && !this.#view.table.jobs.has(spec.id)) {
       this.#justAccepted.set(spec.id, spec);
     }
@@ -82,6 +110,9 @@
       job: spec.id,
       queue: spec.queue,
       outcome,
+      reason,
+      sends,
+      viewAgeMs: Math.round(steadyMs() - this.#view.freshMs),
       tookMs: Math.round(steadyMs() - arrivedMs),
       steps: spec.steps.length,
       tasks: spec.steps.reduce((sum, { taskCount }) => sum + taskCount, 0),
@@ -97,8 +128,8 @@
       return 'unavailable';
     }
     const write = { key: cancelKey(id), value: '1' };
-    const outcome = this.#canStore() ? await this.#store(write, deadlineMs) : 'not-run';
-    this.#log.emit('info', 'cancel', { job: id, queue, outcome });
+    const { outcome, reason, sends } = await this.#store(write, deadlineMs);
+    this.#log.emit('info', 'cancel', { job: id, queue, outcome, reason, sends });
     if (outcome === 'stored') return 'cancelled';
     return outcome === 'not-run' ? 'unavailable' : 'unknown';
   }
@@ -144,24 +175,31 @@
 
   /**
    * Stores one record, again and again until the deadline while no answer comes. `not-run` is
-   * only said when every attempt was refused by the store.
+   * only said when every attempt was refused by the store, or none was sent.
    */
-  async #store(
-    write: { key: string; value: string },
-    deadlineMs: number,
-  ): Promise<'stored' | 'not-run' | 'unknown'> {
-    let mayBeStored = false;
+  async #store(write: KeyedWrite, deadlineMs: number): Promise<StoreResult> {
+    if (!this.#canStore()) return { outcome: 'not-run', reason: 'store-lost', sends: 0 };
+    let sends = 0;
     while (steadyMs() < deadlineMs) {
       // Once the store is lost, waiting on would only keep the caller from asking another node.
-      const givenUp = merge(this.#view.lost$, timer(deadlineMs - steadyMs()));
-      const result = await firstValueFrom(race(from(this.#batcher.append(write)), givenUp));
-      if (typeof result !== 'object') return 'unknown';
-      if (result.outcome === 'appended') return 'stored';
-      if (result.outcome === 'refused') return mayBeStored ? 'unknown' : 'not-run';
-      if (this.#view.isLost) return 'unknown';
-      mayBeStored = true;
+      const lost = this.#view.lost$.pipe(map(() => 'lost-under-way' as const));
+      const late = timer(deadlineMs - steadyMs()).pipe(map(() => 'deadline' as const));
+      const append = this.#batcher.append(write);
+      const result = await firstValueFrom(race(from(append.result), merge(lost, late)));
+      if (typeof result === 'string') {
+        // Sent later, into a store that is away, it could be stored though its caller has given up.
+        if (!append.withdraw()) return { outcome: 'unknown', reason: result, sends: sends + 1 };
+        return { outcome: sends > 0 ? 'unknown' : 'not-run', reason: 'withdrawn', sends };
+      }
+      sends += 1;
+      if (result.outcome === 'appended') return { outcome: 'stored', reason: 'confirmed', sends };
+      if (result.outcome === 'refused') {
+        if (sends > 1) return { outcome: 'unknown', reason: 'refused-after-loss', sends };
+        return { outcome: 'not-run', reason: 'store-refused', sends };
+      }
+      if (this.#view.isLost) return { outcome: 'unknown', reason: 'no-answer', sends };
       await delay(REPEAT_MS, new AbortController().signal);
     }
-    return 'unknown';
+    return { outcome: 'unknown', reason: 'deadline', sends };
   }
 }
