Room is held for a large task of an overdue job, and only who was passed over loses a turn

What callers see: an accepted job whose tasks need more than comes free at a time never begins under a steady load, whatever its turn. Cause: smaller tasks take each processor as it comes free. Looked for as the same fault beside the order of turns; and the rule for who loses a turn was too wide: a job that found no room because the one before it in the round had taken the last of it went behind all others. Change: an overdue job is passed over if a task was started after it found no place. It goes behind the others, and if room alone is missing on some worker, one worker at a time takes nothing else until it fits, 10 s at most. Room that tasks without an end hold does not count as coming free. Best-effort tasks and gangs are left out. The line room-held tells of it. Price: what one worker leaves idle until its tasks have ended, while such a job is overdue.

--- a/packages/jobs/src/internal/starved-jobs.ts
+++ b/packages/jobs/src/internal/starved-jobs.ts
@@ -41,12 +41,6 @@
 
   #savedStarts = 0;
 
-  /** Overdue jobs for which this round found no place. */
-  readonly #placeless = new Set<JobProgress>();
-
-  /** Whether this round has started a task. */
-  #hasStarted = false;
-
   /** Looks at a job that has tasks to start; returns whether it is overdue. */
   isOverdue(job: JobProgress, nowMs: number): boolean {
     if (job.boundCount(1) > 0) {
@@ -79,30 +73,18 @@
     return OWED_TASKS - job.boundCount(OWED_TASKS);
   }
 
-  /** No worker had a place for an overdue job. */
-  foundNoPlace(job: JobProgress): void {
-    this.#placeless.add(job);
-  }
-
   /**
-   * A round is over. Where it found places for others, overdue jobs without one wait behind the rest:
-   * jobs that can never be placed would otherwise take every turn. Where it found none at all they
-   * keep their turns: the next room that comes free may be theirs.
+   * An overdue job found no place where others did after it. It waits behind the rest: jobs that can
+   * never be placed would otherwise take every turn. Where nobody finds a place it keeps its turn, as
+   * the next room that comes free may be its own.
    */
-  endRound(nowMs: number): void {
-    if (this.#hasStarted) {
-      for (const job of this.#placeless) {
-        const idle = this.#idle.get(job);
-        if (idle) idle.turnMs = nowMs;
-      }
-    }
-    this.#placeless.clear();
-    this.#hasStarted = false;
+  passedOver(job: JobProgress, nowMs: number): void {
+    const idle = this.#idle.get(job);
+    if (idle) idle.turnMs = nowMs;
   }
 
   /** A task of a job was started, as an overdue one's or in the usual order. */
   started(job: JobProgress, isOverdue: boolean): void {
-    this.#hasStarted = true;
     this.#idle.delete(job);
     const saved = this.#savedStarts + (isOverdue ? -1 : OVERDUE_SHARE);
     this.#savedStarts = Math.max(0, Math.min(MAX_SAVED_STARTS, saved));
--- a/packages/jobs/src/internal/task-placer.ts
+++ b/packages/jobs/src/internal/task-placer.ts
@@ -3,6 +3,7 @@
 import type { TaskRef } from '../task-ref.js';
 import { taskName } from '../task-ref.js';
 import type { ClusterState } from './cluster-state.js';
+import { HeldRoom } from './held-room.js';
 import type { PlacementPolicy } from './placement.js';
 import { PlacingTurns } from './placing-turns.js';
 import type { KindPlaces } from './round-places.js';
@@ -38,6 +39,11 @@
 
   readonly #starved = new StarvedJobs();
 
+  readonly #held = new HeldRoom();
+
+  /** Overdue steps of this round without a place, since the last start. */
+  readonly #overduePlaceless: WaitingStep[] = [];
+
   /** In the last round a job that could still end in time found no place. */
   #isShort = false;
 
@@ -52,7 +58,8 @@
    */
   placeAll(nowMs: number, limits: RoundLimits): boolean {
     const isCutShort = this.#place(nowMs, limits);
-    this.#starved.endRound(nowMs);
+    this.#overduePlaceless.length = 0;
+    this.#holdRoom(nowMs);
     return isCutShort;
   }
 
@@ -60,6 +67,7 @@
     const waiting = this.#turns.inOrder([...this.#waitingSteps(nowMs)].sort(byUrgency));
     // From here on: with thousands of waiting steps the sorting takes its time as well.
     const budget = new RoundBudget(limits);
+    this.#placeHeld(budget, nowMs);
     const places = new RoundPlaces(this.#openWorkers(), this.#placement, nowMs);
     const placeless: WaitingStep[] = [];
     this.#isShort = false;
@@ -77,7 +85,7 @@
       if (outcome === 'placeless') {
         placeless.push(step);
         this.#isShort ||= step.rank === IN_TIME;
-        if (step.rank === OVERDUE) this.#starved.foundNoPlace(step.job);
+        if (step.rank === OVERDUE) this.#overduePlaceless.push(step);
         this.#waits.placeless(step.tasks, () => ofKind.obstacle, nowMs);
       }
       if (outcome === 'cut-short') {
@@ -89,14 +97,51 @@
     return false;
   }
 
-  /** Without those that run what is not told yet: how much room it takes there is not known. */
+  /**
+   * Without those that run what is not told yet: how much room it takes there is not known. Nor the
+   * one on which room is held.
+   */
   *#openWorkers(): Generator<WorkerState> {
     for (const worker of this.#state.workers.values()) {
       const runs = this.#state.isWhole ? [] : [...worker.runs.values()];
-      if (!runs.some(({ ref }) => this.#state.isUntold(ref.jobId))) yield worker;
+      const isTold = !runs.some(({ ref }) => this.#state.isUntold(ref.jobId));
+      if (isTold && worker !== this.#held.worker) yield worker;
     }
   }
 
+  /** A task was started; overdue jobs that found no place before it were passed over. */
+  #started(step: WaitingStep, nowMs: number): void {
+    this.#starved.started(step.job, step.rank === OVERDUE);
+    for (const other of this.#overduePlaceless.splice(0)) {
+      this.#starved.passedOver(other.job, nowMs);
+      // Best-effort tasks reserve no processors, and a gang needs room on several workers.
+      if (!other.spec.gang && !other.spec.fills) this.#held.add(other);
+    }
+  }
+
+  #holdRoom(nowMs: number): void {
+    const lackRoom = ({ spec, queue }: WaitingStep): WorkerState[] =>
+      [...this.#state.workers.values()].filter(
+        (worker) =>
+          worker.entry.pool === queue.pool && this.#placement.look(spec, worker, nowMs) === 'room',
+      );
+    if (!this.#held.begin(lackRoom, nowMs)) return;
+    const { job, spec } = this.#held.stepAt(nowMs)!;
+    const { cpuMilli, memMb, gpus } = spec;
+    const worker = this.#held.worker!.entry.id;
+    this.#state.note('room-held', { job: job.spec.id, worker, cpuMilli, memMb, gpus });
+  }
+
+  /** Starts the task for which room is held, if there is enough by now. */
+  #placeHeld(budget: RoundBudget, nowMs: number): void {
+    const step = this.#held.stepAt(nowMs);
+    const { worker } = this.#held;
+    if (!step || !worker || !budget.hasStarts || !this.#state.isWhole) return;
+    const places = new RoundPlaces([worker], this.#placement, nowMs);
+    const ofKind = places.of(step.spec, step.queue.pool, step.spec.fills);
+    if (this.#placeTasks(step, ofKind, budget, nowMs) === 'placed') this.#held.end();
+  }
+
   /** Returns whether any step is left that was not tried. */
   #cutShort(budget: RoundBudget, count: number, placeless: readonly WaitingStep[]): boolean {
     if (budget.hasStarts) return this.#turns.cutShort(count, placeless);
@@ -170,7 +215,7 @@
         if (!worker) return 'placeless';
         this.#bind(step, ref, task, worker, task.run + 1, nowMs);
         budget.started(1);
-        this.#starved.started(step.job, step.rank === OVERDUE);
+        this.#started(step, nowMs);
         started += 1;
         if (started === step.most) return 'placed';
       }
@@ -206,7 +251,7 @@
       this.#bind(step, ref, task, worker, run, nowMs);
     }
     budget.started(placed.length);
-    this.#starved.started(step.job, step.rank === OVERDUE);
+    this.#started(step, nowMs);
     return 'placed';
   }
 
--- a/packages/jobs/src/internal/worker-state.ts
+++ b/packages/jobs/src/internal/worker-state.ts
@@ -141,6 +141,20 @@
     return this.#gpus + spec.gpus <= capacity.gpus;
   }
 
+  /** The same once everything here has ended but the tasks that last. */
+  wouldHaveRoomFor(spec: StepSpec): boolean {
+    const { capacity } = this.entry;
+    let [cpuMilli, memMb, gpus] = [spec.fills ? 0 : spec.cpuMilli, spec.memMb, spec.gpus];
+    for (const { spec: other } of this.runs.values()) {
+      if (other.lasting) {
+        cpuMilli += other.fills ? 0 : other.cpuMilli;
+        memMb += other.memMb;
+        gpus += other.gpus;
+      }
+    }
+    return cpuMilli <= capacity.cpuMilli && memMb <= capacity.memMb && gpus <= capacity.gpus;
+  }
+
   /** Whether a serving task here was over its target in the newest report. */
   isHarmed(): boolean {
     for (const { overSinceMs } of this.runs.values()) if (overSinceMs > 0) return true;
--- a/packages/jobs/src/test/starved-jobs_test.ts
+++ b/packages/jobs/src/test/starved-jobs_test.ts
@@ -193,3 +193,28 @@
     assert.ok(turns <= 1.25 * CROWD, `${turns} turns`);
   });
 }
+
+test('a large task of an overdue job runs though smaller ones take every bit of room', () => {
+  // Guards against a wait without bound for room that comes free a processor at a time.
+  const workers = ['w1', 'w2', 'w3', 'w4'].map((id) => workerEntry(id));
+  const cluster = new DrawnCluster(4, workers);
+  const { harness } = cluster;
+  harness.nowMs = 60_000;
+  for (const { id } of workers) harness.report(id);
+  for (let i = 0; i < 50; i += 1) {
+    cluster.submitInTime(4);
+    cluster.step();
+  }
+  const sinceMs = harness.nowMs;
+  const large = stepSpec({ cpuMilli: 7_000 });
+  for (const id of ['large1', 'large2']) harness.submit(jobSpec([large], { id, acceptedMs: 0 }));
+  while (!cluster.firstStartMs.has('large2') && harness.nowMs < sinceMs + 60_000) {
+    cluster.submitInTime(4);
+    cluster.step();
+  }
+  // A worker is empty within two seconds of its last start, and the second job waits for the first.
+  const waitedMs = cluster.firstStartMs.get('large2')! - sinceMs;
+  assert.ok(waitedMs <= OVERDUE_MS + 10_000, `${waitedMs}`);
+  const [{ cpuMilli }] = harness.fieldsOf('room-held') as [{ cpuMilli: number }];
+  assert.equal(cpuMilli, 7_000);
+});
