Room held for a job that is cancelled, or on a worker that is gone, is given up

Found by reading the change: a step for which room is held was taken from an earlier round. Its job may be cancelled since, its worker gone, its queue sent to another pool; the task would have been started all the same. Change: each round looks at all three before it starts anything there.

--- a/packages/jobs/src/internal/held-room.ts
+++ b/packages/jobs/src/internal/held-room.ts
@@ -1,4 +1,5 @@
 import type { TaskProgress } from '../job-progress.js';
+import { isFinal } from '../job.js';
 import type { WaitingStep } from './waiting-steps.js';
 import type { WorkerState } from './worker-state.js';
 
@@ -27,12 +28,16 @@
     return this.#hold?.worker;
   }
 
-  /** The step for which room is held, while it still waits for it. */
-  stepAt(nowMs: number): WaitingStep | undefined {
-    if (this.#hold && !isHoldable(this.#hold, nowMs)) this.#hold = undefined;
+  /** The step for which room is held. */
+  get step(): WaitingStep | undefined {
     return this.#hold?.step;
   }
 
+  /** Gives up what is no longer needed, or was held for too long. */
+  review(nowMs: number): void {
+    if (this.#hold && !isHoldable(this.#hold, nowMs)) this.#hold = undefined;
+  }
+
   /** A task of the step found no room. */
   add(step: WaitingStep): void {
     if (this.#hold?.step.tasks !== step.tasks) this.#queue.set(step.tasks, step);
@@ -61,6 +66,7 @@
 }
 
 function isIdle({ job, tasks }: WaitingStep): boolean {
+  if (isFinal(job.state)) return false;
   return job.boundCount(1) === 0 && tasks.some(({ phase }) => phase === 'waiting');
 }
 
--- a/packages/jobs/src/internal/task-placer.ts
+++ b/packages/jobs/src/internal/task-placer.ts
@@ -126,7 +126,7 @@
           worker.entry.pool === queue.pool && this.#placement.look(spec, worker, nowMs) === 'room',
       );
     if (!this.#held.begin(lackRoom, nowMs)) return;
-    const { job, spec } = this.#held.stepAt(nowMs)!;
+    const { job, spec } = this.#held.step!;
     const { cpuMilli, memMb, gpus } = spec;
     const worker = this.#held.worker!.entry.id;
     this.#state.note('room-held', { job: job.spec.id, worker, cpuMilli, memMb, gpus });
@@ -134,9 +134,16 @@
 
   /** Starts the task for which room is held, if there is enough by now. */
   #placeHeld(budget: RoundBudget, nowMs: number): void {
-    const step = this.#held.stepAt(nowMs);
-    const { worker } = this.#held;
-    if (!step || !worker || !budget.hasStarts || !this.#state.isWhole) return;
+    this.#held.review(nowMs);
+    const { step, worker } = this.#held;
+    if (!step || !worker) return;
+    // Since the room is held the worker may have gone, or the queue may go to another pool.
+    const isKnown = this.#state.workers.get(worker.entry.id) === worker;
+    if (!isKnown || this.#state.queues.get(step.queue.name)?.pool !== worker.entry.pool) {
+      this.#held.end();
+      return;
+    }
+    if (!budget.hasStarts || !this.#state.isWhole) return;
     const places = new RoundPlaces([worker], this.#placement, nowMs);
     const ofKind = places.of(step.spec, step.queue.pool, step.spec.fills);
     if (this.#placeTasks(step, ofKind, budget, nowMs) === 'placed') this.#held.end();
--- a/packages/jobs/src/test/starved-jobs_test.ts
+++ b/packages/jobs/src/test/starved-jobs_test.ts
@@ -194,8 +194,8 @@
   });
 }
 
-test('a large task of an overdue job runs though smaller ones take every bit of room', () => {
-  // Guards against a wait without bound for room that comes free a processor at a time.
+/** A cluster under a load of 1.25 of small tasks, and the ids of two jobs with a large one each. */
+function submitLarge(): [DrawnCluster, string[]] {
   const workers = ['w1', 'w2', 'w3', 'w4'].map((id) => workerEntry(id));
   const cluster = new DrawnCluster(4, workers);
   const { harness } = cluster;
@@ -205,16 +205,56 @@
     cluster.submitInTime(4);
     cluster.step();
   }
-  const sinceMs = harness.nowMs;
   const large = stepSpec({ cpuMilli: 7_000 });
-  for (const id of ['large1', 'large2']) harness.submit(jobSpec([large], { id, acceptedMs: 0 }));
-  while (!cluster.firstStartMs.has('large2') && harness.nowMs < sinceMs + 60_000) {
+  const ids = ['large1', 'large2'];
+  for (const id of ids) harness.submit(jobSpec([large], { id, acceptedMs: 0 }));
+  return [cluster, ids];
+}
+
+/** Plays until something holds, for a minute at most; returns how long it took, in milliseconds. */
+function playUntil(cluster: DrawnCluster, holds: () => boolean): number {
+  const { harness } = cluster;
+  const sinceMs = harness.nowMs;
+  while (!holds() && harness.nowMs < sinceMs + 60_000) {
     cluster.submitInTime(4);
     cluster.step();
   }
+  return harness.nowMs - sinceMs;
+}
+
+test('a large task of an overdue job runs though smaller ones take every bit of room', () => {
+  // Guards against a wait without bound for room that comes free a processor at a time.
+  const [cluster, ids] = submitLarge();
+  const waitedMs = playUntil(cluster, () => ids.every((id) => cluster.firstStartMs.has(id)));
   // A worker is empty within two seconds of its last start, and the second job waits for the first.
-  const waitedMs = cluster.firstStartMs.get('large2')! - sinceMs;
   assert.ok(waitedMs <= OVERDUE_MS + 10_000, `${waitedMs}`);
-  const [{ cpuMilli }] = harness.fieldsOf('room-held') as [{ cpuMilli: number }];
+  const [{ cpuMilli }] = cluster.harness.fieldsOf('room-held') as [{ cpuMilli: number }];
   assert.equal(cpuMilli, 7_000);
 });
+
+test('room is not held any longer for a job that is cancelled, nor a task of it started', () => {
+  // Guards against starting what nobody asks for any more, and against a worker that stays closed.
+  const [cluster] = submitLarge();
+  const { harness } = cluster;
+  playUntil(cluster, () => harness.notes.includes('room-held'));
+  const [held] = harness.fieldsOf('room-held') as [{ job: string; worker: string }];
+  harness.scheduler.cancel(held.job, harness.nowMs);
+  const startedBefore = cluster.startCount;
+  playUntil(cluster, () => cluster.startCount > startedBefore + 200);
+  assert.ok(!cluster.firstStartMs.has(held.job));
+  const starts = harness.fieldsOf('bound').slice(startedBefore);
+  assert.ok(starts.some(({ worker }) => worker === held.worker));
+});
+
+test('room that is held on a worker which is gone is held elsewhere', () => {
+  // Guards against a task that is given to a worker that no longer exists.
+  const [cluster, ids] = submitLarge();
+  const { harness } = cluster;
+  playUntil(cluster, () => harness.notes.includes('room-held'));
+  const [held] = harness.fieldsOf('room-held') as [{ job: string; worker: string }];
+  harness.scheduler.workerGone(held.worker, harness.nowMs, 'test');
+  playUntil(cluster, () => ids.every((id) => cluster.firstStartMs.has(id)));
+  assert.ok(ids.every((id) => cluster.firstStartMs.has(id)));
+  const bound = harness.fieldsOf('bound').filter(({ worker }) => worker === held.worker);
+  assert.ok(bound.every(({ task }) => !String(task).startsWith('large')));
+});
--- a/packages/runtime/src/internal/leader-watch.ts
+++ b/packages/runtime/src/internal/leader-watch.ts
@@ -1,7 +1,7 @@
+import { randomInt } from 'node:crypto';
 import type { NodeLog } from '../node-log.js';
 import type { PeerLink, PeerPort } from '../peer-port.js';
 import { PeerGoneError } from '../peer-port.js';
-import { randomInt } from 'node:crypto';
 import { delay, steadyMs } from './delay.js';
 import type { LeaderRecord } from './work-records.js';
 
