--- a/packages/jobs/src/internal/held-room.ts
+++ b/packages/jobs/src/internal/held-room.ts
@@ -4,7 +4,7 @@
 import type { WorkerState } from './worker-state.js';
 
 /** Room is held for one task for so long at most, in milliseconds: usually tasks end within seconds. */
-const MAX_HOLD_MS = 10_000;
+const LONGEST_HOLD_MS = 10_000;
 
 interface Hold {
   readonly step: WaitingStep;
@@ -71,7 +71,7 @@
 }
 
 function isHoldable({ step, worker, sinceMs }: Hold, nowMs: number): boolean {
-  if (nowMs - sinceMs > MAX_HOLD_MS) return false;
+  if (nowMs - sinceMs > LONGEST_HOLD_MS) return false;
   return worker.listed && !worker.entry.draining && isIdle(step);
 }
 
