What a claim on a leader that is gone rests on stands in the watch; the record of a claim is a function of its own

Names and places only: the gap between two such claims moves from Leadership to LeaderWatch, and building the record out of the claim.

--- a/packages/runtime/src/internal/leader-watch.ts
+++ b/packages/runtime/src/internal/leader-watch.ts
@@ -3,7 +3,7 @@
 import type { PeerLink, PeerPort } from '../peer-port.js';
 import { PeerGoneError } from '../peer-port.js';
 import { delay, steadyMs } from './delay.js';
-import type { LeaderRecord } from './work-records.js';
+import type { LeaderRecord, NodeProcess } from './work-records.js';
 
 /**
  * After a change of the scheduling node the others connect to it spread over this time, in
@@ -17,6 +17,12 @@
 /** A connection that ended sooner than this is not opened again at once, in milliseconds. */
 const BRIEF_MS = 1_000;
 
+/**
+ * A node claims no more often than this on the ground that the leader's process is gone: a network may
+ * close and refuse connections to a process that lives.
+ */
+const CLAIM_GAP_MS = 10_000;
+
 /**
  * How a connection to the scheduling node, or an attempt at one, has ended.
  *
@@ -45,6 +51,9 @@
 
   #goneEpoch = 0;
 
+  /** When this node last claimed on this ground, on the steady clock. */
+  #claimedMs = -Infinity;
+
   #watching = new AbortController();
 
   /** Called when the process of the scheduling node is gone. */
@@ -56,9 +65,14 @@
     this.#onGone = onGone;
   }
 
-  /** Whether the process that schedules by this record is known to be gone. */
-  isGone({ epoch }: LeaderRecord): boolean {
-    return epoch === this.#goneEpoch;
+  /** Whether this node may claim the role as the process that schedules by this record is gone. */
+  isGone({ epoch }: LeaderRecord, nowMs: number): boolean {
+    return epoch === this.#goneEpoch && nowMs - this.#claimedMs >= CLAIM_GAP_MS;
+  }
+
+  /** This node claims the role on this ground. */
+  claimed(nowMs: number): void {
+    this.#claimedMs = nowMs;
   }
 
   /** A record of the scheduling node was read. */
@@ -80,7 +94,7 @@
 
   async #watch(
     { epoch, node }: LeaderRecord,
-    process: NonNullable<LeaderRecord['process']>,
+    process: NodeProcess,
     signal: AbortSignal,
   ): Promise<void> {
     await delay(randomInt(CONNECT_SPREAD_MS), signal);
@@ -101,10 +115,7 @@
     }
   }
 
-  async #untilEnd(
-    { address, id }: NonNullable<LeaderRecord['process']>,
-    signal: AbortSignal,
-  ): Promise<WatchEnd> {
+  async #untilEnd({ address, id }: NodeProcess, signal: AbortSignal): Promise<WatchEnd> {
     let link: PeerLink;
     try {
       link = await this.#peers.open(address, signal);
--- a/packages/runtime/src/internal/leadership.ts
+++ b/packages/runtime/src/internal/leadership.ts
@@ -20,7 +20,6 @@
   CLAIM_LEASE_MS,
   CLAIM_SPREAD_MS,
   CONFIRMED_LEASE_MS,
-  GONE_CLAIM_GAP_MS,
   LEADER_SILENT_MS,
   QUICK_STORE_MS,
   SLOW_LEADER_SILENT_MS,
@@ -133,9 +132,6 @@
   /** A node that was just replaced leaves the next claim to others for a while. */
   #patienceMs = 0;
 
-  /** When this node last claimed because the leader's process was gone, on the steady clock. */
-  #goneClaimMs = -Infinity;
-
   /** No claim before this time, but where another leader shows until then. */
   #nextClaimMs = -Infinity;
 
@@ -211,14 +207,12 @@
 
   /**
    * Whether the leader's process is known to be gone. The view may be old then: where another node
-   * has claimed since, the store refuses a claim of the same epoch. A network that refuses
-   * connections to a living process would have this node claim again and again; so it does that
-   * once in a while only.
+   * has claimed since, the store refuses a claim of the same epoch.
    */
   #isLeaderGone(nowMs: number): boolean {
     const { leader } = this.#table;
-    if (!leader || leader.resigned || !this.#watch?.isGone(leader)) return false;
-    return !this.#follower.isLost && nowMs - this.#goneClaimMs >= GONE_CLAIM_GAP_MS;
+    if (!leader || leader.resigned || this.#follower.isLost) return false;
+    return this.#watch?.isGone(leader, nowMs) ?? false;
   }
 
   #silentLimitMs(): number {
@@ -289,20 +283,8 @@
     await delay(Math.max(0, waitMs - lookMs), this.#stopping.signal);
     if (!this.#isRoleFree() || !(await this.#isSureOfSilence())) return;
     const before = this.#table.leader;
-    if (this.#isLeaderGone(steadyMs())) this.#goneClaimMs = steadyMs();
-    const record = {
-      epoch: this.#nextEpoch(before),
-      node: this.#settings.node,
-      nonce: randomBytes(6).toString('hex'),
-      resigned: false,
-      leasesMs: CLAIM_LEASE_MS,
-      formerMs: this.#formerMs(before),
-      silent: {},
-      number: 0,
-      cores: this.#order.cores,
-      largestCores: this.#order.largestCores,
-      ...this.#ownProcess(),
-    };
+    if (this.#isLeaderGone(steadyMs())) this.#watch?.claimed(steadyMs());
+    const record = this.#newRecord(before);
     this.#table.formerLeases.claiming(record.nonce);
     const sequence = randomInt(MAX_FIRST_SEQUENCE);
     const sentMs = steadyMs();
@@ -316,22 +298,34 @@
     // A read that waits at the store sees the claim as it is stored; one after the answer comes later
     // by as long as a call takes.
     this.#follower.hurry();
-    const result = await appending;
-    this.#log.emit('info', 'claim', {
-      epoch: record.epoch,
-      before: before?.node,
-      outcome: result.outcome,
-      reason: result.reason,
-    });
-    if (result.outcome === 'fenced' || result.outcome === 'out-of-sequence') {
-      this.#refused = { epoch: record.epoch, atMs: steadyMs() };
+    const { outcome, reason } = await appending;
+    const { epoch } = record;
+    this.#log.emit('info', 'claim', { epoch, before: before?.node, outcome, reason });
+    if (outcome === 'fenced' || outcome === 'out-of-sequence') {
+      this.#refused = { epoch, atMs: steadyMs() };
     }
-    this.#isUnanswered = result.outcome === 'unknown';
-    this.#nextClaimMs = steadyMs() + this.#pace.pauseMs(result.outcome, sentMs);
+    this.#isUnanswered = outcome === 'unknown';
+    this.#nextClaimMs = steadyMs() + this.#pace.pauseMs(outcome, sentMs);
     // What became of an unanswered claim shows in the log, as does that of every other.
     this.#follower.hurry();
   }
 
+  #newRecord(before: LeaderRecord | undefined): LeaderRecord {
+    return {
+      epoch: this.#nextEpoch(before),
+      node: this.#settings.node,
+      nonce: randomBytes(6).toString('hex'),
+      resigned: false,
+      leasesMs: CLAIM_LEASE_MS,
+      formerMs: this.#formerMs(before),
+      silent: {},
+      number: 0,
+      cores: this.#order.cores,
+      largestCores: this.#order.largestCores,
+      ...this.#ownProcess(),
+    };
+  }
+
   /** How long other nodes leave the claim to the one that the leader has named for it. */
   #standbyMs(leader: LeaderRecord | undefined): number {
     return leader?.standby === undefined ? 0 : STANDBY_MS + 2 * this.#follower.usualReadMs;
--- a/packages/runtime/src/internal/timing.ts
+++ b/packages/runtime/src/internal/timing.ts
@@ -99,12 +99,6 @@
  */
 export const STANDBY_MS = 100;
 
-/**
- * A node claims no more often than this because connections to the leader were refused: a network
- * may refuse them to a process that lives.
- */
-export const GONE_CLAIM_GAP_MS = 10_000;
-
 /**
  * A leader hands the role on, and is offered that, this long after its claim at the earliest: leases
  * of the term before are over or renewed by then, so no worker goes two changes without a renewal.
