--- a/packages/jobs/src/internal/starved-jobs.ts
+++ b/packages/jobs/src/internal/starved-jobs.ts
@@ -47,9 +47,9 @@
       this.#idle.delete(job);
       return false;
     }
-    const idle = this.#idle.get(job) ?? { sinceMs: nowMs, turnMs: nowMs + MAX_IDLE_MS };
-    this.#idle.set(job, idle);
-    return nowMs - idle.sinceMs > MAX_IDLE_MS;
+    const idle = this.#idle.get(job);
+    if (!idle) this.#idle.set(job, { sinceMs: nowMs, turnMs: nowMs + MAX_IDLE_MS });
+    return idle !== undefined && nowMs - idle.sinceMs > MAX_IDLE_MS;
   }
 
   /** The overdue jobs whose turn it is in this round, in the order of their turns. */
--- a/packages/jobs/src/internal/task-placer.ts
+++ b/packages/jobs/src/internal/task-placer.ts
@@ -161,9 +161,11 @@
     const overdue = new Map<JobProgress, WaitingStep[]>();
     for (const job of this.#state.jobs.values()) {
       if (!isFinal(job.state)) {
-        const steps = [...this.#stepsOf(job)];
-        yield* steps;
-        const ending = steps.filter(({ spec }) => !spec.lasting);
+        const ending: WaitingStep[] = [];
+        for (const step of this.#stepsOf(job)) {
+          yield step;
+          if (!step.spec.lasting) ending.push(step);
+        }
         if (ending.length > 0) {
           if (this.#starved.isOverdue(job, nowMs)) overdue.set(job, ending);
           if (hasMuchRoom) yield* this.#owedSteps(job, ending);
