The log and metrics tell of idle jobs and of the room there was

What callers saw: accepted jobs with nothing at work for 15 s and more. The lines told waits of steps and what kept most workers from a task, but not how many jobs were idle at a time, nor how much of the processors was reserved or claimed then; a full cluster and an order that leaves jobs out could not be told apart.

Change: `job-idle`, one line for each job idle over 3 s, with the workers by obstacle; idle jobs, the longest idle time, the reserved and the best-effort part in `term-load`, and as metrics. Decisions are unchanged.

--- a/packages/jobs/src/internal/cluster-state.ts
+++ b/packages/jobs/src/internal/cluster-state.ts
@@ -70,15 +70,24 @@
 
   /** The part of the listed workers' processors that tasks have reserved. */
   reservedShare(): number {
-    let reserved = 0;
+    return this.#shareOf(({ cpuMilli }) => cpuMilli);
+  }
+
+  /** The part of the listed workers' processors that best-effort tasks claim; they reserve none. */
+  bestEffortShare(): number {
+    return this.#shareOf(({ fillMilli }) => fillMilli);
+  }
+
+  #shareOf(milliOf: (worker: WorkerState) => number): number {
+    let taken = 0;
     let all = 0;
-    for (const { listed, cpuMilli, entry } of this.workers.values()) {
-      if (listed) {
-        reserved += cpuMilli;
-        all += entry.capacity.cpuMilli;
+    for (const worker of this.workers.values()) {
+      if (worker.listed) {
+        taken += milliOf(worker);
+        all += worker.entry.capacity.cpuMilli;
       }
     }
-    return all > 0 ? reserved / all : 1;
+    return all > 0 ? taken / all : 1;
   }
 
   endJob(job: JobProgress, state: JobState, timeOfDayMs: number): void {
--- a/packages/jobs/src/internal/round-places.ts
+++ b/packages/jobs/src/internal/round-places.ts
@@ -76,6 +76,16 @@
     return this.#obstacle;
   }
 
+  /** How many workers each obstacle keeps the tasks from; `open` ones would take one. */
+  counts(): Record<string, number> {
+    const counts: Record<string, number> = {};
+    for (const { score } of this.#places) {
+      const found = typeof score === 'number' ? 'open' : score;
+      counts[found] = (counts[found] ?? 0) + 1;
+    }
+    return counts;
+  }
+
   /** What was placed on trial has been taken back. */
   roomReturned(): void {
     this.#isFull = false;
--- a/packages/jobs/src/internal/starved-jobs.ts
+++ b/packages/jobs/src/internal/starved-jobs.ts
@@ -21,9 +21,13 @@
 /** The rank of tasks that a job is owed. */
 export const OWED = 4;
 
+/** A job that is idle for longer than this gets a line in the log, in milliseconds. */
+const NOTED_IDLE_MS = 3_000;
+
 /** A job with tasks to start and none at a worker. */
 interface IdleJob {
   readonly sinceMs: number;
+  isNoted: boolean;
   /** Overdue jobs have their turns in the order of this: when it became due, or found no place. */
   turnMs: number;
 }
@@ -48,10 +52,24 @@
       return false;
     }
     const idle = this.#idle.get(job);
-    if (!idle) this.#idle.set(job, { sinceMs: nowMs, turnMs: nowMs + MAX_IDLE_MS });
+    if (!idle) this.#idle.set(job, { sinceMs: nowMs, isNoted: false, turnMs: nowMs + MAX_IDLE_MS });
     return idle !== undefined && nowMs - idle.sinceMs > MAX_IDLE_MS;
   }
 
+  /** For how long a job has been idle, in milliseconds; undefined where it is not. */
+  idleMs(job: JobProgress, nowMs: number): number | undefined {
+    const idle = this.#idle.get(job);
+    return idle && nowMs - idle.sinceMs;
+  }
+
+  /** Whether a job is idle for long, and was not asked for since it is. */
+  isNewlyIdle(job: JobProgress, nowMs: number): boolean {
+    const idle = this.#idle.get(job);
+    if (!idle || idle.isNoted || nowMs - idle.sinceMs <= NOTED_IDLE_MS) return false;
+    idle.isNoted = true;
+    return true;
+  }
+
   /** The overdue jobs whose turn it is in this round, in the order of their turns. */
   turnsOf(overdue: readonly JobProgress[]): readonly JobProgress[] {
     if (this.#savedStarts < 1) return [];
--- a/packages/jobs/src/internal/task-placer.ts
+++ b/packages/jobs/src/internal/task-placer.ts
@@ -1,4 +1,5 @@
 import type { JobProgress, TaskProgress } from '../job-progress.js';
+import type { Backlog } from '../backlog.js';
 import { isFinal } from '../job.js';
 import type { TaskRef } from '../task-ref.js';
 import { taskName } from '../task-ref.js';
@@ -63,6 +64,25 @@
     return isCutShort;
   }
 
+  /** As of the newest round. */
+  backlog(nowMs: number): Backlog {
+    let idleJobs = 0;
+    let longestIdleMs = 0;
+    for (const job of this.#state.jobs.values()) {
+      const idleMs = isFinal(job.state) ? undefined : this.#starved.idleMs(job, nowMs);
+      if (idleMs !== undefined) {
+        idleJobs += 1;
+        longestIdleMs = Math.max(longestIdleMs, idleMs);
+      }
+    }
+    return {
+      idleJobs,
+      longestIdleMs,
+      reservedPercent: Math.round(100 * this.#state.reservedShare()),
+      bestEffortPercent: Math.round(100 * this.#state.bestEffortShare()),
+    };
+  }
+
   #place(nowMs: number, limits: RoundLimits): boolean {
     const waiting = this.#turns.inOrder([...this.#waitingSteps(nowMs)].sort(byUrgency));
     // From here on: with thousands of waiting steps the sorting takes its time as well.
@@ -87,6 +107,7 @@
         this.#isShort ||= step.rank === IN_TIME;
         if (step.rank === OVERDUE) this.#overduePlaceless.push(step);
         this.#waits.placeless(step.tasks, () => ofKind.obstacle, nowMs);
+        if (this.#starved.isNewlyIdle(step.job, nowMs)) this.#noteIdle(step, ofKind, nowMs);
       }
       if (outcome === 'cut-short') {
         this.#cutShort(budget, count, placeless);
@@ -97,6 +118,21 @@
     return false;
   }
 
+  /** Tells of a job that is idle for long what keeps it from how many workers. */
+  #noteIdle({ job, spec, rank }: WaitingStep, places: KindPlaces, nowMs: number): void {
+    this.#state.note('job-idle', {
+      job: job.spec.id,
+      idleMs: Math.round(this.#starved.idleMs(job, nowMs) ?? 0),
+      rank,
+      cpuMilli: spec.cpuMilli,
+      fills: spec.fills,
+      isShort: this.#isShort,
+      reservedPercent: Math.round(100 * this.#state.reservedShare()),
+      bestEffortPercent: Math.round(100 * this.#state.bestEffortShare()),
+      ...places.counts(),
+    });
+  }
+
   /**
    * Without those that run what is not told yet: how much room it takes there is not known. Nor the
    * one on which room is held.
--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -1,5 +1,6 @@
 import type { QueuePolicy } from './job.js';
 import { isFinal } from './job.js';
+import type { Backlog } from './backlog.js';
 import type { JobProgress, TaskProgress } from './job-progress.js';
 import type { Order, OrderOutcome } from './order.js';
 import type { TaskRef } from './task-ref.js';
@@ -259,6 +260,11 @@
     }
   }
 
+  /** Jobs without anything at a worker, as of the newest round. */
+  backlog(nowMs: number): Backlog {
+    return this.#placer.backlog(nowMs);
+  }
+
   /** The first due time of an occurrence that is still to come; undefined if there is none. */
   nextDueMs(): number | undefined {
     let next: number | undefined;
--- /dev/null
+++ b/packages/jobs/src/test/idle-record_test.ts
@@ -0,0 +1,33 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { SchedulerHarness, jobSpec, stepSpec, workerEntry } from './scheduler-harness.js';
+
+test('a job that is idle for long is told once, with what keeps it from how many workers', () => {
+  // Guards against idle jobs whose cause no line tells: a full cluster and an order that leaves
+  // them out look alike from outside.
+  const harness = new SchedulerHarness([
+    workerEntry('w1'),
+    workerEntry('w2', { labels: ['fast'] }),
+  ]);
+  const spec = stepSpec({ cpuMilli: 8_000, requiredLabel: 'fast' });
+  harness.submit(jobSpec([spec], { id: 'first' }));
+  const [start] = harness.starts();
+  harness.submit(jobSpec([spec], { id: 'second' }));
+  for (let i = 0; i < 8; i += 1) {
+    harness.decide();
+    harness.nowMs += 1_000;
+    harness.report('w1');
+    harness.report('w2');
+  }
+  const [told, ...others] = harness.fieldsOf('job-idle');
+  assert.equal(others.length, 0);
+  const { job, idleMs, reservedPercent, label, room } = told!;
+  const expected = { job: 'second', idleMs: 4_000, reservedPercent: 50, label: 1, room: 1 };
+  assert.deepEqual({ job, idleMs, reservedPercent, label, room }, expected);
+  const { idleJobs, longestIdleMs } = harness.scheduler.backlog(harness.nowMs);
+  assert.deepEqual({ idleJobs, longestIdleMs }, { idleJobs: 1, longestIdleMs: 8_000 });
+
+  harness.report('w2', { ended: [harness.end(start!, 'done')] });
+  harness.starts();
+  assert.equal(harness.scheduler.backlog(harness.nowMs).idleJobs, 0);
+});
--- a/packages/runtime/src/internal/leader-term.ts
+++ b/packages/runtime/src/internal/leader-term.ts
@@ -318,6 +318,7 @@
       jobs: this.#scheduler.jobs.size,
       leaseLeftMs: this.#leases.limitMs('', steadyMs()),
       ...reachOf(this.#scheduler.workers.values(), steadyMs()),
+      ...this.#scheduler.backlog(steadyMs()),
     };
   }
 
--- a/packages/runtime/src/internal/node-metrics.ts
+++ b/packages/runtime/src/internal/node-metrics.ts
@@ -8,8 +8,17 @@
 /** Bounds in seconds: a task with room waits for a round, one without for others to end. */
 const WAIT_BUCKETS = [0.05, 0.1, 0.25, 0.5, 1, 2, 5, 10, 30];
 
+interface LoadGauge {
+  readonly name: string;
+  readonly help: string;
+  /** The field's value is divided by this; milliseconds are told as seconds. */
+  readonly per?: number;
+}
+
+const MS_PER_S = 1_000;
+
 /** By field of the line in which a scheduling node tells its load: the gauge and what it says. */
-const LOAD_GAUGES: Readonly<Record<string, { readonly name: string; readonly help: string }>> = {
+const LOAD_GAUGES: Readonly<Record<string, LoadGauge>> = {
   cpuMs: {
     name: 'redwingcrank_scheduler_cpu_seconds',
     help: 'Processor time used in the last second or so while scheduling.',
@@ -46,6 +55,25 @@
     name: 'redwingcrank_scheduler_oldest_jobs_view_seconds',
     help: 'The oldest view of jobs and cancels by which a start was sent in the last second or so.',
   },
+  idleJobs: {
+    name: 'redwingcrank_scheduler_idle_jobs',
+    help: 'Jobs with tasks to start and none at a worker.',
+    per: 1,
+  },
+  longestIdleMs: {
+    name: 'redwingcrank_scheduler_longest_idle_seconds',
+    help: 'For how long the job has been idle that waits longest.',
+  },
+  reservedPercent: {
+    name: 'redwingcrank_scheduler_reserved_ratio',
+    help: "The part of the workers' processors that tasks have reserved.",
+    per: 100,
+  },
+  bestEffortPercent: {
+    name: 'redwingcrank_scheduler_best_effort_ratio',
+    help: "The part of the workers' processors that best-effort tasks claim.",
+    per: 100,
+  },
 };
 
 /** What is read from the node when the metrics are asked for. */
@@ -156,7 +184,9 @@
 
   /** A node that does not schedule any more shows no load. */
   #loaded(fields: LogFields): void {
-    for (const [field, gauge] of this.#load) gauge.set(Number(fields[field] ?? 0) / 1_000);
+    for (const [field, gauge] of this.#load) {
+      gauge.set(Number(fields[field] ?? 0) / (LOAD_GAUGES[field]!.per ?? MS_PER_S));
+    }
   }
 }
 
--- a/packages/runtime/src/internal/term-load.ts
+++ b/packages/runtime/src/internal/term-load.ts
@@ -1,4 +1,4 @@
-import type { WorkerState } from '@redwingcrank/jobs';
+import type { Backlog, WorkerState } from '@redwingcrank/jobs';
 import type { LogFields, NodeLog } from '../node-log.js';
 import { delay, steadyMs } from './delay.js';
 
@@ -16,7 +16,7 @@
 }
 
 /** What the term itself knows, read when its load is told. */
-export interface TermView extends Reach {
+export interface TermView extends Reach, Backlog {
   readonly jobs: number;
   /** For how long leases may be given from now, in milliseconds; 0 or less: none are. */
   readonly leaseLeftMs: number;
@@ -112,6 +112,10 @@
       jobs: view.jobs,
       unreached: view.unreached,
       quietMs: Math.round(view.quietMs),
+      idleJobs: view.idleJobs,
+      longestIdleMs: Math.round(view.longestIdleMs),
+      reservedPercent: view.reservedPercent,
+      bestEffortPercent: view.bestEffortPercent,
       leaseLeftMs: Math.round(view.leaseLeftMs),
       // Of a node that is short of time the line itself may come late, or not at all.
       droppedLines: this.#log.dropped,
--- a/packages/runtime/src/test/term-load_test.ts
+++ b/packages/runtime/src/test/term-load_test.ts
@@ -5,7 +5,16 @@
 import { NodeMetrics } from '../internal/node-metrics.js';
 import { TermLoad } from '../internal/term-load.js';
 
-const VIEW = { jobs: 7, unreached: 3, quietMs: 1_500.4, leaseLeftMs: -20 };
+const VIEW = {
+  jobs: 7,
+  unreached: 3,
+  quietMs: 1_500.4,
+  leaseLeftMs: -20,
+  idleJobs: 2,
+  longestIdleMs: 4_200.3,
+  reservedPercent: 45,
+  bestEffortPercent: 30,
+};
 
 const STATE = { isLeading: true, viewAgeMs: 0, jobs: new Map(), faults: [] };
 
