A run that was given up and has ended well counts as done

Accepted at 23.1 s, its first step had been done since 40.3 s.

At 40.27 s the worker answered again and listed run 1 as ended `done`. `run-ended ... how=done current=false`: the end was acknowledged and thrown away, as the task was not bound to that run any more. Run 2 began at 44.7 s on a worker where it was halted beside a serving task from 46.2 to 62.2 s and from 64.2 to 73.3 s. So the job waited 34 s for a task that was done, with nothing at work, and the scheduler counted it as at work (`idleJobs=0`).

Change: an end `done` of an earlier run makes the task done, unless it lasts; a later run of it is stopped (`superseded`). Nothing is begun that was not before, so two runs of a task do not meet more often than they did; the end is stored before it is acknowledged, as any other.

--- a/packages/jobs/src/internal/report-reader.ts
+++ b/packages/jobs/src/internal/report-reader.ts
@@ -1,5 +1,5 @@
 import type { StepSpec } from '../job.js';
-import { PLAIN_STEP } from '../job.js';
+import { PLAIN_STEP, isFinal } from '../job.js';
 import type { JobProgress, TaskProgress } from '../job-progress.js';
 import type { TaskRef } from '../task-ref.js';
 import { parseTaskName, taskName } from '../task-ref.js';
@@ -114,7 +114,9 @@
       how: row.how,
       current: isBinding,
     });
-    if (job && task && isBinding) this.#taskEnded(job, ref, task, row);
+    if (!job || !task) return;
+    if (isBinding) this.#taskEnded(job, ref, task, row);
+    else if (row.how === 'done') this.#lateDone(job, ref, task);
   }
 
   #taskEnded(job: JobProgress, ref: TaskRef, task: TaskProgress, row: EndedRow): void {
@@ -128,6 +130,18 @@
     if (row.how === 'failed' && !spec.lasting) this.#failed(job, ref, task, spec);
   }
 
+  /**
+   * A run that was given up has ended well after all: its worker was out of reach until its leases
+   * were over. The task is done, and a later run of it is not needed.
+   */
+  #lateDone(job: JobProgress, ref: TaskRef, task: TaskProgress): void {
+    const spec = job.spec.steps[ref.step]!;
+    const isOpen = task.phase === 'waiting' || task.phase === 'bound';
+    if (!isOpen || spec.lasting || isFinal(job.state)) return;
+    this.#state.changed.add(job);
+    this.#done(job, ref, spec);
+  }
+
   #done(job: JobProgress, ref: TaskRef, spec: StepSpec): void {
     const tasks = job.occurrences.get(ref.occurrence)!.steps[ref.step]!;
     const ended = spec.gang ? tasks : [tasks[ref.index]!];
--- a/packages/jobs/src/internal/stop-rules.ts
+++ b/packages/jobs/src/internal/stop-rules.ts
@@ -32,6 +32,8 @@
     if (run.stopReason) return run.stopReason;
     const isBinding = task.run === run.run && task.worker === worker.entry.id;
     if (!isBinding || task.phase === 'waiting') return 'superseded';
+    // An earlier run of it has ended well.
+    if (task.phase === 'done' && !run.spec.gang) return 'superseded';
     // The other members of a gang end by themselves when one has ended well.
     return isBrokenGang(job, run) ? 'broken-gang' : undefined;
   }
