A halted run is no work: the only one of a job goes on elsewhere

Cause: a best-effort run whose progress is not saved stays where it is when its pace is set to 0, until the serving tasks beside it have slack again. It counted as work: the job was not idle, was owed nothing and never overdue.

Change: a job whose runs are all halted counts as idle. Where another worker has a place for one of them that has been halted for a second, it is stopped (reason `halted`), and its task begins there.

Measured: halted-runs_test.ts, the first case failed before; the other guards that nothing is thrown away where there is no other place.

--- a/packages/jobs/src/internal/starved-jobs.ts
+++ b/packages/jobs/src/internal/starved-jobs.ts
@@ -45,9 +45,12 @@
 
   #savedStarts = 0;
 
-  /** Looks at a job that has tasks to start; returns whether it is overdue. */
-  isOverdue(job: JobProgress, nowMs: number): boolean {
-    if (job.boundCount(1) > 0) {
+  /**
+   * Looks at a job that could go on, of which so many tasks at workers are halted; returns whether it
+   * is overdue.
+   */
+  isOverdue(job: JobProgress, haltedCount: number, nowMs: number): boolean {
+    if (job.boundCount(haltedCount + 1) > haltedCount) {
       this.#idle.delete(job);
       return false;
     }
--- a/packages/jobs/src/internal/stop-reason.ts
+++ b/packages/jobs/src/internal/stop-reason.ts
@@ -9,7 +9,8 @@
  * - `broken-gang`: another member of its gang is away.
  * - `worker-leaves`: its worker is about to leave.
  * - `stands-still`: it made no progress for too long.
- * - `halted`: beside a serving task it may not work at all, and its progress is saved.
+ * - `halted`: beside a serving task it may not work at all, and its progress is saved or nothing
+ *   else of its job is at work.
  */
 export type StopReason =
   | 'cancelled'
--- a/packages/jobs/src/internal/task-placer.ts
+++ b/packages/jobs/src/internal/task-placer.ts
@@ -4,6 +4,8 @@
 import type { TaskRef } from '../task-ref.js';
 import { taskName } from '../task-ref.js';
 import type { ClusterState } from './cluster-state.js';
+import type { HaltedRun } from './halted-runs.js';
+import { haltedRuns } from './halted-runs.js';
 import { HeldRoom } from './held-room.js';
 import type { PlacementPolicy } from './placement.js';
 import { PlacingTurns } from './placing-turns.js';
@@ -28,6 +30,9 @@
 /** While less of the workers' processors is reserved, their room is no reason to let a job wait. */
 const MUCH_ROOM = 0.5;
 
+/** A job whose tasks are all halted for so long is to go on elsewhere, in milliseconds. */
+const HALTED_MS = 1_000;
+
 /** Gives waiting tasks to workers. */
 export class TaskPlacer {
   readonly #state: ClusterState;
@@ -45,6 +50,9 @@
   /** Overdue steps of this round without a place, since the last start. */
   readonly #overduePlaceless: WaitingStep[] = [];
 
+  /** By job: its runs that may not work where they are, as of this round. */
+  #halted: ReadonlyMap<string, HaltedRun[]> = new Map();
+
   /** In the last round a job that could still end in time found no place. */
   #isShort = false;
 
@@ -84,6 +92,7 @@
   }
 
   #place(nowMs: number, limits: RoundLimits): boolean {
+    this.#halted = haltedRuns(this.#state.workers.values());
     const waiting = this.#turns.inOrder([...this.#waitingSteps(nowMs)].sort(byUrgency));
     // From here on: with thousands of waiting steps the sorting takes its time as well.
     const budget = new RoundBudget(limits);
@@ -115,9 +124,25 @@
       }
     }
     this.#turns.beginAnew();
+    this.#stopHalted(places, nowMs);
     return false;
   }
 
+  /**
+   * Stops one run of each job whose runs are all halted, where another worker has a place for it:
+   * halted beside a serving task that stays near its target, it would hold its job up for good.
+   */
+  #stopHalted(places: RoundPlaces, nowMs: number): void {
+    for (const [jobId, halted] of this.#halted) {
+      const job = this.#state.jobs.get(jobId);
+      const queue = job && this.#state.queues.get(job.spec.queue);
+      if (queue && this.#starved.idleMs(job, nowMs) !== undefined) {
+        const moved = halted.find((found) => canMove(found, places, queue.pool, nowMs));
+        if (moved) this.#state.stopRun(moved.worker, moved.run, 'halted', nowMs);
+      }
+    }
+  }
+
   /** Tells of a job that is idle for long what keeps it from how many workers. */
   #noteIdle({ job, spec, rank }: WaitingStep, places: KindPlaces, nowMs: number): void {
     this.#state.note('job-idle', {
@@ -202,8 +227,9 @@
           yield step;
           if (!step.spec.lasting) ending.push(step);
         }
-        if (ending.length > 0) {
-          if (this.#starved.isOverdue(job, nowMs)) overdue.set(job, ending);
+        const haltedCount = this.#halted.get(job.spec.id)?.length ?? 0;
+        if (ending.length > 0 || haltedCount > 0) {
+          if (this.#starved.isOverdue(job, haltedCount, nowMs)) overdue.set(job, ending);
           if (hasMuchRoom) yield* this.#owedSteps(job, ending);
         }
       }
@@ -330,3 +356,15 @@
     });
   }
 }
+
+/** Whether a run that is halted for some time could go on elsewhere. */
+function canMove(
+  { worker, run }: HaltedRun,
+  places: RoundPlaces,
+  pool: string,
+  nowMs: number,
+): boolean {
+  if (run.spec.gang || run.stopSentMs > 0 || nowMs - run.movedMs < HALTED_MS) return false;
+  const place = places.of(run.spec, pool, true).choose({ ...run, avoid: worker.entry.id });
+  return place !== undefined && place !== worker;
+}
--- /dev/null
+++ b/packages/jobs/src/test/halted-runs_test.ts
@@ -0,0 +1,66 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { Order } from '../order.js';
+import {
+  SchedulerHarness,
+  jobSpec,
+  runningRow,
+  stepSpec,
+  workerEntry,
+} from './scheduler-harness.js';
+
+const SERVING = stepSpec({ lasting: true, targetMs: 20, image: 'web', cpuMilli: 4_000 });
+
+const FILLING = stepSpec({ fills: true, image: 'crunch' });
+
+/** The only task of a job works beside a serving task that misses its target from now on. */
+function besideMissedTarget(): { harness: SchedulerHarness; web: Order; fill: Order } {
+  const harness = new SchedulerHarness([workerEntry('w1')]);
+  harness.submit(jobSpec([SERVING], { id: '00000000000000a1' }));
+  harness.submit(jobSpec([FILLING], { id: '00000000000000a2', acceptedMs: harness.nowMs }));
+  const starts = harness.starts();
+  for (const start of starts) harness.answer(start, 'done');
+  const startOf = (id: string): Order => starts.find(({ task }) => task.jobId.endsWith(id))!;
+  return { harness, web: startOf('a1'), fill: startOf('a2') };
+}
+
+/** Plays five seconds of reports, and returns the stops that were ordered. */
+function stopsOf({ harness, web, fill }: ReturnType<typeof besideMissedTarget>): Order[] {
+  const stops: Order[] = [];
+  for (let report = 0; report < 10; report += 1) {
+    harness.nowMs += 500;
+    const rows = [
+      runningRow(web, { percent: 100, measure: 25 }),
+      runningRow(fill, { percent: Math.min(10 + report, 13) }),
+    ];
+    harness.report('w1', { running: rows });
+    for (const { entry } of harness.scheduler.workers.values()) {
+      if (entry.id !== 'w1') harness.report(entry.id);
+    }
+    stops.push(...harness.stops());
+  }
+  return stops;
+}
+
+test('the only task at work of a job goes on elsewhere when it is halted', () => {
+  // Guards against a job that is taken to be at work while its task is halted for half a minute, and
+  // other workers have room.
+  const scene = besideMissedTarget();
+  scene.harness.scheduler.listWorker(workerEntry('w2'), scene.harness.nowMs);
+  scene.harness.report('w2');
+  const [stop] = stopsOf(scene);
+  assert.equal(stop?.task.jobId, scene.fill.task.jobId);
+  scene.harness.report('w1', {
+    running: [runningRow(scene.web, { percent: 100, measure: 25 })],
+    ended: [scene.harness.end(scene.fill, 'stopped')],
+  });
+  assert.deepEqual(
+    scene.harness.starts().map(({ worker }) => worker),
+    ['w2'],
+  );
+});
+
+test('a halted task stays where no other worker has a place for it', () => {
+  // Guards against work that is thrown away in vain.
+  assert.deepEqual(stopsOf(besideMissedTarget()), []);
+});
--- a/packages/jobs/src/test/late-ends_test.ts
+++ b/packages/jobs/src/test/late-ends_test.ts
@@ -1,7 +1,13 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import type { Order } from '../order.js';
-import { SchedulerHarness, jobSpec, runningRow, stepSpec, workerEntry } from './scheduler-harness.js';
+import {
+  SchedulerHarness,
+  jobSpec,
+  runningRow,
+  stepSpec,
+  workerEntry,
+} from './scheduler-harness.js';
 
 const FIRST = stepSpec();
 
@@ -41,7 +47,10 @@
   harness.report('w1', { ended: [harness.end(start, 'done')] });
   const { orders } = harness.decide();
   const stopped = orders.filter(({ kind }) => kind === 'stop');
-  assert.deepEqual(stopped.map(({ worker, run }) => [worker, run]), [['w2', 2]]);
+  assert.deepEqual(
+    stopped.map(({ worker, run }) => [worker, run]),
+    [['w2', 2]],
+  );
   const [next] = orders.filter(({ kind }) => kind === 'start');
   assert.equal(next!.task.step, 1);
   harness.report('w2', { ended: [harness.end(again!, 'failed')] });
