Idle jobs come first among what is late, and their turns go by the room there is

What was left was a turn after 15 s, one start in twenty.

Change: the switches go. One task of each idle job always comes before other late work, the longest idle first (that order costs those in time nothing: it takes usual places). A job is overdue, and comes before others, after 2 s with up to 60 % reserved, rising evenly to 10 s with all reserved; the part of the starts that overdue jobs may have falls evenly from all to a quarter. So a service more or less moves a bound by a little and decides nothing. Starved jobs are called idle jobs now, as the rest of the project does.

--- /dev/null
+++ b/packages/jobs/src/internal/idle-jobs.ts
@@ -0,0 +1,135 @@
+import type { JobProgress } from '../job-progress.js';
+
+/** What idle jobs may have. */
+interface Allowance {
+  /** For how long a job may be idle before it is overdue, in milliseconds. */
+  readonly idleMs: number;
+  /** The part of all starts that overdue jobs may have before others. */
+  readonly share: number;
+}
+
+/** While much of the processors is not reserved. */
+const WITH_ROOM: Allowance = { idleMs: 2_000, share: 1 };
+
+/** Where all processors are reserved. */
+const WITHOUT_ROOM: Allowance = { idleMs: 10_000, share: 0.25 };
+
+/** Up to this part of the processors reserved, much is not. */
+const MUCH_ROOM = 0.6;
+
+/** Starts that overdue jobs may have saved up, so that a quiet hour earns them no burst. */
+const MAX_SAVED_STARTS = 5;
+
+/** Places are looked for on behalf of so many overdue jobs in one round at most. */
+const MAX_TURNS = 16;
+
+/** A job that is idle for longer than this gets a line in the log, in milliseconds. */
+const NOTED_IDLE_MS = 3_000;
+
+/** The rank of the task of an overdue job. */
+export const OVERDUE = 1;
+
+/** The rank of the task that an idle job is owed. */
+export const OWED = 4;
+
+/** A job with tasks to start and none at work. */
+interface IdleJob {
+  readonly sinceMs: number;
+  isNoted: boolean;
+  /** Overdue jobs have their turns in the order of this: since when they are idle, or found no place. */
+  turnMs: number;
+}
+
+/**
+ * Jobs of which nothing is at work. By urgency alone a job that is late for good comes last in every
+ * round, and under a steady load it never runs again. So of what cannot end in time, idle jobs come
+ * first, and once one is overdue it comes before all but lasting tasks. How long that takes, and how
+ * many starts are left to others, goes by the part of the processors that is reserved: with room to
+ * spare no load is a reason to leave a job alone.
+ *
+ * Overdue jobs take turns, the one that is idle longest first. In any other order those at the
+ * front are overdue again before the last had a turn, and that one waits without bound.
+ */
+export class IdleJobs {
+  readonly #idle = new WeakMap<JobProgress, IdleJob>();
+
+  #allowance = WITHOUT_ROOM;
+
+  #savedStarts = 0;
+
+  /** A round begins with this part of the processors reserved. */
+  beginRound(reservedShare: number): void {
+    this.#allowance = allowanceAt(reservedShare);
+  }
+
+  /** Looks at a job that could go on, of which so many tasks at workers are halted. */
+  look(job: JobProgress, haltedCount: number, nowMs: number): void {
+    if (job.boundCount(haltedCount + 1) > haltedCount) this.#idle.delete(job);
+    else if (!this.#idle.has(job)) {
+      this.#idle.set(job, { sinceMs: nowMs, isNoted: false, turnMs: nowMs });
+    }
+  }
+
+  /** Whether a job is idle for longer than it may be. */
+  isOverdue(job: JobProgress, nowMs: number): boolean {
+    const idleMs = this.idleMs(job, nowMs);
+    return idleMs !== undefined && idleMs > this.#allowance.idleMs;
+  }
+
+  /** For how long a job has been idle, in milliseconds; undefined where it is not. */
+  idleMs(job: JobProgress, nowMs: number): number | undefined {
+    const idle = this.#idle.get(job);
+    return idle && nowMs - idle.sinceMs;
+  }
+
+  /** Whether a job is idle for long, and was not asked for since it is. */
+  isNewlyIdle(job: JobProgress, nowMs: number): boolean {
+    const idle = this.#idle.get(job);
+    if (!idle || idle.isNoted || nowMs - idle.sinceMs <= NOTED_IDLE_MS) return false;
+    idle.isNoted = true;
+    return true;
+  }
+
+  /** The overdue jobs whose turn it is in this round, in the order of their turns. */
+  turnsOf(overdue: readonly JobProgress[]): readonly JobProgress[] {
+    if (this.#savedStarts < 1) return [];
+    return [...overdue].sort((a, b) => this.turnMs(a) - this.turnMs(b)).slice(0, MAX_TURNS);
+  }
+
+  /** Idle jobs with a lower value have their turns first. */
+  turnMs(job: JobProgress): number {
+    return this.#idle.get(job)?.turnMs ?? Infinity;
+  }
+
+  /** Whether a task of an overdue job may still be started in this round. */
+  mayStart(job: JobProgress): boolean {
+    return this.#savedStarts >= 1 && this.#idle.has(job);
+  }
+
+  /**
+   * An overdue job found no place where others did after it. It waits behind the rest: jobs that can
+   * never be placed would otherwise take every turn. Where nobody finds a place it keeps its turn, as
+   * the next room that comes free may be its own.
+   */
+  passedOver(job: JobProgress, nowMs: number): void {
+    const idle = this.#idle.get(job);
+    if (idle) idle.turnMs = nowMs;
+  }
+
+  /** A task of a job was started, as an overdue one's or in the usual order. */
+  started(job: JobProgress, isOverdue: boolean): void {
+    this.#idle.delete(job);
+    const saved = this.#savedStarts + this.#allowance.share - (isOverdue ? 1 : 0);
+    this.#savedStarts = Math.max(0, Math.min(MAX_SAVED_STARTS, saved));
+  }
+}
+
+/** Changes evenly from one allowance to the other: a few services more or fewer decide nothing. */
+function allowanceAt(reservedShare: number): Allowance {
+  const part = Math.max(0, Math.min(1, (reservedShare - MUCH_ROOM) / (1 - MUCH_ROOM)));
+  const between = (from: number, to: number): number => from + part * (to - from);
+  return {
+    idleMs: between(WITH_ROOM.idleMs, WITHOUT_ROOM.idleMs),
+    share: between(WITH_ROOM.share, WITHOUT_ROOM.share),
+  };
+}
--- a/packages/jobs/src/internal/placing-turns.ts
+++ b/packages/jobs/src/internal/placing-turns.ts
@@ -1,4 +1,4 @@
-import { OVERDUE } from './starved-jobs.js';
+import { OVERDUE } from './idle-jobs.js';
 import type { WaitingStep } from './waiting-steps.js';
 
 /**
--- a/packages/jobs/src/internal/task-placer.ts
+++ b/packages/jobs/src/internal/task-placer.ts
@@ -7,6 +7,7 @@
 import type { HaltedRun } from './halted-runs.js';
 import { haltedRuns } from './halted-runs.js';
 import { HeldRoom } from './held-room.js';
+import { IdleJobs, OVERDUE, OWED } from './idle-jobs.js';
 import type { PlacementPolicy } from './placement.js';
 import { PlacingTurns } from './placing-turns.js';
 import type { KindPlaces } from './round-places.js';
@@ -14,7 +15,6 @@
 import type { RoundLimits } from './round-limits.js';
 import { RoundBudget } from './round-limits.js';
 import { newRun } from './runs.js';
-import { OVERDUE, OWED, StarvedJobs } from './starved-jobs.js';
 import { StepWaits } from './step-waits.js';
 import type { WaitingStep } from './waiting-steps.js';
 import { IN_TIME, byUrgency, waitingStepsOf } from './waiting-steps.js';
@@ -27,7 +27,7 @@
  */
 type StepOutcome = 'placed' | 'placeless' | 'cut-short';
 
-/** While less of the workers' processors is reserved, their room is no reason to let a job wait. */
+/** While less of the processors is reserved, tasks that work slowly do not stand in others' way. */
 const MUCH_ROOM = 0.5;
 
 /** A job whose tasks are all halted for so long is to go on elsewhere, in milliseconds. */
@@ -43,7 +43,7 @@
 
   readonly #waits = new StepWaits();
 
-  readonly #starved = new StarvedJobs();
+  readonly #idle = new IdleJobs();
 
   readonly #held = new HeldRoom();
 
@@ -77,7 +77,7 @@
     let idleJobs = 0;
     let longestIdleMs = 0;
     for (const job of this.#state.jobs.values()) {
-      const idleMs = isFinal(job.state) ? undefined : this.#starved.idleMs(job, nowMs);
+      const idleMs = isFinal(job.state) ? undefined : this.#idle.idleMs(job, nowMs);
       if (idleMs !== undefined) {
         idleJobs += 1;
         longestIdleMs = Math.max(longestIdleMs, idleMs);
@@ -99,6 +99,7 @@
     this.#placeHeld(budget, nowMs);
     const places = new RoundPlaces(this.#openWorkers(), this.#placement, nowMs);
     const placeless: WaitingStep[] = [];
+    const hasMuchRoom = !this.#isShort && this.#state.reservedShare() < MUCH_ROOM;
     this.#isShort = false;
     for (const { tasks } of waiting) this.#waits.waiting(tasks, nowMs);
     for (const [count, step] of waiting.entries()) {
@@ -108,7 +109,7 @@
         for (const { tasks } of waiting.slice(count)) this.#waits.leftOut(tasks);
         return this.#cutShort(budget, count, placeless);
       }
-      const ofKind = places.of(step.spec, step.queue.pool, step.spec.fills && step.most < Infinity);
+      const ofKind = places.of(step.spec, step.queue.pool, mayWorkSlowly(step, hasMuchRoom));
       const outcome = this.#placeStep(step, ofKind, budget, nowMs);
       if (outcome === 'placed' && step.most === Infinity) this.#waits.placed(step.tasks);
       if (outcome === 'placeless') {
@@ -116,7 +117,7 @@
         this.#isShort ||= step.rank === IN_TIME;
         if (step.rank === OVERDUE) this.#overduePlaceless.push(step);
         this.#waits.placeless(step.tasks, () => ofKind.obstacle, nowMs);
-        if (this.#starved.isNewlyIdle(step.job, nowMs)) this.#noteIdle(step, ofKind, nowMs);
+        if (this.#idle.isNewlyIdle(step.job, nowMs)) this.#noteIdle(step, ofKind, nowMs);
       }
       if (outcome === 'cut-short') {
         this.#cutShort(budget, count, placeless);
@@ -136,7 +137,7 @@
     for (const [jobId, halted] of this.#halted) {
       const job = this.#state.jobs.get(jobId);
       const queue = job && this.#state.queues.get(job.spec.queue);
-      if (queue && this.#starved.idleMs(job, nowMs) !== undefined) {
+      if (queue && this.#idle.idleMs(job, nowMs) !== undefined) {
         const moved = halted.find((found) => canMove(found, places, queue.pool, nowMs));
         if (moved) this.#state.stopRun(moved.worker, moved.run, 'halted', nowMs);
       }
@@ -147,7 +148,7 @@
   #noteIdle({ job, spec, rank }: WaitingStep, places: KindPlaces, nowMs: number): void {
     this.#state.note('job-idle', {
       job: job.spec.id,
-      idleMs: Math.round(this.#starved.idleMs(job, nowMs) ?? 0),
+      idleMs: Math.round(this.#idle.idleMs(job, nowMs) ?? 0),
       rank,
       cpuMilli: spec.cpuMilli,
       fills: spec.fills,
@@ -172,9 +173,9 @@
 
   /** A task was started; overdue jobs that found no place before it were passed over. */
   #started(step: WaitingStep, nowMs: number): void {
-    this.#starved.started(step.job, step.rank === OVERDUE);
+    this.#idle.started(step.job, step.rank === OVERDUE);
     for (const other of this.#overduePlaceless.splice(0)) {
-      this.#starved.passedOver(other.job, nowMs);
+      this.#idle.passedOver(other.job, nowMs);
       // Best-effort tasks reserve no processors, and a gang needs room on several workers.
       if (!other.spec.gang && !other.spec.fills) this.#held.add(other);
     }
@@ -218,7 +219,7 @@
   }
 
   *#waitingSteps(nowMs: number): Generator<WaitingStep> {
-    const hasMuchRoom = !this.#isShort && this.#state.reservedShare() < MUCH_ROOM;
+    this.#idle.beginRound(this.#state.reservedShare());
     const overdue = new Map<JobProgress, WaitingStep[]>();
     for (const job of this.#state.jobs.values()) {
       if (!isFinal(job.state)) {
@@ -229,14 +230,15 @@
         }
         const haltedCount = this.#halted.get(job.spec.id)?.length ?? 0;
         if (ending.length > 0 || haltedCount > 0) {
-          if (this.#starved.isOverdue(job, haltedCount, nowMs)) overdue.set(job, ending);
-          if (hasMuchRoom) yield* this.#owedSteps(job, ending);
+          this.#idle.look(job, haltedCount, nowMs);
+          if (this.#idle.isOverdue(job, nowMs)) overdue.set(job, ending);
+          yield* this.#owedSteps(job, ending, nowMs);
         }
       }
     }
-    for (const job of this.#starved.turnsOf([...overdue.keys()])) {
+    for (const job of this.#idle.turnsOf([...overdue.keys()])) {
       for (const step of overdue.get(job)!) {
-        const orderMs = this.#starved.turnMs(job);
+        const orderMs = this.#idle.turnMs(job);
         if (step.rank > OVERDUE) yield { ...step, rank: OVERDUE, orderMs, most: 1 };
       }
     }
@@ -249,11 +251,16 @@
     }
   }
 
-  /** The first step of a job stands twice: for the tasks that are owed, and the rest. */
-  *#owedSteps(job: JobProgress, steps: readonly WaitingStep[]): Generator<WaitingStep> {
+  /** The first step of an idle job stands twice: for the task that is owed, and the rest. */
+  *#owedSteps(
+    job: JobProgress,
+    steps: readonly WaitingStep[],
+    nowMs: number,
+  ): Generator<WaitingStep> {
     const [first] = steps;
-    const most = this.#starved.owedTasks(job);
-    if (first?.spec.fills && first.rank > OWED && most > 0) yield { ...first, rank: OWED, most };
+    const isIdle = this.#idle.idleMs(job, nowMs) !== undefined;
+    if (!first?.spec.fills || first.rank <= OWED || !isIdle) return;
+    yield { ...first, rank: OWED, orderMs: this.#idle.turnMs(job), most: 1 };
   }
 
   #placeStep(
@@ -263,7 +270,7 @@
     nowMs: number,
   ): StepOutcome {
     // Its tasks stand once more in the usual order.
-    if (step.rank === OVERDUE && !this.#starved.mayStart(step.job)) return 'placed';
+    if (step.rank === OVERDUE && !this.#idle.mayStart(step.job)) return 'placed';
     return step.spec.gang
       ? this.#placeGang(step, places, budget, nowMs)
       : this.#placeTasks(step, places, budget, nowMs);
@@ -357,6 +364,14 @@
   }
 }
 
+/**
+ * Whether a task may go where it works slowly: of an overdue job, and with much room of any idle one.
+ * The tasks beside it are slowed down as well.
+ */
+function mayWorkSlowly({ spec, rank }: WaitingStep, hasMuchRoom: boolean): boolean {
+  return spec.fills && (rank === OVERDUE || (rank === OWED && hasMuchRoom));
+}
+
 /** Whether a run that is halted for some time could go on elsewhere. */
 function canMove(
   { worker, run }: HaltedRun,
--- /dev/null
+++ b/packages/jobs/src/test/crowded-cluster.ts
@@ -0,0 +1,106 @@
+import type { JobProgress } from '../job-progress.js';
+import { isFinal } from '../job.js';
+import type { StepSpec } from '../job.js';
+import { DrawnCluster, STEP_MS, drawing } from './drawn-cluster.js';
+import { jobSpec, stepSpec, workerEntry } from './scheduler-harness.js';
+
+const WORKERS = ['w1', 'w2', 'w3', 'w4', 'w5', 'w6', 'w7', 'w8'];
+
+/** Each worker has eight processors. */
+const CORES = 8 * WORKERS.length;
+
+/** What services reserve stays as it is for so long, in seconds. */
+const LEVEL_S = 5;
+
+/** A task of a service claims one processor and answers callers of its own. */
+const SERVICE = stepSpec({ lasting: true, targetMs: 20, image: 'web' });
+
+/** A best-effort task that takes a second. */
+export const BEST_EFFORT: StepSpec = stepSpec({ fills: true, image: 'crunch' });
+
+/** What a crowded cluster is played with. */
+export interface Crowd {
+  readonly seed: number;
+  /** Services reserve at least and at most so much of the processors, in percent; drawn anew every five seconds. */
+  readonly services: readonly [number, number];
+  /** Idle times count while less is reserved, in percent. */
+  readonly watchedBelow: number;
+}
+
+/** Services come and go while crowds of best-effort jobs wait. */
+export class CrowdedCluster {
+  readonly #crowd: Crowd;
+
+  readonly #cluster: DrawnCluster;
+
+  readonly #draw: () => number;
+
+  readonly #services: string[] = [];
+
+  readonly #idleMs = new Map<JobProgress, number>();
+
+  #second = 0;
+
+  /** The longest time on end for which an accepted job had nothing at work while it was watched, in ms. */
+  longestIdleMs = 0;
+
+  constructor(crowd: Crowd) {
+    this.#crowd = crowd;
+    this.#cluster = new DrawnCluster(
+      crowd.seed,
+      WORKERS.map((id) => workerEntry(id)),
+    );
+    this.#draw = drawing(crowd.seed + 100);
+    this.#cluster.harness.nowMs = 60_000;
+    for (const id of WORKERS) this.#cluster.harness.report(id);
+  }
+
+  /** So many jobs come that are late for good, each of two steps with so many tasks. */
+  submitLate(count: number, taskCount: number): void {
+    const { harness } = this.#cluster;
+    const late = { ...BEST_EFFORT, taskCount };
+    for (let i = 0; i < count; i += 1) {
+      const id = `late${i}-${harness.nowMs}`;
+      harness.submit(jobSpec([late, { ...late, after: [0] }], { id, acceptedMs: 0 }));
+    }
+  }
+
+  /** Plays so many seconds, in each of which so many jobs come that can end in time. */
+  play(seconds: number, arrivals = 0): void {
+    const endSecond = this.#second + seconds;
+    for (; this.#second < endSecond; this.#second += 1) {
+      if (this.#second % LEVEL_S === 0) this.#drawServices();
+      for (let ms = 0; ms < 1_000; ms += STEP_MS) {
+        this.#cluster.submitInTime(Math.round((arrivals * STEP_MS) / 1_000), BEST_EFFORT);
+        this.#cluster.step();
+        this.#look();
+      }
+    }
+  }
+
+  /** Submits or cancels services until these reserve what is drawn. */
+  #drawServices(): void {
+    const { harness } = this.#cluster;
+    const [least, most] = this.#crowd.services;
+    const wanted = Math.round(((least + (most - least) * this.#draw()) / 100) * CORES);
+    while (this.#services.length < wanted) {
+      const id = `service${this.#services.length}-${harness.nowMs}`;
+      harness.submit(jobSpec([SERVICE], { id }));
+      this.#services.push(id);
+    }
+    while (this.#services.length > wanted) {
+      harness.scheduler.cancel(this.#services.pop()!, harness.nowMs);
+    }
+  }
+
+  #look(): void {
+    const { scheduler, nowMs } = this.#cluster.harness;
+    const isWatched = scheduler.backlog(nowMs).reservedPercent < this.#crowd.watchedBelow;
+    for (const job of scheduler.jobs.values()) {
+      const isIdle = isWatched && !isFinal(job.state) && !job.hasBound();
+      const idleMs = isIdle ? (this.#idleMs.get(job) ?? 0) + STEP_MS : 0;
+      this.#idleMs.set(job, idleMs);
+      this.longestIdleMs = Math.max(this.longestIdleMs, idleMs);
+    }
+  }
+}
--- /dev/null
+++ b/packages/jobs/src/test/drawn-cluster.ts
@@ -0,0 +1,93 @@
+import type { Order } from '../order.js';
+import type { WorkerEntry } from '../worker.js';
+import { SchedulerHarness, jobSpec, runningRow, stepSpec } from './scheduler-harness.js';
+
+/** How long a step of the play takes, in milliseconds. */
+export const STEP_MS = 100;
+
+type Start = Order & { kind: 'start' };
+
+/** Deterministic, so that each run plays the same load. */
+export function drawing(seed: number): () => number {
+  let state = seed;
+  return () => {
+    state = (state * 1_103_515_245 + 12_345) % 2_147_483_648;
+    return state / 2_147_483_648;
+  };
+}
+
+/**
+ * Plays a cluster that ends each task after a drawn time of 0.5 to 1.5 s, in steps of 100 ms. Lasting
+ * tasks go on until they are stopped.
+ */
+export class DrawnCluster {
+  readonly harness: SchedulerHarness;
+
+  readonly #draw: () => number;
+
+  readonly #ends: { readonly order: Start; readonly atMs: number }[] = [];
+
+  /** When the first task of each job was started. */
+  readonly firstStartMs = new Map<string, number>();
+
+  startCount = 0;
+
+  constructor(seed: number, workers: readonly WorkerEntry[]) {
+    this.#draw = drawing(seed);
+    this.harness = new SchedulerHarness(workers);
+  }
+
+  /** Submits so many jobs in time, of a task each. */
+  submitInTime(count: number, spec = stepSpec()): void {
+    for (let i = 0; i < count; i += 1) {
+      const id = `${this.harness.nowMs}-${i}`;
+      this.harness.submit(jobSpec([spec], { id, acceptedMs: this.harness.nowMs }));
+    }
+  }
+
+  step(): void {
+    const { harness } = this;
+    const { orders } = harness.decide();
+    for (const order of orders) if (order.kind === 'start') this.#begin(order);
+    harness.nowMs += STEP_MS;
+    const stopped = this.#take((start) => orders.some((order) => isStopOf(order, start)));
+    const ended = this.#take((_, atMs) => atMs <= harness.nowMs);
+    for (const { spec, state } of harness.scheduler.jobs.values()) {
+      if (state === 'completed') harness.scheduler.dropJob(spec.id);
+    }
+    for (const id of harness.scheduler.workers.keys()) {
+      const running = this.#ends
+        .filter(({ order }) => order.worker === id)
+        .map(({ order }) => runningRow(order, this.#isLasting(order) ? { percent: 100 } : {}));
+      const rows = [
+        ...stopped.filter(({ worker }) => worker === id).map((end) => harness.end(end, 'stopped')),
+        ...ended.filter(({ worker }) => worker === id).map((end) => harness.end(end, 'done')),
+      ];
+      harness.report(id, { running, ended: rows });
+    }
+  }
+
+  #begin(start: Start): void {
+    this.startCount += 1;
+    const { jobId } = start.task;
+    if (!this.firstStartMs.has(jobId)) this.firstStartMs.set(jobId, this.harness.nowMs);
+    const tookMs = this.#isLasting(start) ? Infinity : 500 + 1_000 * this.#draw();
+    this.#ends.push({ order: start, atMs: this.harness.nowMs + tookMs });
+  }
+
+  #isLasting({ task }: Start): boolean {
+    return this.harness.scheduler.jobs.get(task.jobId)?.spec.steps[task.step]!.lasting ?? false;
+  }
+
+  /** The starts that are over now, taken off those under way. */
+  #take(isOver: (order: Start, atMs: number) => boolean): Start[] {
+    const over = this.#ends.filter(({ order, atMs }) => isOver(order, atMs));
+    for (const end of over) this.#ends.splice(this.#ends.indexOf(end), 1);
+    return over.map(({ order }) => order);
+  }
+}
+
+function isStopOf(order: Order, { task, run }: Start): boolean {
+  if (order.kind !== 'stop' || order.run !== run) return false;
+  return JSON.stringify(order.task) === JSON.stringify(task);
+}
--- /dev/null
+++ b/packages/jobs/src/test/idle-jobs_test.ts
@@ -0,0 +1,18 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { CrowdedCluster } from './crowded-cluster.js';
+
+/** A job that could go on has something at work after so long while under half is in use, in ms. */
+const PROMISED_MS = 3_000;
+
+for (const seed of [1, 2, 3, 4]) {
+  test(`with under half reserved each accepted job is at work while crowds wait, seed ${seed}`, () => {
+    // Guards against jobs that are left alone beside unreserved processors, because services reserve
+    // half of them for a while, or because others that can end in time are short of room.
+    const cluster = new CrowdedCluster({ seed, services: [40, 60], watchedBelow: 50 });
+    cluster.submitLate(60, 6);
+    cluster.play(20, 60);
+    cluster.play(15);
+    assert.ok(cluster.longestIdleMs <= PROMISED_MS, `${cluster.longestIdleMs} ms`);
+  });
+}
--- a/packages/jobs/src/test/starved-jobs_test.ts
+++ b/packages/jobs/src/test/starved-jobs_test.ts
@@ -1,7 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import type { Order } from '../order.js';
-import type { WorkerEntry } from '../worker.js';
+import { DrawnCluster, drawing } from './drawn-cluster.js';
 import {
   SchedulerHarness,
   jobSpec,
@@ -97,66 +96,6 @@
   assert.deepEqual(startedBesideLittleSlack(0), []);
 });
 
-/** Deterministic, so that each run plays the same load. */
-function drawing(seed: number): () => number {
-  let state = seed;
-  return () => {
-    state = (state * 1_103_515_245 + 12_345) % 2_147_483_648;
-    return state / 2_147_483_648;
-  };
-}
-
-/** Plays a cluster that ends each task after a drawn time of 0.5 to 1.5 s, in steps of 100 ms. */
-class DrawnCluster {
-  readonly harness: SchedulerHarness;
-
-  readonly #draw: () => number;
-
-  readonly #ends: { readonly order: Order & { kind: 'start' }; readonly atMs: number }[] = [];
-
-  /** When the first task of each job was started. */
-  readonly firstStartMs = new Map<string, number>();
-
-  startCount = 0;
-
-  constructor(seed: number, workers: readonly WorkerEntry[]) {
-    this.#draw = drawing(seed);
-    this.harness = new SchedulerHarness(workers);
-  }
-
-  /** Submits so many jobs in time, of a task each. */
-  submitInTime(count: number): void {
-    for (let i = 0; i < count; i += 1) {
-      const id = `${this.harness.nowMs}-${i}`;
-      this.harness.submit(jobSpec([stepSpec()], { id, acceptedMs: this.harness.nowMs }));
-    }
-  }
-
-  step(): void {
-    const { harness } = this;
-    for (const start of harness.starts()) {
-      this.startCount += 1;
-      const { jobId } = start.task;
-      if (!this.firstStartMs.has(jobId)) this.firstStartMs.set(jobId, harness.nowMs);
-      this.#ends.push({ order: start, atMs: harness.nowMs + 500 + 1_000 * this.#draw() });
-    }
-    harness.nowMs += 100;
-    const ended = this.#ends.filter(({ atMs }) => atMs <= harness.nowMs);
-    for (const end of ended) this.#ends.splice(this.#ends.indexOf(end), 1);
-    for (const { spec, state } of harness.scheduler.jobs.values()) {
-      if (state === 'completed') harness.scheduler.dropJob(spec.id);
-    }
-    for (const id of harness.scheduler.workers.keys()) {
-      const here = ended.filter(({ order }) => order.worker === id);
-      const running = this.#ends
-        .filter(({ order }) => order.worker === id)
-        .map(({ order }) => runningRow(order));
-      const rows = here.map(({ order }) => harness.end(order, 'done'));
-      harness.report(id, { running, ended: rows });
-    }
-  }
-}
-
 const CROWD = 120;
 
 /** One start in so many goes to an overdue job. */
