No more jobs are taken than can have their turns in time

Cause: nothing asked at the acceptance of a job whether it could be served.

Change: the scheduling node reckons how long turns take: idle jobs of a pool, by the tasks that ended there in the last 4 s and the share that idle jobs may have. Where that is longer than a job may be idle, its record says so, with the excess; every node then refuses new jobs of that pool at once, 503 with Retry-After of the excess (own interface: code 608). Jobs that last or are due later are taken, as are repeats of a job that stands, and all of them by a record older than 1.5 s.

--- a/packages/jobs/src/internal/cluster-state.ts
+++ b/packages/jobs/src/internal/cluster-state.ts
@@ -6,6 +6,7 @@
 import { findTask } from './runs.js';
 import type { StopReason } from './stop-reason.js';
 import { lostCpuMs } from './stop-reason.js';
+import { TurnWaits } from './turn-waits.js';
 import { objectiveMs } from './urgency.js';
 import type { WorkerRun } from './worker-state.js';
 import { WorkerState } from './worker-state.js';
@@ -48,12 +49,15 @@
 
   orders: Order[] = [];
 
+  readonly turnWaits: TurnWaits;
+
   /** False while jobs that were begun before may not be told yet. */
   isWhole = true;
 
   constructor(timing: SchedulerTiming, startedMs: number, note: Note) {
     this.timing = timing;
     this.startedMs = startedMs;
+    this.turnWaits = new TurnWaits(startedMs);
     this.note = note;
   }
 
--- a/packages/jobs/src/internal/idle-jobs.ts
+++ b/packages/jobs/src/internal/idle-jobs.ts
@@ -1,7 +1,7 @@
 import type { JobProgress } from '../job-progress.js';
 
 /** What idle jobs may have. */
-interface Allowance {
+export interface Allowance {
   /** For how long a job may be idle before it is overdue, in milliseconds. */
   readonly idleMs: number;
   /** The part of all starts that overdue jobs may have before others. */
@@ -43,7 +43,7 @@
 /**
  * Jobs of which nothing is at work. By urgency alone a job that is late for good comes last in every
  * round, and under a steady load it never runs again. So of what cannot end in time, idle jobs come
- * first, and once one is overdue it comes before all but lasting tasks. How long that takes, and how
+ * first, and once one is overdue it comes before all but lasting tasks that were at work before. How long that takes, and how
  * many starts are left to others, goes by the part of the processors that is reserved: with room to
  * spare no load is a reason to leave a job alone.
  *
@@ -70,6 +70,11 @@
     }
   }
 
+  /** As of the newest round. */
+  get allowance(): Allowance {
+    return this.#allowance;
+  }
+
   /** Whether a job is idle for longer than it may be. */
   isOverdue(job: JobProgress, nowMs: number): boolean {
     const idleMs = this.idleMs(job, nowMs);
--- a/packages/jobs/src/internal/report-reader.ts
+++ b/packages/jobs/src/internal/report-reader.ts
@@ -101,6 +101,7 @@
     const run = worker.runs.get(row.task);
     const isCurrent = run?.run === row.run;
     if (isCurrent) worker.remove(row.task);
+    this.#state.turnWaits.ended(worker.entry.pool, nowMs);
     if (row.how === 'done') worker.health.ended(true, nowMs);
     if (row.how === 'failed') worker.health.ended(false, nowMs);
     const job = this.#state.jobs.get(ref.jobId);
--- a/packages/jobs/src/internal/task-placer.ts
+++ b/packages/jobs/src/internal/task-placer.ts
@@ -1,4 +1,5 @@
 import type { JobProgress, TaskProgress } from '../job-progress.js';
+import type { RetryAfter } from '../admission.js';
 import type { Backlog } from '../backlog.js';
 import { isFinal } from '../job.js';
 import type { TaskRef } from '../task-ref.js';
@@ -91,6 +92,17 @@
     };
   }
 
+  /** By pool with too many idle jobs: when callers may come back; as of the newest round. */
+  retryAfter(nowMs: number): RetryAfter {
+    const idleJobs = new Map<string, number>();
+    for (const job of this.#state.jobs.values()) {
+      const pool = this.#state.queues.get(job.spec.queue)?.pool;
+      const isIdle = !isFinal(job.state) && this.#idle.idleMs(job, nowMs) !== undefined;
+      if (isIdle && pool !== undefined) idleJobs.set(pool, (idleJobs.get(pool) ?? 0) + 1);
+    }
+    return this.#state.turnWaits.tooLong(idleJobs, this.#idle.allowance, nowMs);
+  }
+
   #place(nowMs: number, limits: RoundLimits): boolean {
     this.#halted = haltedRuns(this.#state.workers.values());
     const waiting = this.#turns.inOrder([...this.#waitingSteps(nowMs)].sort(byUrgency));
@@ -223,16 +235,13 @@
     const overdue = new Map<JobProgress, WaitingStep[]>();
     for (const job of this.#state.jobs.values()) {
       if (!isFinal(job.state)) {
-        const ending: WaitingStep[] = [];
-        for (const step of this.#stepsOf(job)) {
-          yield step;
-          if (!step.spec.lasting) ending.push(step);
-        }
+        const steps = [...this.#stepsOf(job)];
+        yield* steps;
         const haltedCount = this.#halted.get(job.spec.id)?.length ?? 0;
-        if (ending.length > 0 || haltedCount > 0) {
+        if (steps.length > 0 || haltedCount > 0) {
           this.#idle.look(job, haltedCount, nowMs);
-          if (this.#idle.isOverdue(job, nowMs)) overdue.set(job, ending);
-          yield* this.#owedSteps(job, ending, nowMs);
+          if (this.#idle.isOverdue(job, nowMs)) overdue.set(job, steps);
+          yield* this.#owedSteps(job, steps, nowMs);
         }
       }
     }
--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -1,5 +1,6 @@
 import type { QueuePolicy } from './job.js';
 import { isFinal } from './job.js';
+import type { RetryAfter } from './admission.js';
 import type { Backlog } from './backlog.js';
 import type { JobProgress, TaskProgress } from './job-progress.js';
 import type { Order, OrderOutcome } from './order.js';
@@ -265,6 +266,11 @@
     return this.#placer.backlog(nowMs);
   }
 
+  /** By pool of workers that takes no more jobs now: when callers may come back, in milliseconds. */
+  retryAfter(nowMs: number): RetryAfter {
+    return this.#placer.retryAfter(nowMs);
+  }
+
   /** The first due time of an occurrence that is still to come; undefined if there is none. */
   nextDueMs(): number | undefined {
     let next: number | undefined;
--- a/packages/jobs/src/test/crowded-cluster.ts
+++ b/packages/jobs/src/test/crowded-cluster.ts
@@ -1,8 +1,9 @@
+import { refusalMs } from '../admission.js';
 import type { JobProgress } from '../job-progress.js';
 import { isFinal } from '../job.js';
 import type { StepSpec } from '../job.js';
 import { DrawnCluster, STEP_MS, drawing } from './drawn-cluster.js';
-import { jobSpec, stepSpec, workerEntry } from './scheduler-harness.js';
+import { QUEUE, jobSpec, stepSpec, workerEntry } from './scheduler-harness.js';
 
 const WORKERS = ['w1', 'w2', 'w3', 'w4', 'w5', 'w6', 'w7', 'w8'];
 
@@ -44,6 +45,8 @@
   /** The longest time on end for which an accepted job had nothing at work while it was watched, in ms. */
   longestIdleMs = 0;
 
+  refusedCount = 0;
+
   constructor(crowd: Crowd) {
     this.#crowd = crowd;
     this.#cluster = new DrawnCluster(
@@ -61,7 +64,10 @@
     const late = { ...BEST_EFFORT, taskCount };
     for (let i = 0; i < count; i += 1) {
       const id = `late${i}-${harness.nowMs}`;
-      harness.submit(jobSpec([late, { ...late, after: [0] }], { id, acceptedMs: 0 }));
+      const job = jobSpec([late, { ...late, after: [0] }], { id, acceptedMs: 0 });
+      const waitMs = refusalMs(job, QUEUE, harness.scheduler.retryAfter(harness.nowMs));
+      if (waitMs !== undefined) this.refusedCount += 1;
+      else harness.submit(job);
     }
   }
 
--- a/packages/jobs/src/test/idle-jobs_test.ts
+++ b/packages/jobs/src/test/idle-jobs_test.ts
@@ -16,3 +16,21 @@
     assert.ok(cluster.longestIdleMs <= PROMISED_MS, `${cluster.longestIdleMs} ms`);
   });
 }
+
+/** Under any load an accepted job that could go on has something at work after so long, in ms. */
+const BOUND_MS = 15_000;
+
+for (const seed of [1, 2, 3]) {
+  test(`each accepted job has its turn in time under a load of 20, seed ${seed}`, () => {
+    // Guards against jobs that are taken on and then wait without bound, as their number grows faster
+    // than there are turns for them.
+    const cluster = new CrowdedCluster({ seed, services: [85, 100], watchedBelow: 101 });
+    for (let second = 0; second < 40; second += 1) {
+      cluster.submitLate(100, 4);
+      cluster.play(1, 10);
+    }
+    cluster.play(30);
+    assert.ok(cluster.longestIdleMs <= BOUND_MS, `${cluster.longestIdleMs} ms`);
+    assert.ok(cluster.refusedCount > 0);
+  });
+}
--- a/packages/jobs/src/test/scheduler-harness.ts
+++ b/packages/jobs/src/test/scheduler-harness.ts
@@ -1,6 +1,6 @@
 import { JobProgress } from '../job-progress.js';
 import { PLAIN_STEP } from '../job.js';
-import type { JobSpec, StepSpec } from '../job.js';
+import type { JobSpec, QueuePolicy, StepSpec } from '../job.js';
 import type { Order, OrderOutcome } from '../order.js';
 import type { Decisions } from '../scheduler.js';
 import { Scheduler } from '../scheduler.js';
@@ -17,6 +17,16 @@
   stopAgainMs: 1_000,
 };
 
+/** The queue of all jobs. */
+export const QUEUE: QueuePolicy = {
+  name: 'q',
+  pool: 'pool',
+  priority: 0,
+  maxAttempts: 3,
+  stretch: 2,
+  targetLatencyMs: 100,
+};
+
 export function stepSpec(changes: Partial<StepSpec> = {}): StepSpec {
   return {
     ...PLAIN_STEP,
@@ -70,9 +80,7 @@
       },
       this.model,
     );
-    this.scheduler.setQueues([
-      { name: 'q', pool: 'pool', priority: 0, maxAttempts, stretch: 2, targetLatencyMs: 100 },
-    ]);
+    this.scheduler.setQueues([{ ...QUEUE, maxAttempts }]);
     for (const entry of workers) {
       this.scheduler.listWorker(entry, this.nowMs);
       this.report(entry.id);
--- a/packages/protocol/src/result-codes.ts
+++ b/packages/protocol/src/result-codes.ts
@@ -270,6 +270,13 @@
     'The path or method of the call is none of this interface.',
     'Compare the call with docs/OPERATIONS.md.',
   ),
+  longWait: row(
+    608,
+    'long-wait',
+    503,
+    'Too many jobs wait for their turn; nothing was stored.',
+    'Come back after Retry-After.',
+  ),
 } as const satisfies Record<string, ResultCode>;
 
 /** The key of a result code in {@link RESULT_CODES}. */
--- a/packages/runtime/src/internal/leader-term.ts
+++ b/packages/runtime/src/internal/leader-term.ts
@@ -262,7 +262,12 @@
     const tells = resigns || isNews || isQuiet || (writes.length > 0 && isDue);
     if (tells) {
       const standby = this.#watchers?.standby;
-      const rec = { ...this.#leases.record(resigns, steadyMs()), ...(standby && { standby }) };
+      const retryAfterMs = this.#scheduler.retryAfter(steadyMs());
+      const rec = {
+        ...this.#leases.record(resigns, steadyMs()),
+        ...(standby && { standby }),
+        ...(Object.keys(retryAfterMs).length > 0 && { retryAfterMs }),
+      };
       this.#told = { number: rec.number, sentMs: steadyMs() };
       writes.push({ key: leaderKey(), value: encodeLeader(rec) });
     }
--- a/packages/runtime/src/internal/work-records.ts
+++ b/packages/runtime/src/internal/work-records.ts
@@ -1,4 +1,4 @@
-import type { InterferenceWeights } from '@redwingcrank/jobs';
+import type { InterferenceWeights, RetryAfter } from '@redwingcrank/jobs';
 import type { Decoded, RecordFault } from '../record-fault.js';
 import { parseObject } from './parse-object.js';
 import { UNTOLD_LEASE_MS, surelyOverMs } from './timing.js';
@@ -59,6 +59,8 @@
   readonly process?: NodeProcess;
   /** Who is to claim the role first when that process ends. */
   readonly standby?: string;
+  /** By pool of workers that takes no more jobs now: when callers may come back, in milliseconds. */
+  readonly retryAfterMs?: RetryAfter;
 }
 
 /** A node offers to take the role of a smaller leader. */
@@ -127,12 +129,14 @@
   if (!isTime(formerMs)) return wrongType('formerMs');
   if (!isTable(silent, isTime)) return wrongType('silent');
   if (!isTime(number)) return wrongType('number');
-  const { cores, largestCores, successor, process, standby } = rec;
+  const { cores, largestCores, successor, process, standby, retryAfterMs } = rec;
   if (cores !== undefined && !isTime(cores)) return wrongType('cores');
   if (largestCores !== undefined && !isTime(largestCores)) return wrongType('largestCores');
   if (successor !== undefined && typeof successor !== 'string') return wrongType('successor');
   if (process !== undefined && !isProcess(process)) return wrongType('process');
   if (standby !== undefined && typeof standby !== 'string') return wrongType('standby');
+  if (retryAfterMs !== undefined && !isTable(retryAfterMs, isTime))
+    return wrongType('retryAfterMs');
   const told = { epoch, node, nonce, resigned, leasesMs, formerMs, silent, number };
   const sizes = cores === undefined || largestCores === undefined ? {} : { cores, largestCores };
   return {
@@ -142,6 +146,7 @@
       ...(successor === undefined ? {} : { successor }),
       ...(process === undefined ? {} : { process }),
       ...(standby === undefined ? {} : { standby }),
+      ...(retryAfterMs === undefined ? {} : { retryAfterMs }),
     },
   };
 }
--- a/packages/runtime/src/job-api.ts
+++ b/packages/runtime/src/job-api.ts
@@ -1,4 +1,5 @@
 import http from 'node:http';
+import type { QueuePolicy } from '@redwingcrank/jobs';
 import type { ResultCode } from '@redwingcrank/protocol/result-codes';
 import { RESULT_CODES } from '@redwingcrank/protocol/result-codes';
 import type { JobService } from './job-service.js';
@@ -31,12 +32,14 @@
 interface Answer {
   readonly result: ResultCode;
   readonly fields?: object;
+  /** When a caller who is turned away may come back, in milliseconds. */
+  readonly refusalMs?: number;
 }
 
 /** What the interface needs of its node. */
 export interface JobApiNode {
   readonly jobs: JobService;
-  hasQueue(name: string): boolean;
+  queue(name: string): QueuePolicy | undefined;
   readonly state: NodeState;
 }
 
@@ -85,17 +88,19 @@
       res.end(await this.#metrics?.text());
       return;
     }
-    const { result, fields } = await this.#answer(req, path.split('/').slice(1));
+    const { result, fields, refusalMs } = await this.#answer(req, path.split('/').slice(1));
     const body = JSON.stringify({ code: result.code, result: result.name, ...fields });
+    if (refusalMs !== undefined) res.setHeader('Retry-After', Math.ceil(refusalMs / 1_000) || 1);
     res.writeHead(result.status, { 'Content-Type': 'application/json' });
     res.end(body);
   }
 
   async #answer(req: http.IncomingMessage, path: readonly string[]): Promise<Answer> {
-    const [root, queue = '', jobs, id = ''] = path;
+    const [root, name = '', jobs, id = ''] = path;
     if (root !== 'queues' || path.length > 4) return { result: RESULT_CODES.badCall };
-    if (!this.#node.hasQueue(queue)) return { result: RESULT_CODES.noSuchQueue };
-    if (path.length === 2) return this.#depth(queue);
+    const queue = this.#node.queue(name);
+    if (!queue) return { result: RESULT_CODES.noSuchQueue };
+    if (path.length === 2) return this.#depth(name);
     if (jobs !== 'jobs' || !ID.test(id)) {
       const fault = 'name the job as /queues/QUEUE/jobs/ID with 16 hexadecimal digits';
       return { result: RESULT_CODES.badCall, fields: { fault } };
@@ -104,9 +109,9 @@
       case 'POST':
         return this.#submit(req, queue, id);
       case 'GET':
-        return this.#state(queue, id);
+        return this.#state(name, id);
       case 'DELETE':
-        return this.#cancel(queue, id);
+        return this.#cancel(name, id);
       default:
         return { result: RESULT_CODES.badCall };
     }
@@ -125,7 +130,7 @@
     return { result: RESULT_CODES.jobAccepted, fields: { state } };
   }
 
-  async #submit(req: http.IncomingMessage, queue: string, id: string): Promise<Answer> {
+  async #submit(req: http.IncomingMessage, queue: QueuePolicy, id: string): Promise<Answer> {
     const text = await readText(req);
     if (text === undefined) {
       return {
@@ -135,7 +140,9 @@
     }
     const { JobFaultsError, readJob } = await import('./internal/job-schema.js');
     try {
-      const spec = readJob(id, queue, text, Date.now());
+      const spec = readJob(id, queue.name, text, Date.now());
+      const refusalMs = this.#node.jobs.refusalMs(spec, queue);
+      if (refusalMs !== undefined) return { result: RESULT_CODES.longWait, refusalMs };
       const outcome = await this.#node.jobs.submit(spec, steadyMs() + CALL_MS);
       return { result: SUBMIT_RESULTS[outcome] };
     } catch (err) {
--- a/packages/runtime/src/job-service.ts
+++ b/packages/runtime/src/job-service.ts
@@ -1,6 +1,7 @@
 import type { Observable } from 'rxjs';
 import { firstValueFrom, from, map, merge, race, timer } from 'rxjs';
-import type { JobSpec, JobState } from '@redwingcrank/jobs';
+import type { JobSpec, JobState, QueuePolicy } from '@redwingcrank/jobs';
+import { refusalMs } from '@redwingcrank/jobs';
 import type { KeyedLog, KeyedWrite } from './keyed-log.js';
 import type { NodeLog } from './node-log.js';
 import { AppendBatcher } from './internal/append-batcher.js';
@@ -31,6 +32,9 @@
  */
 const MAX_VIEW_AGE_MS = 2_500;
 
+/** An older record of the scheduling node keeps no job out, in milliseconds. */
+const MAX_REFUSAL_AGE_MS = 1_500;
+
 /** The pause before an unanswered append is repeated, in milliseconds. */
 const REPEAT_MS = 50;
 
@@ -114,13 +118,35 @@
       sends,
       viewAgeMs: Math.round(steadyMs() - this.#view.freshMs),
       tookMs: Math.round(steadyMs() - arrivedMs),
-      steps: spec.steps.length,
-      tasks: spec.steps.reduce((sum, { taskCount }) => sum + taskCount, 0),
+      ...sizeOf(spec),
     });
     if (outcome === 'stored') return 'accepted';
     return outcome;
   }
 
+  /**
+   * In how many milliseconds a caller had better come back with a job; undefined where it can be taken
+   * now, or stands already.
+   */
+  refusalMs(spec: JobSpec, queue: QueuePolicy): number | undefined {
+    const { leader, leaderSeenMs } = this.#view.table;
+    const leaderAgeMs = steadyMs() - leaderSeenMs;
+    const isTold = leader?.retryAfterMs !== undefined && leaderAgeMs < MAX_REFUSAL_AGE_MS;
+    if (!isTold || this.#find(spec.id)) return undefined;
+    const waitMs = refusalMs(spec, queue, leader.retryAfterMs);
+    if (waitMs === undefined) return undefined;
+    this.#log.emit('info', 'submit', {
+      job: spec.id,
+      queue: spec.queue,
+      outcome: 'not-run',
+      reason: 'idle-jobs',
+      retryAfterMs: Math.round(waitMs),
+      leaderAgeMs: Math.round(leaderAgeMs),
+      ...sizeOf(spec),
+    });
+    return waitMs;
+  }
+
   async cancel(id: string, queue: string, deadlineMs: number): Promise<CancelOutcome> {
     const known = this.#find(id);
     if (known?.queue !== queue) {
@@ -203,3 +229,7 @@
     return { outcome: 'unknown', reason: 'deadline', sends };
   }
 }
+
+function sizeOf({ steps }: JobSpec): { steps: number; tasks: number } {
+  return { steps: steps.length, tasks: steps.reduce((sum, { taskCount }) => sum + taskCount, 0) };
+}
--- a/packages/runtime/src/node.ts
+++ b/packages/runtime/src/node.ts
@@ -114,9 +114,9 @@
     return steadyMs() - this.#config.follower.freshMs;
   }
 
-  /** Whether the operators have configured a queue of this name. */
-  hasQueue(name: string): boolean {
-    return this.#config.current?.queues.some((queue) => queue.name === name) ?? false;
+  /** The queue of this name, as the operators have configured it; undefined where they have not. */
+  queue(name: string): QueueRoute | undefined {
+    return this.#config.current?.queues.find((queue) => queue.name === name);
   }
 
   /** What operators want to know of the node at a glance. */
--- a/packages/runtime/src/test/job-service_test.ts
+++ b/packages/runtime/src/test/job-service_test.ts
@@ -1,14 +1,18 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { Subject } from 'rxjs';
+import type { JobSpec, QueuePolicy, RetryAfter } from '@redwingcrank/jobs';
+import { PLAIN_STEP } from '@redwingcrank/jobs';
 import { WorkTable } from '../internal/work-table.js';
 import { steadyMs } from '../internal/delay.js';
 import { JobService } from '../job-service.js';
+import { encodeLeader, leaderKey } from '../internal/work-records.js';
 import type { WorkView } from '../job-service.js';
 import type { AppendResult, KeyedWrite } from '../keyed-log.js';
 import { NodeLog } from '../node-log.js';
 import { QuietLog } from './quiet-log.js';
 import { LASTING_JOB } from './job-fixtures.js';
+import { leaderRecord } from './leader-record.js';
 
 /** Jobs are stored one append at a time, each when the test says so. */
 class HeldLog extends QuietLog {
@@ -32,6 +36,12 @@
 class LosableView implements WorkView {
   readonly table = new WorkTable('n1');
 
+  /** A record of the scheduling node is read, by which pools take no more jobs. */
+  refuse(retryAfterMs: RetryAfter): void {
+    const value = encodeLeader(leaderRecord({ retryAfterMs }));
+    this.table.apply({ key: leaderKey(), value });
+  }
+
   readonly lost$ = new Subject<void>();
 
   isLost = false;
@@ -46,6 +56,15 @@
   }
 }
 
+const QUEUE: QueuePolicy = {
+  name: 'q',
+  pool: 'full',
+  priority: 0,
+  maxAttempts: 3,
+  stretch: 2,
+  targetLatencyMs: 100,
+};
+
 /** A service whose store the test plays. */
 class HeldService {
   readonly log = new HeldLog();
@@ -54,6 +73,10 @@
 
   readonly #service = new JobService(this.view, this.log, new NodeLog('n1', 'silent'));
 
+  refusalMs(spec: JobSpec, pool: string): number | undefined {
+    return this.#service.refusalMs(spec, { ...QUEUE, pool });
+  }
+
   submit(id: string, waitMs = 3_000): Promise<string> {
     return this.#service.submit({ ...LASTING_JOB, id }, steadyMs() + waitMs);
   }
@@ -97,3 +120,30 @@
   held.log.answer('refused');
   assert.equal(await submitted, 'unknown');
 });
+
+test('a job that would wait too long for its turn is refused, unless it stands already', async () => {
+  // Guards against jobs that are accepted and starve, against refusing what an empty pool could run,
+  // and against telling a caller that a stored job has not run.
+  const held = new HeldService();
+  const job = { ...LASTING_JOB, id: '00000000000000a1', steps: [PLAIN_STEP] };
+  assert.equal(held.refusalMs(job, 'full'), undefined);
+  held.view.refuse({ full: 2_500 });
+  assert.equal(held.refusalMs(job, 'full'), 2_500);
+  assert.equal(held.refusalMs(job, 'empty'), undefined);
+  assert.equal(held.refusalMs(LASTING_JOB, 'full'), undefined);
+
+  const stored = held.submit(job.id);
+  held.log.answer('appended');
+  assert.equal(await stored, 'accepted');
+  assert.equal(held.refusalMs(job, 'full'), undefined);
+});
+
+test('a scheduling node that has fallen silent keeps no job out', (t) => {
+  // Guards against refusals that go on after the crowd, as nobody says that it is over.
+  const held = new HeldService();
+  const job = { ...LASTING_JOB, steps: [PLAIN_STEP] };
+  held.view.refuse({ full: 2_500 });
+  const nowMs = performance.now();
+  t.mock.method(performance, 'now', () => nowMs + 2_000);
+  assert.equal(held.refusalMs(job, 'full'), undefined);
+});
