An overdue job takes a slow place only when it found no other for a while

Cause: an overdue task went at once to a worker whose processors were all claimed, where it and those beside it work slowly.

Change: first it waits for a usual place, a quarter of its allowed idle time longer; then any place is better than none.

--- a/packages/jobs/src/internal/idle-jobs.ts
+++ b/packages/jobs/src/internal/idle-jobs.ts
@@ -17,6 +17,9 @@
 /** Up to this part of the processors reserved, much is not. */
 const MUCH_ROOM = 0.6;
 
+/** After this many times the idle time that it may have, a job takes a slow place as well. */
+const LONG_OVERDUE = 1.25;
+
 /** Starts that overdue jobs may have saved up, so that a quiet hour earns them no burst. */
 const MAX_SAVED_STARTS = 5;
 
@@ -81,6 +84,12 @@
     return idleMs !== undefined && idleMs > this.#allowance.idleMs;
   }
 
+  /** Whether it is overdue for so long that any place is better than none. */
+  isLongOverdue(job: JobProgress, nowMs: number): boolean {
+    const idleMs = this.idleMs(job, nowMs);
+    return idleMs !== undefined && idleMs > LONG_OVERDUE * this.#allowance.idleMs;
+  }
+
   /** For how long a job has been idle, in milliseconds; undefined where it is not. */
   idleMs(job: JobProgress, nowMs: number): number | undefined {
     const idle = this.#idle.get(job);
--- a/packages/jobs/src/internal/task-placer.ts
+++ b/packages/jobs/src/internal/task-placer.ts
@@ -121,7 +121,7 @@
         for (const { tasks } of waiting.slice(count)) this.#waits.leftOut(tasks);
         return this.#cutShort(budget, count, placeless);
       }
-      const ofKind = places.of(step.spec, step.queue.pool, mayWorkSlowly(step, hasMuchRoom));
+      const ofKind = places.of(step.spec, step.queue.pool, this.#mayWorkSlowly(step, hasMuchRoom, nowMs));
       const outcome = this.#placeStep(step, ofKind, budget, nowMs);
       if (outcome === 'placed' && step.most === Infinity) this.#waits.placed(step.tasks);
       if (outcome === 'placeless') {
@@ -272,6 +272,16 @@
     yield { ...first, rank: OWED, orderMs: this.#idle.turnMs(job), most: 1 };
   }
 
+  /**
+   * Whether a task may go where it works slowly: of a job that found no other place since it is
+   * overdue, and with much room of any idle one. The tasks beside it are slowed down as well.
+   */
+  #mayWorkSlowly({ job, spec, rank }: WaitingStep, hasMuchRoom: boolean, nowMs: number): boolean {
+    if (!spec.fills) return false;
+    if (hasMuchRoom && (rank === OVERDUE || rank === OWED)) return true;
+    return rank === OVERDUE && this.#idle.isLongOverdue(job, nowMs);
+  }
+
   #placeStep(
     step: WaitingStep,
     places: KindPlaces,
@@ -373,14 +383,6 @@
   }
 }
 
-/**
- * Whether a task may go where it works slowly: of an overdue job, and with much room of any idle one.
- * The tasks beside it are slowed down as well.
- */
-function mayWorkSlowly({ spec, rank }: WaitingStep, hasMuchRoom: boolean): boolean {
-  return spec.fills && (rank === OVERDUE || (rank === OWED && hasMuchRoom));
-}
-
 /** Whether a run that is halted for some time could go on elsewhere. */
 function canMove(
   { worker, run }: HaltedRun,
