Idle jobs and what tasks take of the processors are told in one place

Cause: the backlog and the admission each looked for idle jobs, and two places rounded the same shares. Change: one generator, and `ClusterState.usage`; no decision changes.

--- a/packages/jobs/src/internal/cluster-state.ts
+++ b/packages/jobs/src/internal/cluster-state.ts
@@ -1,3 +1,4 @@
+import type { Usage } from '../backlog.js';
 import type { JobState, QueuePolicy } from '../job.js';
 import type { JobProgress, TaskProgress } from '../job-progress.js';
 import type { Order } from '../order.js';
@@ -77,9 +78,12 @@
     return this.#shareOf(({ cpuMilli }) => cpuMilli);
   }
 
-  /** The part of the listed workers' processors that best-effort tasks claim; they reserve none. */
-  bestEffortShare(): number {
-    return this.#shareOf(({ fillMilli }) => fillMilli);
+  /** What tasks take of the listed workers' processors. */
+  usage(): Usage {
+    return {
+      reservedPercent: Math.round(100 * this.reservedShare()),
+      bestEffortPercent: Math.round(100 * this.#shareOf(({ fillMilli }) => fillMilli)),
+    };
   }
 
   #shareOf(milliOf: (worker: WorkerState) => number): number {
--- a/packages/jobs/src/internal/task-placer.ts
+++ b/packages/jobs/src/internal/task-placer.ts
@@ -1,6 +1,6 @@
-import type { JobProgress, TaskProgress } from '../job-progress.js';
 import type { RetryAfter } from '../admission.js';
 import type { Backlog } from '../backlog.js';
+import type { JobProgress, TaskProgress } from '../job-progress.js';
 import { isFinal } from '../job.js';
 import type { TaskRef } from '../task-ref.js';
 import { taskName } from '../task-ref.js';
@@ -77,32 +77,30 @@
   backlog(nowMs: number): Backlog {
     let idleJobs = 0;
     let longestIdleMs = 0;
-    for (const job of this.#state.jobs.values()) {
-      const idleMs = isFinal(job.state) ? undefined : this.#idle.idleMs(job, nowMs);
-      if (idleMs !== undefined) {
-        idleJobs += 1;
-        longestIdleMs = Math.max(longestIdleMs, idleMs);
-      }
+    for (const [, idleMs] of this.#idleJobs(nowMs)) {
+      idleJobs += 1;
+      longestIdleMs = Math.max(longestIdleMs, idleMs);
     }
-    return {
-      idleJobs,
-      longestIdleMs,
-      reservedPercent: Math.round(100 * this.#state.reservedShare()),
-      bestEffortPercent: Math.round(100 * this.#state.bestEffortShare()),
-    };
+    return { idleJobs, longestIdleMs, ...this.#state.usage() };
   }
 
   /** By pool with too many idle jobs: when callers may come back; as of the newest round. */
   retryAfter(nowMs: number): RetryAfter {
     const idleJobs = new Map<string, number>();
-    for (const job of this.#state.jobs.values()) {
+    for (const [job] of this.#idleJobs(nowMs)) {
       const pool = this.#state.queues.get(job.spec.queue)?.pool;
-      const isIdle = !isFinal(job.state) && this.#idle.idleMs(job, nowMs) !== undefined;
-      if (isIdle && pool !== undefined) idleJobs.set(pool, (idleJobs.get(pool) ?? 0) + 1);
+      if (pool !== undefined) idleJobs.set(pool, (idleJobs.get(pool) ?? 0) + 1);
     }
     return this.#state.turnWaits.tooLong(idleJobs, this.#idle.allowance, nowMs);
   }
 
+  *#idleJobs(nowMs: number): Generator<[JobProgress, number]> {
+    for (const job of this.#state.jobs.values()) {
+      const idleMs = isFinal(job.state) ? undefined : this.#idle.idleMs(job, nowMs);
+      if (idleMs !== undefined) yield [job, idleMs];
+    }
+  }
+
   #place(nowMs: number, limits: RoundLimits): boolean {
     this.#halted = haltedRuns(this.#state.workers.values());
     const waiting = this.#turns.inOrder([...this.#waitingSteps(nowMs)].sort(byUrgency));
@@ -121,7 +119,8 @@
         for (const { tasks } of waiting.slice(count)) this.#waits.leftOut(tasks);
         return this.#cutShort(budget, count, placeless);
       }
-      const ofKind = places.of(step.spec, step.queue.pool, this.#mayWorkSlowly(step, hasMuchRoom, nowMs));
+      const isSlow = this.#mayWorkSlowly(step, hasMuchRoom, nowMs);
+      const ofKind = places.of(step.spec, step.queue.pool, isSlow);
       const outcome = this.#placeStep(step, ofKind, budget, nowMs);
       if (outcome === 'placed' && step.most === Infinity) this.#waits.placed(step.tasks);
       if (outcome === 'placeless') {
@@ -165,8 +164,7 @@
       cpuMilli: spec.cpuMilli,
       fills: spec.fills,
       isShort: this.#isShort,
-      reservedPercent: Math.round(100 * this.#state.reservedShare()),
-      bestEffortPercent: Math.round(100 * this.#state.bestEffortShare()),
+      ...this.#state.usage(),
       ...places.counts(),
     });
   }
