--- a/packages/runtime/src/job-service.ts
+++ b/packages/runtime/src/job-service.ts
@@ -142,6 +142,7 @@
       reason: 'idle-jobs',
       retryAfterMs: Math.round(waitMs),
       leaderAgeMs: Math.round(leaderAgeMs),
+      tookMs: 0,
       ...sizeOf(spec),
     });
     return waitMs;
--- a/packages/runtime/src/test/job-service_test.ts
+++ b/packages/runtime/src/test/job-service_test.ts
@@ -6,6 +6,7 @@
 import { WorkTable } from '../internal/work-table.js';
 import { steadyMs } from '../internal/delay.js';
 import { JobService } from '../job-service.js';
+import { NodeMetrics } from '../internal/node-metrics.js';
 import { encodeLeader, leaderKey } from '../internal/work-records.js';
 import type { WorkView } from '../job-service.js';
 import type { AppendResult, KeyedWrite } from '../keyed-log.js';
@@ -71,7 +72,9 @@
 
   readonly view = new LosableView();
 
-  readonly #service = new JobService(this.view, this.log, new NodeLog('n1', 'silent'));
+  readonly nodeLog = new NodeLog('n1', 'silent');
+
+  readonly #service = new JobService(this.view, this.log, this.nodeLog);
 
   refusalMs(spec: JobSpec, pool: string): number | undefined {
     return this.#service.refusalMs(spec, { ...QUEUE, pool });
@@ -138,6 +141,16 @@
   assert.equal(held.refusalMs(job, 'full'), undefined);
 });
 
+test('a refused job is counted by the metrics', async () => {
+  // Guards against a line that the metrics cannot count: the caller would get an error for a refusal.
+  const held = new HeldService();
+  const state = { isLeading: false, viewAgeMs: 0, jobs: new Map(), faults: [] };
+  const metrics = new NodeMetrics(held.nodeLog, () => state);
+  held.view.refuse({ full: 2_500 });
+  held.refusalMs({ ...LASTING_JOB, steps: [PLAIN_STEP] }, 'full');
+  assert.match(await metrics.text(), /submit_duration_seconds_count\{outcome="not-run"\} 1/);
+});
+
 test('a scheduling node that has fallen silent keeps no job out', (t) => {
   // Guards against refusals that go on after the crowd, as nobody says that it is over.
   const held = new HeldService();
