--- a/packages/jobs/src/internal/idle-jobs.ts
+++ b/packages/jobs/src/internal/idle-jobs.ts
@@ -12,7 +12,7 @@
 const WITH_ROOM: Allowance = { idleMs: 2_000, share: 1 };
 
 /** Where all processors are reserved. */
-const WITHOUT_ROOM: Allowance = { idleMs: 10_000, share: 0.25 };
+const WITHOUT_ROOM: Allowance = { idleMs: 10_000, share: 0.15 };
 
 /** Up to this part of the processors reserved, much is not. */
 const MUCH_ROOM = 0.6;
