Crowds of best-effort jobs keep no others out, and turns cost less where nearly all is reserved

And at 90 % reserved overdue jobs still had a third of all starts. Change: they are counted by lane, the best-effort tasks of a pool or those that reserve. The allowance reaches its least at 85 % reserved.

--- a/packages/jobs/src/admission.ts
+++ b/packages/jobs/src/admission.ts
@@ -1,11 +1,19 @@
 import type { JobSpec, QueuePolicy } from './job.js';
 
 /**
- * By pool of workers that has more idle jobs than turns for them: in how many milliseconds callers had
- * better come back. A job that is accepted all the same waits with nothing at work, or others do.
+ * In how many milliseconds callers had better come back, by lane that has more idle jobs than turns
+ * for them. A job that is accepted all the same waits with nothing at work, or others do.
  */
 export type RetryAfter = Readonly<Record<string, number>>;
 
+/**
+ * The tasks of a pool of workers that wait for the same room: best-effort tasks take what is left over
+ * by those that reserve theirs, so a crowd of the one kind is no reason to keep the other out.
+ */
+export function laneOf(pool: string, isBestEffort: boolean): string {
+  return isBestEffort ? `${pool} best-effort` : `${pool} reserved`;
+}
+
 /**
  * In how many milliseconds a caller had better come back with a job; undefined where it can be taken
  * now. Jobs that last or are due later take no part in the turns.
@@ -16,5 +24,6 @@
   retryAfterMs: RetryAfter,
 ): number | undefined {
   if (schedule || steps.some(({ lasting }) => lasting)) return undefined;
-  return retryAfterMs[pool];
+  const waitsMs = steps.map(({ fills }) => retryAfterMs[laneOf(pool, fills)] ?? 0);
+  return Math.max(0, ...waitsMs) || undefined;
 }
--- a/packages/jobs/src/internal/idle-jobs.ts
+++ b/packages/jobs/src/internal/idle-jobs.ts
@@ -11,12 +11,15 @@
 /** While much of the processors is not reserved. */
 const WITH_ROOM: Allowance = { idleMs: 2_000, share: 1 };
 
-/** Where all processors are reserved. */
+/** Where nearly all processors are reserved. */
 const WITHOUT_ROOM: Allowance = { idleMs: 10_000, share: 0.15 };
 
 /** Up to this part of the processors reserved, much is not. */
 const MUCH_ROOM = 0.6;
 
+/** From this part on nearly all are. */
+const LITTLE_ROOM = 0.85;
+
 /** After this many times the idle time that it may have, a job takes a slow place as well. */
 const LONG_OVERDUE = 1.25;
 
@@ -140,8 +143,9 @@
 
 /** Changes evenly from one allowance to the other: a few services more or fewer decide nothing. */
 function allowanceAt(reservedShare: number): Allowance {
-  const part = Math.max(0, Math.min(1, (reservedShare - MUCH_ROOM) / (1 - MUCH_ROOM)));
-  const between = (from: number, to: number): number => from + part * (to - from);
+  const part = (reservedShare - MUCH_ROOM) / (LITTLE_ROOM - MUCH_ROOM);
+  const taken = Math.max(0, Math.min(1, part));
+  const between = (from: number, to: number): number => from + taken * (to - from);
   return {
     idleMs: between(WITH_ROOM.idleMs, WITHOUT_ROOM.idleMs),
     share: between(WITH_ROOM.share, WITHOUT_ROOM.share),
--- a/packages/jobs/src/internal/report-reader.ts
+++ b/packages/jobs/src/internal/report-reader.ts
@@ -1,3 +1,4 @@
+import { laneOf } from '../admission.js';
 import type { StepSpec } from '../job.js';
 import { PLAIN_STEP, isFinal } from '../job.js';
 import type { JobProgress, TaskProgress } from '../job-progress.js';
@@ -101,7 +102,7 @@
     const run = worker.runs.get(row.task);
     const isCurrent = run?.run === row.run;
     if (isCurrent) worker.remove(row.task);
-    this.#state.turnWaits.ended(worker.entry.pool, nowMs);
+    if (run) this.#state.turnWaits.ended(laneOf(worker.entry.pool, run.spec.fills), nowMs);
     if (row.how === 'done') worker.health.ended(true, nowMs);
     if (row.how === 'failed') worker.health.ended(false, nowMs);
     const job = this.#state.jobs.get(ref.jobId);
--- a/packages/jobs/src/internal/task-placer.ts
+++ b/packages/jobs/src/internal/task-placer.ts
@@ -1,3 +1,4 @@
+import { laneOf } from '../admission.js';
 import type { RetryAfter } from '../admission.js';
 import type { Backlog } from '../backlog.js';
 import type { JobProgress, TaskProgress } from '../job-progress.js';
@@ -84,12 +85,15 @@
     return { idleJobs, longestIdleMs, ...this.#state.usage() };
   }
 
-  /** By pool with too many idle jobs: when callers may come back; as of the newest round. */
+  /** By lane with too many idle jobs: when callers may come back; as of the newest round. */
   retryAfter(nowMs: number): RetryAfter {
     const idleJobs = new Map<string, number>();
     for (const [job] of this.#idleJobs(nowMs)) {
-      const pool = this.#state.queues.get(job.spec.queue)?.pool;
-      if (pool !== undefined) idleJobs.set(pool, (idleJobs.get(pool) ?? 0) + 1);
+      const [step] = this.#stepsOf(job);
+      if (step) {
+        const lane = laneOf(step.queue.pool, step.spec.fills);
+        idleJobs.set(lane, (idleJobs.get(lane) ?? 0) + 1);
+      }
     }
     return this.#state.turnWaits.tooLong(idleJobs, this.#idle.allowance, nowMs);
   }
--- a/packages/jobs/src/internal/turn-waits.ts
+++ b/packages/jobs/src/internal/turn-waits.ts
@@ -32,10 +32,10 @@
     this.#sinceMs = nowMs;
   }
 
-  /** A task has ended in a pool of workers. */
-  ended(pool: string, nowMs: number): void {
-    const buckets = this.#buckets.get(pool) ?? [];
-    this.#buckets.set(pool, buckets);
+  /** A task of a lane has ended. */
+  ended(lane: string, nowMs: number): void {
+    const buckets = this.#buckets.get(lane) ?? [];
+    this.#buckets.set(lane, buckets);
     const newest = buckets.at(-1);
     if (newest && nowMs - newest.sinceMs < BUCKET_MS) newest.count += 1;
     else buckets.push({ sinceMs: nowMs, count: 1 });
@@ -43,23 +43,23 @@
   }
 
   /**
-   * By pool in which the turns of so many idle jobs take too long: in how many milliseconds they no
+   * By lane in which the turns of so many idle jobs take too long: in how many milliseconds they no
    * longer do, if no job comes. Where nothing ends at all nothing is known of them.
    */
   tooLong(idleJobs: ReadonlyMap<string, number>, allowance: Allowance, nowMs: number): RetryAfter {
     const excess: Record<string, number> = {};
     const countedMs = Math.min(WINDOW_MS, nowMs - this.#sinceMs);
     if (countedMs < LEAST_COUNTED_MS) return excess;
-    for (const [pool, count] of idleJobs) {
-      const turns = this.#count(pool, nowMs) * allowance.share;
+    for (const [lane, count] of idleJobs) {
+      const turns = this.#count(lane, nowMs) * allowance.share;
       const excessMs = (count * countedMs) / turns - allowance.idleMs;
-      if (count >= LEAST_CROWD && turns > 0 && excessMs > 0) excess[pool] = Math.ceil(excessMs);
+      if (count >= LEAST_CROWD && turns > 0 && excessMs > 0) excess[lane] = Math.ceil(excessMs);
     }
     return excess;
   }
 
-  #count(pool: string, nowMs: number): number {
-    const recent = (this.#buckets.get(pool) ?? []).filter(
+  #count(lane: string, nowMs: number): number {
+    const recent = (this.#buckets.get(lane) ?? []).filter(
       ({ sinceMs }) => sinceMs >= nowMs - WINDOW_MS,
     );
     return recent.reduce((sum, { count }) => sum + count, 0);
--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -266,7 +266,7 @@
     return this.#placer.backlog(nowMs);
   }
 
-  /** By pool of workers that takes no more jobs now: when callers may come back, in milliseconds. */
+  /** By lane that takes no more jobs now: when callers may come back, in milliseconds. */
   retryAfter(nowMs: number): RetryAfter {
     return this.#placer.retryAfter(nowMs);
   }
--- a/packages/runtime/src/internal/work-records.ts
+++ b/packages/runtime/src/internal/work-records.ts
@@ -59,7 +59,7 @@
   readonly process?: NodeProcess;
   /** Who is to claim the role first when that process ends. */
   readonly standby?: string;
-  /** By pool of workers that takes no more jobs now: when callers may come back, in milliseconds. */
+  /** By lane that takes no more jobs now: when callers may come back, in milliseconds. */
   readonly retryAfterMs?: RetryAfter;
 }
 
