--- a/packages/jobs/src/internal/idle-jobs.ts
+++ b/packages/jobs/src/internal/idle-jobs.ts
@@ -49,9 +49,9 @@
 /**
  * Jobs of which nothing is at work. By urgency alone a job that is late for good comes last in every
  * round, and under a steady load it never runs again. So of what cannot end in time, idle jobs come
- * first, and once one is overdue it comes before all but lasting tasks that were at work before. How long that takes, and how
- * many starts are left to others, goes by the part of the processors that is reserved: with room to
- * spare no load is a reason to leave a job alone.
+ * first, and once one is overdue it comes before all but lasting tasks that were at work before. How
+ * long that takes, and how many starts are left to others, goes by the part of the processors that is
+ * reserved: with room to spare no load is a reason to leave a job alone.
  *
  * Overdue jobs take turns, the one that is idle longest first. In any other order those at the
  * front are overdue again before the last had a turn, and that one waits without bound.
--- a/packages/jobs/src/internal/task-placer.ts
+++ b/packages/jobs/src/internal/task-placer.ts
@@ -55,6 +55,9 @@
   /** By job: its runs that may not work where they are, as of this round. */
   #halted: ReadonlyMap<string, HaltedRun[]> = new Map();
 
+  /** How many jobs are idle, by the lane of their first step, as of this round. */
+  readonly #idleByLane = new Map<string, number>();
+
   /** In the last round a job that could still end in time found no place. */
   #isShort = false;
 
@@ -78,31 +81,17 @@
   backlog(nowMs: number): Backlog {
     let idleJobs = 0;
     let longestIdleMs = 0;
-    for (const [, idleMs] of this.#idleJobs(nowMs)) {
-      idleJobs += 1;
-      longestIdleMs = Math.max(longestIdleMs, idleMs);
+    for (const job of this.#state.jobs.values()) {
+      const idleMs = isFinal(job.state) ? undefined : this.#idle.idleMs(job, nowMs);
+      if (idleMs !== undefined) idleJobs += 1;
+      longestIdleMs = Math.max(longestIdleMs, idleMs ?? 0);
     }
     return { idleJobs, longestIdleMs, ...this.#state.usage() };
   }
 
   /** By lane with too many idle jobs: when callers may come back; as of the newest round. */
   retryAfter(nowMs: number): RetryAfter {
-    const idleJobs = new Map<string, number>();
-    for (const [job] of this.#idleJobs(nowMs)) {
-      const [step] = this.#stepsOf(job);
-      if (step) {
-        const lane = laneOf(step.queue.pool, step.spec.fills);
-        idleJobs.set(lane, (idleJobs.get(lane) ?? 0) + 1);
-      }
-    }
-    return this.#state.turnWaits.tooLong(idleJobs, this.#idle.allowance, nowMs);
-  }
-
-  *#idleJobs(nowMs: number): Generator<[JobProgress, number]> {
-    for (const job of this.#state.jobs.values()) {
-      const idleMs = isFinal(job.state) ? undefined : this.#idle.idleMs(job, nowMs);
-      if (idleMs !== undefined) yield [job, idleMs];
-    }
+    return this.#state.turnWaits.tooLong(this.#idleByLane, this.#idle.allowance, nowMs);
   }
 
   #place(nowMs: number, limits: RoundLimits): boolean {
@@ -234,6 +223,7 @@
 
   *#waitingSteps(nowMs: number): Generator<WaitingStep> {
     this.#idle.beginRound(this.#state.reservedShare());
+    this.#idleByLane.clear();
     const overdue = new Map<JobProgress, WaitingStep[]>();
     for (const job of this.#state.jobs.values()) {
       if (!isFinal(job.state)) {
@@ -243,7 +233,7 @@
         if (steps.length > 0 || haltedCount > 0) {
           this.#idle.look(job, haltedCount, nowMs);
           if (this.#idle.isOverdue(job, nowMs)) overdue.set(job, steps);
-          yield* this.#owedSteps(job, steps, nowMs);
+          if (this.#idle.idleMs(job, nowMs) !== undefined) yield* this.#idleSteps(steps);
         }
       }
     }
@@ -263,14 +253,12 @@
   }
 
   /** The first step of an idle job stands twice: for the task that is owed, and the rest. */
-  *#owedSteps(
-    job: JobProgress,
-    steps: readonly WaitingStep[],
-    nowMs: number,
-  ): Generator<WaitingStep> {
-    const [first] = steps;
-    const isIdle = this.#idle.idleMs(job, nowMs) !== undefined;
-    if (!first?.spec.fills || first.rank <= OWED || !isIdle) return;
+  *#idleSteps([first]: readonly WaitingStep[]): Generator<WaitingStep> {
+    if (!first) return;
+    const { job, queue, spec, rank } = first;
+    const lane = laneOf(queue.pool, spec.fills);
+    this.#idleByLane.set(lane, (this.#idleByLane.get(lane) ?? 0) + 1);
+    if (!spec.fills || rank <= OWED) return;
     yield { ...first, rank: OWED, orderMs: this.#idle.turnMs(job), most: 1 };
   }
 
--- a/packages/runtime/src/job-api.ts
+++ b/packages/runtime/src/job-api.ts
@@ -90,7 +90,7 @@
     }
     const { result, fields, refusalMs } = await this.#answer(req, path.split('/').slice(1));
     const body = JSON.stringify({ code: result.code, result: result.name, ...fields });
-    if (refusalMs !== undefined) res.setHeader('Retry-After', Math.ceil(refusalMs / 1_000) || 1);
+    if (refusalMs !== undefined) res.setHeader('Retry-After', Math.ceil(refusalMs / 1_000));
     res.writeHead(result.status, { 'Content-Type': 'application/json' });
     res.end(body);
   }
