A job whose tasks are all halted is told as idle

Change: such a job gets the line as well, with how many of its tasks are halted; the rank, which said little, goes. Decisions are unchanged.

--- a/packages/jobs/src/internal/task-placer.ts
+++ b/packages/jobs/src/internal/task-placer.ts
@@ -3,6 +3,7 @@
 import type { Backlog } from '../backlog.js';
 import type { JobProgress, TaskProgress } from '../job-progress.js';
 import { isFinal } from '../job.js';
+import type { StepSpec } from '../job.js';
 import type { TaskRef } from '../task-ref.js';
 import { taskName } from '../task-ref.js';
 import type { ClusterState } from './cluster-state.js';
@@ -121,7 +122,7 @@
         this.#isShort ||= step.rank === IN_TIME;
         if (step.rank === OVERDUE) this.#overduePlaceless.push(step);
         this.#waits.placeless(step.tasks, () => ofKind.obstacle, nowMs);
-        if (this.#idle.isNewlyIdle(step.job, nowMs)) this.#noteIdle(step, ofKind, nowMs);
+        this.#noteIdle(step.job, step.spec, ofKind, nowMs);
       }
       if (outcome === 'cut-short') {
         this.#cutShort(budget, count, placeless);
@@ -144,16 +145,19 @@
       if (queue && this.#idle.idleMs(job, nowMs) !== undefined) {
         const moved = halted.find((found) => canMove(found, places, queue.pool, nowMs));
         if (moved) this.#state.stopRun(moved.worker, moved.run, 'halted', nowMs);
+        const { spec } = halted[0]!.run;
+        this.#noteIdle(job, spec, places.of(spec, queue.pool, true), nowMs);
       }
     }
   }
 
   /** Tells of a job that is idle for long what keeps it from how many workers. */
-  #noteIdle({ job, spec, rank }: WaitingStep, places: KindPlaces, nowMs: number): void {
+  #noteIdle(job: JobProgress, spec: StepSpec, places: KindPlaces, nowMs: number): void {
+    if (!this.#idle.isNewlyIdle(job, nowMs)) return;
     this.#state.note('job-idle', {
       job: job.spec.id,
       idleMs: Math.round(this.#idle.idleMs(job, nowMs) ?? 0),
-      rank,
+      halted: this.#halted.get(job.spec.id)?.length ?? 0,
       cpuMilli: spec.cpuMilli,
       fills: spec.fills,
       isShort: this.#isShort,
