Idle times go on when the scheduling role passes on

Change: each node notes when it read a job's newest progress. A job that is taken on with nothing at work is idle since then; not one with occurrences, which may have nothing due.

Measured: idle-record_test.ts, the new case (a scheduler did not take the time before).

--- a/packages/jobs/src/internal/idle-jobs.ts
+++ b/packages/jobs/src/internal/idle-jobs.ts
@@ -71,9 +71,12 @@
   /** Looks at a job that could go on, of which so many tasks at workers are halted. */
   look(job: JobProgress, haltedCount: number, nowMs: number): void {
     if (job.boundCount(haltedCount + 1) > haltedCount) this.#idle.delete(job);
-    else if (!this.#idle.has(job)) {
-      this.#idle.set(job, { sinceMs: nowMs, isNoted: false, turnMs: nowMs });
-    }
+    else if (!this.#idle.has(job)) this.assume(job, nowMs);
+  }
+
+  /** The job is idle since then. */
+  assume(job: JobProgress, sinceMs: number): void {
+    this.#idle.set(job, { sinceMs, isNoted: false, turnMs: sinceMs });
   }
 
   /** As of the newest round. */
--- a/packages/jobs/src/internal/task-placer.ts
+++ b/packages/jobs/src/internal/task-placer.ts
@@ -78,6 +78,15 @@
     return isCutShort;
   }
 
+  /**
+   * A job that an earlier node has left: with nothing at work it is idle since then. Between two
+   * occurrences it has nothing to start either.
+   */
+  assumeIdle(job: JobProgress, sinceMs: number): void {
+    const hasWork = !job.spec.schedule && !isFinal(job.state);
+    if (sinceMs < Infinity && hasWork && !job.hasBound()) this.#idle.assume(job, sinceMs);
+  }
+
   /** As of the newest round. */
   backlog(nowMs: number): Backlog {
     let idleJobs = 0;
--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -113,11 +113,15 @@
     for (const queue of queues) this.#state.queues.set(queue.name, queue);
   }
 
-  /** Takes on a job: one just accepted, or one that an earlier node has brought so far. */
-  addJob(progress: JobProgress): void {
+  /**
+   * Takes on a job: one just accepted, or one that an earlier node has brought so far, which nothing
+   * has happened to since `changedMs`.
+   */
+  addJob(progress: JobProgress, changedMs = Infinity): void {
     const { id } = progress.spec;
     if (this.#state.jobs.has(id)) return;
     this.#state.jobs.set(id, progress);
+    this.#placer.assumeIdle(progress, changedMs);
     for (const [ref, task] of boundTasks(progress)) this.#inherit(progress, ref, task);
   }
 
--- a/packages/jobs/src/test/idle-record_test.ts
+++ b/packages/jobs/src/test/idle-record_test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { JobProgress } from '../job-progress.js';
 import { SchedulerHarness, jobSpec, stepSpec, workerEntry } from './scheduler-harness.js';
 
 test('a job that is idle for long is told once, with what keeps it from how many workers', () => {
@@ -31,3 +32,17 @@
   harness.starts();
   assert.equal(harness.scheduler.backlog(harness.nowMs).idleJobs, 0);
 });
+
+test('a job that an earlier node has left idle goes on being idle since then', () => {
+  // Guards against idle times that begin anew with each scheduling node: with two of them a job waits
+  // twice as long for its turn.
+  const harness = new SchedulerHarness([]);
+  const left = new JobProgress(jobSpec([stepSpec()], { id: 'left' }));
+  left.openDue(harness.nowMs);
+  harness.nowMs = 60_000;
+  harness.scheduler.addJob(left, harness.nowMs - 9_000);
+  harness.submit(jobSpec([stepSpec()], { id: 'new' }));
+  harness.decide();
+  assert.equal(harness.scheduler.backlog(harness.nowMs).longestIdleMs, 9_000);
+  assert.equal(harness.scheduler.backlog(harness.nowMs).idleJobs, 2);
+});
--- a/packages/runtime/src/internal/term-scheduler.ts
+++ b/packages/runtime/src/internal/term-scheduler.ts
@@ -28,10 +28,11 @@
 
 /** Hands a stored job over, as far as it has come; one whose progress is not known is left alone. */
 export function takeOn(scheduler: Scheduler, job: StoredJob): void {
-  const { spec, progress, isUnsure, cancelled } = job;
+  const { spec, progress, changedMs, isUnsure, cancelled } = job;
   if (isUnsure) return;
   scheduler.addJob(
     progress === undefined ? new JobProgress(spec) : JobProgress.decode(spec, progress),
+    changedMs,
   );
   if (cancelled) scheduler.cancel(spec.id, Date.now());
 }
--- a/packages/runtime/src/internal/work-table.ts
+++ b/packages/runtime/src/internal/work-table.ts
@@ -17,6 +17,8 @@
   /** Time of day at which it reached a final state; 0 before that. */
   endedMs: number;
   progress: string | undefined;
+  /** When its newest progress was read, or the job itself before that, on the steady clock. */
+  changedMs: number;
   /** The newest record of its progress could not be read: `progress` may be out of date. */
   isUnsure: boolean;
   cancelled: boolean;
@@ -253,6 +255,7 @@
       state: 'queued',
       endedMs: 0,
       progress: undefined,
+      changedMs: steadyMs(),
       isUnsure: false,
       cancelled: false,
     });
@@ -304,7 +307,7 @@
 
   #progressed(id: string, job: StoredJob, newest: Partial<StoredJob>): void {
     const wasUnsure = job.isUnsure;
-    Object.assign(job, newest, { isUnsure: false });
+    Object.assign(job, newest, { isUnsure: false, changedMs: steadyMs() });
     // As if it were new: a scheduling node that had to leave it alone takes it on.
     if (wasUnsure) this.changes$.next({ kind: 'accepted', id });
   }
