--- a/packages/jobs/src/internal/task-placer.ts
+++ b/packages/jobs/src/internal/task-placer.ts
@@ -30,8 +30,8 @@
  */
 type StepOutcome = 'placed' | 'placeless' | 'cut-short';
 
-/** While less of the processors is reserved, tasks that work slowly do not stand in others' way. */
-const MUCH_ROOM = 0.5;
+/** While less of the processors is reserved, tasks that work slowly do not stand in the way of others. */
+const SLOW_PLACES_BELOW = 0.5;
 
 /** A job whose tasks are all halted for so long is to go on elsewhere, in milliseconds. */
 const HALTED_MS = 1_000;
@@ -112,7 +112,7 @@
     this.#placeHeld(budget, nowMs);
     const places = new RoundPlaces(this.#openWorkers(), this.#placement, nowMs);
     const placeless: WaitingStep[] = [];
-    const hasMuchRoom = !this.#isShort && this.#state.reservedShare() < MUCH_ROOM;
+    const hasMuchRoom = !this.#isShort && this.#state.reservedShare() < SLOW_PLACES_BELOW;
     this.#isShort = false;
     for (const { tasks } of waiting) this.#waits.waiting(tasks, nowMs);
     for (const [count, step] of waiting.entries()) {
