--- a/packages/runtime/src/internal/worker-link.ts
+++ b/packages/runtime/src/internal/worker-link.ts
@@ -3,6 +3,7 @@
 import type { NodeLog } from '../node-log.js';
 import type { RenewResult, TaskWorkers, WorkerAddress } from '../task-workers.js';
 import { Pause, delay, steadyMs } from './delay.js';
+import type { RetryBudget } from './retry-budget.js';
 import type { StartViews } from './start-views.js';
 import {
   IDLE_RENEW_WAIT_MS,
@@ -71,6 +72,8 @@
 
   readonly #leaseMs: number;
 
+  readonly #retries: RetryBudget;
+
   readonly #stopping = new AbortController();
 
   #clock: ClockReading | undefined;
@@ -87,12 +90,14 @@
     listener: LinkListener,
     log: NodeLog,
     leaseMs: number,
+    retries: RetryBudget,
   ) {
     this.address = { id: entry.id, address: entry.address };
     this.#workers = workers;
     this.#listener = listener;
     this.#log = log;
     this.#leaseMs = leaseMs;
+    this.#retries = retries;
   }
 
   get id(): string {
@@ -124,13 +129,18 @@
     this.#ackWait.end();
   }
 
-  /** Sends an order until it is answered or no longer useful, and reports the outcome. */
+  /**
+   * Sends an order until it is answered or no longer useful, and reports the outcome. Without a
+   * retry left the outcome of a start stays unknown until the worker's next report.
+   */
   async order(order: Order): Promise<void> {
     let outcome: OrderOutcome = 'unknown';
     let sendCompletedMs = Infinity;
     let mayHaveStarted = false;
     for (let attempt = 0; attempt < START_ATTEMPTS && outcome === 'unknown'; attempt += 1) {
       if (this.#stopping.signal.aborted) return;
+      if (attempt === 0) this.#retries.called();
+      else if (!this.#retries.tryRetry()) break;
       const sentMs = steadyMs();
       const windowMs =
         order.kind === 'start' ? this.#listener.views.windowMs(sentMs) : START_WINDOW_MS;
--- a/packages/runtime/src/internal/worker-links.ts
+++ b/packages/runtime/src/internal/worker-links.ts
@@ -2,6 +2,7 @@
 import type { NodeLog } from '../node-log.js';
 import type { TaskWorkers } from '../task-workers.js';
 import { LinkStarter } from './link-starter.js';
+import { RetryBudget } from './retry-budget.js';
 import type { LinkListener } from './worker-link.js';
 import { WorkerLink } from './worker-link.js';
 
@@ -22,6 +23,9 @@
 
   readonly #starter: LinkStarter;
 
+  /** Shared by all links: an overload of this node delays the answers of all workers. */
+  readonly #retries = new RetryBudget();
+
   readonly #links = new Map<string, WorkerLink>();
 
   constructor(settings: LinkSettings) {
@@ -41,7 +45,7 @@
     const { id } = worker.entry;
     if (this.#links.has(id)) return;
     const { listener, workers, log, leaseMs } = this.#settings;
-    const link = new WorkerLink(worker.entry, workers, listener, log, leaseMs);
+    const link = new WorkerLink(worker.entry, workers, listener, log, leaseMs, this.#retries);
     this.#links.set(id, link);
     this.#starter.start(link, worker);
   }
--- a/packages/runtime/src/test/idle-worker_test.ts
+++ b/packages/runtime/src/test/idle-worker_test.ts
@@ -3,6 +3,7 @@
 import { JobProgress, PLAIN_STEP, Scheduler } from '@redwingcrank/jobs';
 import { NodeLog } from '../node-log.js';
 import type { RenewRequest, RenewResult, WorkerAddress } from '../task-workers.js';
+import { RetryBudget } from '../internal/retry-budget.js';
 import { WorkerLink } from '../internal/worker-link.js';
 import { WORKER_ENTRY } from './fixtures.js';
 import { HealthyWorkers } from './healthy-workers.js';
@@ -48,7 +49,7 @@
     fenced: () => {},
   };
   const log = new NodeLog('n1', 'silent');
-  const link = new WorkerLink(WORKER_ENTRY, worker, listener, log, LEASE_MS);
+  const link = new WorkerLink(WORKER_ENTRY, worker, listener, log, LEASE_MS, new RetryBudget());
   const running = link.run();
   await pause(50);
   link.stop();
--- a/packages/runtime/src/test/worker-link_test.ts
+++ b/packages/runtime/src/test/worker-link_test.ts
@@ -4,6 +4,7 @@
 import type { OrderResult, RenewRequest, RenewResult } from '../task-workers.js';
 import { TaskWorkers } from '../task-workers.js';
 import { delay } from '../internal/delay.js';
+import { RetryBudget } from '../internal/retry-budget.js';
 import type { LinkListener } from '../internal/worker-link.js';
 import { WorkerLink } from '../internal/worker-link.js';
 import { WORKER_ENTRY } from './fixtures.js';
@@ -61,6 +62,7 @@
     listener(leases),
     new NodeLog('n1', 'silent'),
     LEASE_MS,
+    new RetryBudget(),
   );
   const running = link.run();
   await delay(100, new AbortController().signal);
