Log: no write ends within a line

Cause: lines were written 16 KiB at a time, wherever that ended, so a reader that takes what it reads at once for whole lines records two broken ones; a full pipe also accepts a write of over 4 KiB in part. Change: each write is the whole lines that fit into 4 KiB, which a pipe accepts whole or not at all; a longer line is written alone, in parts. Test, failing before in every piece but the last (5 of 6): a pipe that fills, read 64 KiB at a time.

--- a/packages/runtime/src/node-log.ts
+++ b/packages/runtime/src/node-log.ts
@@ -15,9 +15,12 @@
 const STDOUT = 1;
 
 /**
- * Maximum size of one write, in bytes: some readers accept at most the capacity of a pipe at once.
+ * Maximum size of one write, in bytes: a pipe accepts a write of this size whole or not at all, so
+ * that a reader never gets a part of a line.
  */
-const MAX_WRITE_BYTES = 16 * 1024;
+const MAX_WRITE_BYTES = 4 * 1024;
+
+const NEWLINE = 0x0a;
 
 /**
  * Interval of retries of a write to a full pipe, in milliseconds: without retries its lines would
@@ -94,7 +97,7 @@
   }
 
   #write(data: Buffer): void {
-    write(STDOUT, data, 0, Math.min(data.length, MAX_WRITE_BYTES), (err, written) => {
+    write(STDOUT, data, 0, completeLinesLength(data), (err, written) => {
       if (err?.code === 'EAGAIN') setTimeout(() => this.#write(data), FULL_PIPE_RETRY_MS);
       else if (err) this.#dropLines(data);
       else if (written < data.length) this.#write(data.subarray(written));
@@ -116,3 +119,13 @@
     else this.#isWriting = false;
   }
 }
+
+/**
+ * Returns the length of the complete lines that fit into one write. A line that is too long for one
+ * is written in parts.
+ */
+function completeLinesLength(data: Buffer): number {
+  if (data.length <= MAX_WRITE_BYTES) return data.length;
+  const end = data.lastIndexOf(NEWLINE, MAX_WRITE_BYTES - 1) + 1;
+  return end > 0 ? end : MAX_WRITE_BYTES;
+}
--- a/packages/runtime/src/test/node-log_test.ts
+++ b/packages/runtime/src/test/node-log_test.ts
@@ -49,3 +49,42 @@
   assert.ok(ms < 2_000, `${ms} ms`);
   assert.ok(dropped > 0);
 });
+
+/** The capacity of a pipe, in bytes. */
+const PIPE_BYTES = 64 * 1024;
+
+/** Reads a pipe slowly, all that it holds at once, and prints how each piece ended. */
+const READER = `
+import { readSync } from 'node:fs';
+const data = Buffer.alloc(${PIPE_BYTES});
+for (;;) {
+  Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, 20);
+  const length = readSync(0, data);
+  if (length === 0) break;
+  const text = data.toString('utf8', 0, length);
+  console.log(text.split('\\n').length - 1, JSON.stringify(text.slice(-30)));
+}
+`;
+
+test('a reader of a pipe that fills never gets a part of a line', async () => {
+  // Guards against writes that end within a line: a collector that takes what it reads at once for
+  // whole lines records two broken ones.
+  const node = `${process.execPath} --input-type=module -e`;
+  const command = `${node} "$WRITER" 5000 | ${node} "$READER"`;
+  const env = { ...process.env, WRITER, READER };
+  const child = spawn('sh', ['-c', command], { env, stdio: ['ignore', 'pipe', 'ignore'] });
+  let report = '';
+  child.stdout.on('data', (data: Buffer) => {
+    report += data.toString();
+  });
+  await new Promise((resolve) => {
+    child.once('close', resolve);
+  });
+  const pieces = report.trim().split('\n');
+  const lineCount = pieces.reduce((sum, piece) => sum + Number(piece.split(' ')[0]), 0);
+  assert.equal(lineCount, 5_000);
+  assert.deepEqual(
+    pieces.filter((piece) => !piece.endsWith('\\n"')),
+    [],
+  );
+});
