--- a/packages/runtime/src/node-log.ts
+++ b/packages/runtime/src/node-log.ts
@@ -75,7 +75,8 @@
     this.#observer?.(event, fields);
     if (LEVELS[level] < this.#logger.getLevel()) return;
     const at = new Date().toISOString();
-    this.#logger[level](logfmt.stringify({ at, level, node: this.#node, event, ...fields }));
+    const line = logfmt.stringify({ at, level, node: this.#node, event, ...fields });
+    this.#logger[level](line.includes('\n') ? line.replaceAll('\n', '\\n') : line);
   }
 
   #enqueue(line: string): void {
--- a/packages/runtime/src/test/node-log_test.ts
+++ b/packages/runtime/src/test/node-log_test.ts
@@ -1,7 +1,10 @@
 import assert from 'node:assert/strict';
 import { spawn } from 'node:child_process';
+import fs from 'node:fs';
+import { syncBuiltinESMExports } from 'node:module';
 import path from 'node:path';
 import { test } from 'node:test';
+import { NodeLog } from '../node-log.js';
 
 const LOG = path.join(import.meta.dirname, '..', 'node-log.js');
 
@@ -88,3 +91,24 @@
     [],
   );
 });
+
+test('a value with line breaks stays on one line', (t) => {
+  // Guards against stack traces that are read as further lines, without event or node.
+  const lines: string[] = [];
+  t.mock.method(fs, 'write', (_fd: number, data: Buffer, ...args: unknown[]) => {
+    lines.push(data.toString());
+    (args.at(-1) as (err: null, written: number) => void)(null, data.length);
+  });
+  syncBuiltinESMExports();
+  t.after(() => {
+    t.mock.restoreAll();
+    syncBuiltinESMExports();
+  });
+  new NodeLog('n1').emit('error', 'failed', { reason: 'Error: aborted\n    at abort (a.js:1)' });
+  return new Promise<void>((resolve) => {
+    setImmediate(() => {
+      assert.match(lines.join(''), /^at=\S+ level=error .*aborted\\n {4}at abort[^\n]*\n$/);
+      resolve();
+    });
+  });
+});
