Admission: a leader that is itself the limit accepts what it can start

Change: while rounds have been cut short by their limits for a second, the wait is estimated from the waiting tasks and the starts since then; where it exceeds 5 s, the leader's record names all classes of its pools with the excess as Retry-After, and every node refuses at once (long-running and scheduled jobs excepted, as before).

--- a/packages/jobs/src/internal/task-placer.ts
+++ b/packages/jobs/src/internal/task-placer.ts
@@ -12,6 +12,7 @@
 import { CapacityHold } from './capacity-hold.js';
 import { IdleJobs, STARVED_RANK, CATCH_UP_RANK } from './idle-jobs.js';
 import type { PlacementPolicy } from './placement.js';
+import { StartBacklog } from './start-backlog.js';
 import { StepRotation } from './step-rotation.js';
 import type { Candidates } from './round-candidates.js';
 import { RoundCandidates } from './round-candidates.js';
@@ -61,12 +62,21 @@
   /** The number of idle jobs by the capacity class of their first step, as of this round. */
   readonly #idleByClass = new Map<string, number>();
 
+  readonly #startBacklog: StartBacklog;
+
+  /** The steps that the latest round had to place. */
+  #waiting: readonly WaitingStep[] = [];
+
+  /** The number of tasks that the latest round has bound. */
+  #startCount = 0;
+
   /** Whether a job that could still end in time did not fit on any worker in the last round. */
   #isCapacityShort = false;
 
   constructor(state: ClusterState, placement: PlacementPolicy) {
     this.#state = state;
     this.#placement = placement;
+    this.#startBacklog = new StartBacklog(state.startedMs);
   }
 
   /**
@@ -74,7 +84,10 @@
    * limits ended placement while there may be capacity for more tasks.
    */
   placeAll(nowMs: number, limits: RoundLimits): boolean {
+    this.#startCount = 0;
     const isCutShort = this.#placeWaiting(nowMs, limits);
+    if (isCutShort) this.#startBacklog.cutShort(this.#startCount, this.#waitingCount(), nowMs);
+    else this.#startBacklog.completed(this.#startCount, nowMs);
     this.#starvedUnplaced.length = 0;
     this.#holdCapacity(nowMs);
     return isCutShort;
@@ -104,15 +117,42 @@
 
   /**
    * Returns, for each capacity class with too many idle jobs, after how many milliseconds callers
-   * may retry; as of the latest round.
+   * may retry; as of the latest round. A leader that is overloaded itself names all classes.
    */
   retryAfter(nowMs: number): RetryAfter {
-    return this.#state.idleWaits.retryAfter(this.#idleByClass, this.#idle.allowance, nowMs);
+    const byIdleJobs = this.#state.idleWaits.retryAfter(
+      this.#idleByClass,
+      this.#idle.allowance,
+      nowMs,
+    );
+    const overloadMs = this.#startBacklog.retryAfterMs(nowMs);
+    if (overloadMs === undefined) return byIdleJobs;
+    const byClass: Record<string, number> = { ...byIdleJobs };
+    for (const { pool } of this.#state.queues.values()) {
+      for (const isBestEffort of [true, false]) {
+        const capacityClass = capacityClassOf(pool, isBestEffort);
+        byClass[capacityClass] = Math.max(byClass[capacityClass] ?? 0, overloadMs);
+      }
+    }
+    return byClass;
+  }
+
+  /** Returns how many tasks of the steps of the latest round still wait for a worker. */
+  #waitingCount(): number {
+    let count = 0;
+    for (const { tasks, maxTasks } of this.#waiting) {
+      // Steps with a limit are listed again without one.
+      if (maxTasks === Infinity) {
+        for (const { phase } of tasks) if (phase === 'waiting') count += 1;
+      }
+    }
+    return count;
   }
 
   #placeWaiting(nowMs: number, limits: RoundLimits): boolean {
     this.#halted = haltedRuns(this.#state.workers.values());
     const waiting = this.#rotation.inOrder([...this.#waitingSteps(nowMs)].sort(byUrgency));
+    this.#waiting = waiting;
     // The time limit applies from here on, because with thousands of waiting steps sorting takes a
     // while.
     const budget = new RoundBudget(limits);
@@ -380,6 +420,7 @@
     run: number,
     nowMs: number,
   ): void {
+    this.#startCount += 1;
     Object.assign(task, { phase: 'bound', run, worker: worker.entry.id });
     worker.add(taskName(ref), newRun(ref, task, spec, nowMs));
     job.markRunning();
