Tests: many-waiting and slow-list go by the runtime's clock

Both went by the wall clock and failed beside load (37 to 99 of 100 tasks running; one look of 10 ms without a window). They now advance the clock of the virtual-time fixture: a check of a worker blocks it for as long as before, every call takes as long, the assertions are unchanged.

--- a/packages/runtime/src/test/many-waiting_test.ts
+++ b/packages/runtime/src/test/many-waiting_test.ts
@@ -4,7 +4,6 @@
 import { PLAIN_STEP, taskName } from '@redwingcrank/jobs';
 import type { AppendResult, KeyedWrite } from '../keyed-log.js';
 import type { OrderResult, RenewRequest, RenewResult, WorkerAddress } from '../task-workers.js';
-import { steadyMs } from '../internal/delay.js';
 import { encodeJob } from '../internal/job-record.js';
 import { LEADER_SILENT_MS } from '../internal/timing.js';
 import { jobKey } from '../internal/work-records.js';
@@ -15,7 +14,7 @@
 import { StaticLog } from './static-log.js';
 import { RunningTerm } from './running-term.js';
 import { HealthyWorkers } from './healthy-workers.js';
-import { pause } from './wait.js';
+import { VirtualTime } from './virtual-fleet.js';
 
 const WORKERS = 100;
 
@@ -32,11 +31,17 @@
 
 /** Counts the checks of workers, and blocks for the time of each. */
 class WorkerChecks {
+  readonly #time: VirtualTime;
+
   count = 0;
 
+  constructor(time: VirtualTime) {
+    this.#time = time;
+  }
+
   check(): void {
     this.count += 1;
-    for (const endMs = steadyMs() + CHECK_MS; steadyMs() < endMs;);
+    this.#time.block(CHECK_MS);
   }
 }
 
@@ -130,13 +135,14 @@
   return table;
 }
 
-test('a scheduling node with little processor time gives signs of life while thousands of jobs wait', async () => {
+test('a scheduling node with little processor time gives signs of life while thousands of jobs wait', async (t) => {
   // After a takeover 2,000 jobs wait, and the workers have capacity for 100. Guards against a leader that
   // checks every worker for each job without a break: for two seconds and more it renews no lease and
   // does not write its own record. Long-running tasks end with their leases, the leader counts as dead
   // after 1.1 s, and its successor has more to do. The gaps between two records, and between two
   // renewals, are measured in checks of workers, as each check takes the same time here.
-  const checks = new WorkerChecks();
+  const time = new VirtualTime(t);
+  const checks = new WorkerChecks(time);
   const records = new SignsOfLife(checks);
   const renewals = new SignsOfLife(checks);
   const workers = new CountingWorkers(renewals);
@@ -150,8 +156,10 @@
     decodeConfig: () => ({ value: CONFIG }),
   });
   const term = new RunningTerm(port, tableOfWaitingJobs());
-  await pause(TERM_MS);
-  await term.stop();
+  await time.advance(TERM_MS);
+  const stopped = term.stop();
+  await time.advance(TERM_MS);
+  await stopped;
   assert.ok(
     records.longestGap < SILENCE_CHECKS,
     `${records.longestGap} checks between two records`,
--- a/packages/runtime/src/test/slow-list_test.ts
+++ b/packages/runtime/src/test/slow-list_test.ts
@@ -11,21 +11,28 @@
 import { UP_TO_DATE_JOBS, nodeSettings } from './fixtures.js';
 import { platformPort } from './port-fixtures.js';
 import { StaticLog } from './static-log.js';
-import { pause, waitUntil } from './wait.js';
+import { VirtualTime } from './virtual-fleet.js';
 
 /** Time of each call to the store, in milliseconds. */
 const CALL_MS = 600;
 
 /** A log without new records, at a store that is slow for each call. */
 class SlowLog extends StaticLog {
+  readonly #time: VirtualTime;
+
+  constructor(time: VirtualTime) {
+    super();
+    this.#time = time;
+  }
+
   override async read(from: number, waitMs: number): Promise<ReadResult> {
     const sentMs = steadyMs();
-    await pause(waitMs + CALL_MS);
+    await this.#time.after(waitMs + CALL_MS);
     return { records: [], next: from, end: from, asOfMs: sentMs + waitMs };
   }
 
   override async newest(): Promise<NewestPage> {
-    await pause(CALL_MS);
+    await this.#time.after(CALL_MS);
     return super.newest();
   }
 }
@@ -34,8 +41,9 @@
   // The store takes 0.6 s for a call. Guards against reads that wait a second at the store for new
   // records: during a part of each read the list of workers is then too old for starts, and jobs
   // stall for that time.
+  const time = new VirtualTime(t);
   const log = new NodeLog('n1', 'silent');
-  const port = platformPort({ workerLog: new SlowLog() });
+  const port = platformPort({ workerLog: new SlowLog(time) });
   const timing = { leaseMs: 0, inheritedLeaseMs: 0, stallTimeoutMs: 0, stopRetryMs: 0 };
   const scheduler = new Scheduler(timing, 0, () => {});
   const config = new ConfigWatch(port, log);
@@ -43,14 +51,13 @@
   const { signal } = new AbortController();
   const views = new StartViews(list, UP_TO_DATE_JOBS, nodeSettings('n1'), signal);
   const running = list.run();
-  t.after(async () => {
-    list.stop();
-    await running;
-  });
-  await waitUntil(() => views.windowMs(steadyMs()) > 0);
+  assert.ok(await time.advanceUntil(() => views.windowMs(steadyMs()) > 0, 6_000));
   let withoutStartsMs = 0;
-  for (const endMs = steadyMs() + 6_000; steadyMs() < endMs; await pause(10)) {
+  for (const endMs = steadyMs() + 6_000; steadyMs() < endMs; await time.advance(10)) {
     if (views.windowMs(steadyMs()) === 0) withoutStartsMs += 10;
   }
+  list.stop();
+  await time.advance(2 * CALL_MS);
+  await running;
   assert.equal(withoutStartsMs, 0);
 });
