--- a/packages/jobs/src/internal/compact-progress.ts
+++ b/packages/jobs/src/internal/compact-progress.ts
@@ -1,19 +1,7 @@
 import type { JobState } from '../job.js';
-import { PackedText, escape, unescape } from './packed-text.js';
+import { PackedText, escapeText, unescapeText } from './packed-text.js';
 import type { ProgressRecord, TaskTuple } from './progress-record.js';
 
-/**
- * The text form of progress records. Every node reads every record, and a job's record is written
- * anew with each change, so its size determines the load of the store and of the nodes' links.
- *
- * A record is STATE OPENED [":" ENDED] ";" PREFIX, then for each open occurrence ";" NUMBER and for
- * each step "|" and its tasks, joined by ","; "!" ends it, so that a truncated record is recognised.
- * Consecutive tasks that were never started, or are
- * done, are one entry with their count: `w5`, `d`. Other tasks are `~NAME` or `~NAME.CHECKPOINT` for
- * a first run that is bound, else PHASE.RUN.FAILURES.WORKER.CHECKPOINT with the index of the phase.
- * Names that consist of the prefix and bytes in hexadecimal are `~` and the bytes in base64url, all
- * other text is escaped.
- */
 const STATE_LETTERS: Readonly<Record<JobState, string>> = {
   queued: 'q',
   running: 'r',
@@ -43,12 +31,24 @@
   return STATES_BY_LETTER.has(text.charAt(0));
 }
 
-/** Encodes a progress record as compact text. */
+/**
+ * Encodes a progress record as compact text. Every node reads every record, and a job's record is
+ * written anew with each change, so its size determines the load of the store and of the nodes'
+ * links.
+ *
+ * The text is STATE OPENED [":" ENDED] ";" PREFIX, then for each open occurrence ";" NUMBER and for
+ * each step "|" and its tasks, joined by ","; "!" ends it, so that a truncated record is recognised.
+ * Consecutive tasks that were never started, or are done, are one entry with their count: `w5`, `d`.
+ * Other tasks are `~WORKER` or `~WORKER.CHECKPOINT` for a first run that is bound, else
+ * PHASE.RUN.FAILURES.WORKER.CHECKPOINT with the index of the phase. Workers that consist of the
+ * prefix and bytes in hexadecimal, and checkpoints of such bytes, are `~` and the bytes in
+ * base64url; all other text is escaped.
+ */
 export function encodeCompact({ s, e, b, o }: ProgressRecord): string {
   const names = PackedText.of(namePrefix(o));
   const parts = [
     `${STATE_LETTERS[s]}${b}${e === undefined ? '' : `:${e}`}`,
-    escape(names.prefix),
+    escapeText(names.prefix),
     ...o.map(([number, steps]) =>
       [number, ...steps.map((tasks) => [...encodeTasks(tasks, names)].join(','))].join('|'),
     ),
@@ -66,7 +66,7 @@
   const [, letter, opened, ended] = HEAD.exec(head!) ?? [];
   const s = letter === undefined ? undefined : STATES_BY_LETTER.get(letter);
   if (s === undefined || escapedPrefix === undefined) return undefined;
-  const names = PackedText.of(unescape(escapedPrefix));
+  const names = PackedText.of(unescapeText(escapedPrefix));
   const o: ProgressRecord['o'] = [];
   for (const occurrence of occurrences) {
     const [number, ...steps] = occurrence.split('|');
--- a/packages/jobs/src/internal/packed-text.ts
+++ b/packages/jobs/src/internal/packed-text.ts
@@ -37,6 +37,7 @@
     this.prefix = prefix;
   }
 
+  /** Returns the conversions of texts with this prefix; their caches are shared. */
   static of(prefix: string): PackedText {
     const known = BY_PREFIX.get(prefix);
     if (known) return known;
@@ -55,13 +56,14 @@
     return text.startsWith(PACKED);
   }
 
+  /** Returns the packed form of a text, which contains no separator of a record. */
   pack(text: string): string {
     const cached = this.#packed.get(text);
     if (cached !== undefined) return cached;
     const tail = text.startsWith(this.prefix) ? text.slice(this.prefix.length) : '';
     const packed = HEX_BYTES.test(tail)
       ? `${PACKED}${Buffer.from(tail, 'hex').toString('base64url')}`
-      : escape(text);
+      : escapeText(text);
     remember(this.#packed, text, packed);
     return packed;
   }
@@ -70,7 +72,7 @@
   unpack(packed: string): string | undefined {
     const cached = this.#unpacked.get(packed);
     if (cached !== undefined) return cached;
-    if (!PackedText.isPacked(packed)) return UNSAFE.test(packed) ? undefined : unescape(packed);
+    if (!PackedText.isPacked(packed)) return UNSAFE.test(packed) ? undefined : unescapeText(packed);
     if (!BASE64.test(packed)) return undefined;
     const text = `${this.prefix}${Buffer.from(packed.slice(1), 'base64url').toString('hex')}`;
     remember(this.#unpacked, packed, text);
@@ -78,11 +80,13 @@
   }
 }
 
-export function escape(text: string): string {
+/** Replaces the characters that have a meaning in a record, and all that are not printable ASCII. */
+export function escapeText(text: string): string {
   return text.replace(SPECIAL, (char) => `%${char.charCodeAt(0).toString(16).padStart(4, '0')}`);
 }
 
-export function unescape(text: string): string {
+/** Returns the text that `escapeText` was given. */
+export function unescapeText(text: string): string {
   return text.replace(ESCAPED, (_match, code: string) => String.fromCharCode(parseInt(code, 16)));
 }
 
