Test: a node that is stopped while its claim is in flight leads on

What callers see: restarts of all nodes in series; for up to the grace period of a process (6 s) no long-running task is started again and no job is accepted.

VirtualNode can be stopped as an operator does it, and the virtual store tells which node sent the latest claim.

--- a/packages/runtime/src/test/virtual-fleet.ts
+++ b/packages/runtime/src/test/virtual-fleet.ts
@@ -158,6 +158,9 @@
   /** Number of claims of the leadership that were sent. */
   claimCount = 0;
 
+  /** The node that sent the latest claim. */
+  claimant: string | undefined;
+
   constructor(time: VirtualTime) {
     super();
     this.#time = time;
@@ -173,7 +176,10 @@
     { stamp }: AppendOptions = {},
   ): Promise<AppendResult> {
     const [first] = records;
-    if (first?.key === leaderKey() && first.value?.includes('"number":0')) this.claimCount += 1;
+    if (first?.key === leaderKey() && first.value?.includes('"number":0')) {
+      this.claimCount += 1;
+      this.claimant = leaderOf(first.value)?.node;
+    }
     await this.#time.after(this.oneWayMs);
     const outcome = stamp ? this.#checkStamp(stamp.epoch, stamp.sequence) : 'appended';
     if (outcome === 'appended') this.#records.push(...records);
@@ -206,9 +212,7 @@
 
   /** The newest leader record. */
   get leader(): Pick<LeaderRecord, 'node' | 'epoch' | 'standby'> | undefined {
-    const rec = this.#records.findLast(({ key }) => key === leaderKey());
-    const decoded = decodeLeader(rec?.value ?? '');
-    return 'value' in decoded ? decoded.value : undefined;
+    return leaderOf(this.#records.findLast(({ key }) => key === leaderKey())?.value);
   }
 
   #checkStamp(epoch: number, sequence: number): AppendResult['outcome'] {
@@ -220,6 +224,11 @@
   }
 }
 
+function leaderOf(text = ''): LeaderRecord | undefined {
+  const decoded = decodeLeader(text);
+  return 'value' in decoded ? decoded.value : undefined;
+}
+
 /** A log without records, which refuses appends. */
 class EmptyLog extends StaticLog {
   override async append(): Promise<AppendResult> {
@@ -302,6 +311,11 @@
     this.#leadership.run().catch(() => {});
   }
 
+  /** Stops the node like an operator does: it resigns, and its process goes on for a while. */
+  stop(): void {
+    this.#leadership.stop().catch(() => {});
+  }
+
   /** Simulates that the process is killed, which closes its connections. */
   kill(): void {
     this.losePower();
