Leadership: a claim that is stored after its node began to stop is resigned

What callers saw: no long-running task is started again and no job is accepted for up to the grace period of a process (6 s) while nodes are restarted in series; with the wait for former leases on top, tasks stay down for more than nine seconds.

Cause: Leadership.stop resigns a term that exists. A claim in flight, or one whose answer was lost, became a term afterwards that nothing resigned; the loops that load jobs had ended with the stop, so it led without jobs, and its records came in time. Class: an effect that arrives after the state that asked for it is gone.

Change: a claim that is read back after the stop is resigned with its first record. That record states leases of 0 ms, since none was granted, so that the wait for former leases does not start over either.

--- a/packages/runtime/src/internal/leadership.ts
+++ b/packages/runtime/src/internal/leadership.ts
@@ -13,7 +13,7 @@
 import type { WorkFollower } from './work-follower.js';
 import { LeaderWatch } from './leader-watch.js';
 import type { StoredClaim } from './leader-writer.js';
-import { LEADER_WRITER } from './leader-writer.js';
+import { LEADER_WRITER, LeaderWriter } from './leader-writer.js';
 import { LeaderTerm } from './leader-term.js';
 import { PrefetchedLog } from './prefetched-log.js';
 import {
@@ -426,6 +426,10 @@
     const claim = this.#claims.get(leader.nonce);
     if (!claim || leader.resigned || this.#term) return;
     this.#claims.clear();
+    if (this.#stopping.signal.aborted) {
+      this.#resignClaim(leader, claim).catch((err) => this.#termFailed(err));
+      return;
+    }
     const term = new LeaderTerm(leader, claim, {
       port: { ...this.#port, workerLog: claim.workerLog },
       settings: this.#settings,
@@ -442,13 +446,30 @@
     setImmediate(() => this.#runTerm(term));
   }
 
+  /**
+   * Resigns a claim that was stored after this node began to stop. A term could not be run to its
+   * end, and other nodes would wait for it as long as it renews its records. The record states that
+   * no lease was granted under the claim, so that no node waits for one.
+   */
+  async #resignClaim(leader: LeaderRecord, claim: StoredClaim): Promise<void> {
+    const writer = new LeaderWriter(this.#port.workLog, this.#log, claim);
+    const formerMs = Math.max(0, Math.ceil(this.#table.formerLeases.allEndMs - steadyMs()));
+    const record = { ...leader, resigned: true, leasesMs: 0, formerMs, number: 1 };
+    const write = { key: leaderKey(), value: encodeLeader(record) };
+    if (await writer.write([write])) this.#log.emit('info', 'resigned', { epoch: leader.epoch });
+  }
+
+  #termFailed(err: unknown): void {
+    const reason = err instanceof Error ? (err.stack ?? err.message) : String(err);
+    this.#log.emit('error', 'term-failed', { reason });
+  }
+
   async #runTerm(term: LeaderTerm): Promise<void> {
     try {
       await this.#work.whenWorkLogLoaded(this.#stopping.signal);
       await term.run(this.#work.whenStartedJobsLoaded(this.#stopping.signal));
     } catch (err) {
-      const reason = err instanceof Error ? (err.stack ?? err.message) : String(err);
-      this.#log.emit('error', 'term-failed', { reason });
+      this.#termFailed(err);
     }
     this.#term = undefined;
     this.#work.setLeading(false);
