Orders: starts in flight are limited by the rate of answers

Cause: starts were sent as fast as the processor allowed; 4 KB each, 62 a second fill the link. They timed out, were sent again, and renewals and reports behind them timed out as well. Class: a sender without back-pressure from what it sends to.

Change: the starts in flight are limited to those that are answered within 0.4 s at the recent rate of answers (at least 24). The wait counts as the cost of a start, so that rounds bind no more than can be sent, and admission refuses the rest at once. Stops and renewals are not limited.

saturated-link_test: before, "renewals wait 9952 ms" behind 625 starts of one round; now no start times out. Its second test guards the throughput where the link is not the limit, and passes before and after.

--- a/packages/runtime/src/internal/round-pacing.ts
+++ b/packages/runtime/src/internal/round-pacing.ts
@@ -1,6 +1,7 @@
 import type { Order, RoundLimits } from '@redwingcrank/jobs';
 import { taskName } from '@redwingcrank/jobs';
 import { Pause, delay, steadyMs } from './delay.js';
+import type { SendOrder } from './order-sender.js';
 import { OrderSender } from './order-sender.js';
 import { INPUT_BATCH_MS, MAX_ROUND_PAUSE_MS, PLACEMENT_BUDGET_MS } from './timing.js';
 
@@ -35,12 +36,13 @@
 
   #endedMs = -Infinity;
 
-  constructor(signal: AbortSignal, send: (order: Order) => void) {
+  constructor(signal: AbortSignal, send: SendOrder) {
     this.#signal = signal;
     this.#starts = new OrderSender(signal, send);
     const sendUrgent = (order: Order): void => {
       this.#unsent.delete(keyOf(order));
-      send(order);
+      // Stops must not wait for answers to others: a worker that is leaving ends soon.
+      void send(order);
     };
     this.#urgent = new OrderSender(signal, sendUrgent, URGENT_REST_FACTOR);
   }
