--- a/packages/runtime/src/test/virtual-fleet.ts
+++ b/packages/runtime/src/test/virtual-fleet.ts
@@ -18,6 +18,7 @@
 import { KeyedLog, StoreUnavailableError } from '../keyed-log.js';
 import type { LogFields } from '../node-log.js';
 import { NodeLog } from '../node-log.js';
+import type { PlatformPort } from '../platform-port.js';
 import { nodeSettings } from './fixtures.js';
 import { platformPort } from './port-fixtures.js';
 import { StaticLog } from './static-log.js';
@@ -276,7 +277,14 @@
   /** The node's connections to other nodes; undefined where nodes only share the store. */
   readonly peers: VirtualPeers | undefined;
 
-  constructor(name: string, cores: number, store: VirtualStore, peers?: VirtualPeers) {
+  /** @param parts replaces parts of the platform, which has no jobs and no workers otherwise. */
+  constructor(
+    name: string,
+    cores: number,
+    store: VirtualStore,
+    peers?: VirtualPeers,
+    parts: Partial<PlatformPort> = {},
+  ) {
     this.peers = peers;
     this.name = name;
     this.cores = cores;
@@ -285,7 +293,7 @@
     log.observe((event, fields) => this.events.push({ event, fields }));
     const empty = new EmptyLog();
     const logs = { workLog: this.#log, jobLog: empty, workerLog: empty, operatorLog: empty };
-    const port = platformPort({ ...logs, ...(peers && { peers }) });
+    const port = platformPort({ ...logs, ...(peers && { peers }), ...parts });
     const table = new WorkTable(name);
     this.#follower = new WorkFollower(port, log, table);
     const settings = { ...nodeSettings(name), cores };
@@ -302,6 +310,12 @@
     this.#leadership.run().catch(() => {});
   }
 
+  /** Simulates a planned stop of the process: a leader resigns first. */
+  async stop(): Promise<void> {
+    await this.#leadership.stop();
+    this.kill();
+  }
+
   /** Simulates that the process is killed, which closes its connections. */
   kill(): void {
     this.losePower();
@@ -327,9 +341,15 @@
 
   readonly #network: VirtualNetwork | undefined;
 
-  /** @param isConnected whether the nodes also have connections to each other. */
-  constructor(time: VirtualTime, isConnected = false) {
+  readonly #parts: Partial<PlatformPort>;
+
+  /**
+   * @param isConnected whether the nodes also have connections to each other.
+   * @param parts replaces parts of the platform of each node.
+   */
+  constructor(time: VirtualTime, isConnected = false, parts: Partial<PlatformPort> = {}) {
     this.time = time;
+    this.#parts = parts;
     if (isConnected) this.#network = new VirtualNetwork(time);
     this.store = new VirtualStore(time);
   }
@@ -337,7 +357,7 @@
   /** Adds a node and starts it. */
   add(name: string, cores: number): VirtualNode {
     const peers = this.#network && new VirtualPeers(this.#network, name, cores);
-    const node = new VirtualNode(name, cores, this.store, peers);
+    const node = new VirtualNode(name, cores, this.store, peers, this.#parts);
     this.nodes.push(node);
     node.start();
     return node;
