Leases: short terms pass on the bounds of lost workers

What callers saw: with leaders that follow each other within a second, a long-running task of a lost worker started again ten seconds after its lease had lapsed (bound 9 s after its last run).

Cause: a term listed silent workers in its records only when every worker with running tasks had answered or was overdue and all jobs were loaded. A term that ended before that listed none, so its successor had to assume that it had renewed a lease of the lost worker, and the wait started over; a node that had just started lost the bounds of all earlier terms.

Change: `SilenceDetector` takes the place of `silentWorkers()`. - From its first record on, which is written at once, a term lists the workers with an inherited bound that it has not contacted. The format of the records is unchanged.

--- a/packages/fuzz/src/jobs/model-leader.ts
+++ b/packages/fuzz/src/jobs/model-leader.ts
@@ -1,11 +1,11 @@
-import type { Order, OrderOutcome, WorkerReport, WorkerState } from '@redwingcrank/jobs';
+import type { Order, OrderOutcome, WorkerReport } from '@redwingcrank/jobs';
 import { Scheduler } from '@redwingcrank/jobs';
-import type { LeaderRecord } from '@redwingcrank/runtime/leases';
+import type { LeaderRecord, SilentWorkers } from '@redwingcrank/runtime/leases';
 import {
   FIRST_ANSWER_MS,
   LEASE_MS,
-  SILENT_WORKER_MS,
   START_WINDOW_MS,
+  SilenceDetector,
   StartViews,
   TermLeases,
   withClockDrift,
@@ -101,6 +101,8 @@
 
   readonly #leases: TermLeases;
 
+  readonly #silence: SilenceDetector;
+
   readonly #clocks = new Map<string, ClockReading>();
 
   /** Workers whose newest renewal got no answer. */
@@ -130,6 +132,7 @@
       new AbortController().signal,
     );
     this.#leases = new TermLeases(claim, this, former);
+    this.#silence = new SilenceDetector(former.namedEndMs);
     this.scheduler = new Scheduler(
       {
         leaseMs: withClockDrift(LEASE_MS),
@@ -201,7 +204,7 @@
     if (this.hasEnded || !known) return undefined;
     const leaseMs = Math.floor(Math.min(LEASE_MS, this.#leases.limitMs(id, nowMs)));
     const extend = this.#clocks.has(id) && !this.#lostRenewals.has(id) && leaseMs > 0;
-    if (extend) this.scheduler.leaseSent(id, nowMs + withClockDrift(leaseMs));
+    if (extend) this.#leaseSent(id, nowMs + withClockDrift(leaseMs));
     return {
       token: this.epoch,
       ackedEnd: known.ackedEnd,
@@ -213,6 +216,7 @@
   renewed(id: string, report: WorkerReport, askedMs: number, nowMs: number): void {
     this.#clocks.set(id, { clock: report.clockMs, atMs: nowMs });
     this.#lostRenewals.delete(id);
+    this.#silence.contacted(id);
     this.scheduler.report(id, report, askedMs, nowMs);
   }
 
@@ -226,19 +230,18 @@
     this.#lostRenewals.add(id);
   }
 
-  #silentWorkers(nowMs: number): { silent: WorkerState[]; isComplete: boolean } {
-    const silent: WorkerState[] = [];
-    const isFirstOverdue = nowMs - this.#startedMs > FIRST_ANSWER_MS;
-    let isComplete = true;
-    for (const worker of this.scheduler.workers.values()) {
-      if (worker.runs.size > 0 && !worker.fenced) {
-        if (isFirstOverdue) silent.push(worker);
-        else isComplete = false;
-      } else if (worker.runs.size > 0 && this.#lostRenewals.has(worker.entry.id)) {
-        if (nowMs - worker.answeredMs > SILENT_WORKER_MS) silent.push(worker);
-      }
-    }
-    return { silent, isComplete };
+  #leaseSent(id: string, leaseEndMs: number): void {
+    this.#silence.contacted(id);
+    this.scheduler.leaseSent(id, leaseEndMs);
+  }
+
+  #silentWorkers(nowMs: number): SilentWorkers {
+    const { workers } = this.scheduler;
+    const isOverdue = (): boolean => nowMs - this.#startedMs > FIRST_ANSWER_MS;
+    const links = new Map(
+      [...workers.keys()].map((id) => [id, { isOverdue, isLost: this.#lostRenewals.has(id) }]),
+    );
+    return this.#silence.find({ workers, links, isListLoaded: true, isFullyLoaded: true }, nowMs);
   }
 
   #send(order: Order, nowMs: number, mayRun: boolean): void {
@@ -259,7 +262,7 @@
         this.complete(sent, mayRun ? 'unknown' : 'too-late', nowMs);
         return;
       }
-      this.scheduler.leaseSent(worker, nowMs + withClockDrift(windowMs));
+      this.#leaseSent(worker, nowMs + withClockDrift(windowMs));
     }
     this.inFlight.push(sent);
   }
--- a/packages/runtime/src/internal/leader-term.ts
+++ b/packages/runtime/src/internal/leader-term.ts
@@ -10,7 +10,7 @@
 import type { StoredClaim } from './leader-writer.js';
 import { LeaderWriter } from './leader-writer.js';
 import { NO_STARTS, RoundPacing } from './round-pacing.js';
-import { silentWorkers } from './silent-workers.js';
+import { SilenceDetector } from './silent-workers.js';
 import { pollUntilSettled } from './poll-until-settled.js';
 import { StartViews } from './start-views.js';
 import { TermLeases } from './term-leases.js';
@@ -56,6 +56,11 @@
 
   readonly #leases: TermLeases;
 
+  readonly #silence: SilenceDetector;
+
+  /** When leases of former terms expire on workers that have a bound of their own, by worker. */
+  readonly #inheritedEndsMs: ReadonlyMap<string, number>;
+
   readonly #load: TermLoad;
 
   readonly #scheduler: Scheduler;
@@ -124,6 +129,8 @@
     });
     this.#load = new TermLoad(log, record.epoch);
     this.#leases = new TermLeases(record, this.#writer, table.formerLeases);
+    this.#inheritedEndsMs = table.formerLeases.namedEndMs;
+    this.#silence = new SilenceDetector(this.#inheritedEndsMs);
     const agesNow = (): LogFields => this.views.ages(steadyMs());
     this.#scheduler = createScheduler(log, this.#leaseMs, table.formerLeases, agesNow);
     const link = (id: string): void => {
@@ -147,15 +154,15 @@
     // A node that was frozen may read its own claim together with the claim that has replaced it.
     const { leader } = this.#table;
     if (leader && leader.epoch > this.token) this.fenced('', 'replaced-before-start');
-    const { generalEndMs, namedEndMs } = this.#table.formerLeases;
+    const { generalEndMs } = this.#table.formerLeases;
     this.#log.emit('info', 'term-start', {
       epoch: this.token,
       jobs: this.#table.jobs.size,
       formerLeasesMs: Math.max(0, Math.round(generalEndMs - steadyMs())),
-      silentWorkers: namedEndMs.size,
+      silentWorkers: this.#inheritedEndsMs.size,
     });
     for (const job of this.#table.jobs.values()) loadJob(this.#scheduler, job);
-    this.#scheduler.inheritLeases(namedEndMs);
+    this.#scheduler.inheritLeases(this.#inheritedEndsMs);
     this.#applyQueues();
     this.#scheduler.restoreLearned(this.#table.learned);
     this.#subscriptions.push(
@@ -167,6 +174,8 @@
       .run(() => this.#loadView(), this.#stopping.signal)
       .catch((err) => this.#failed('term-load', err));
     this.#scheduler.setFullyLoaded(false);
+    // The first record passes on the bounds of former terms.
+    this.#pacing.wake();
     startedJobsLoaded
       .then((isLoaded) => this.#startedJobsLoaded(isLoaded))
       .catch((err) => this.#failed('jobs', err));
@@ -205,11 +214,12 @@
   }
 
   leaseSent(worker: string, leaseEndMs: number): void {
+    this.#silence.contacted(worker);
     this.#scheduler.leaseSent(worker, leaseEndMs);
   }
 
   startSent(order: Order, windowEndMs: number): void {
-    this.#scheduler.leaseSent(order.worker, windowEndMs);
+    this.leaseSent(order.worker, windowEndMs);
     this.#load.startSent(this.views.ages(steadyMs()), this.#scheduler.waitedMs(order, steadyMs()));
   }
 
@@ -219,6 +229,7 @@
 
   reported(worker: string, report: WorkerReport, askedMs: number): void {
     this.#load.reported();
+    this.#silence.contacted(worker);
     const isFirst = !this.#scheduler.workers.get(worker)?.fenced;
     this.#scheduler.report(worker, report, askedMs, steadyMs());
     // Most reports change nothing. With hundreds of workers, a round for each report would take a
@@ -232,6 +243,7 @@
   }
 
   workerEnded(worker: string, reason: string): void {
+    this.#silence.contacted(worker);
     this.#scheduler.workerEnded(worker, steadyMs(), reason);
     this.#links.close(worker);
     this.#pacing.wake();
@@ -262,13 +274,14 @@
     writes.push(...this.#housekeeping.learnedWrites(this.#scheduler.learned));
     const isQuiet = steadyMs() - this.#lastWriteMs >= LEADER_WRITE_INTERVAL_MS;
     const resigns = this.#isResigning;
-    const { silent, isComplete } = silentWorkers(
-      this.#scheduler.workers.values(),
-      this.#links.byWorker,
-      this.#workerList.isLoaded,
-      steadyMs(),
-    );
-    const mustReportSilent = this.#leases.updateSilent(silent, isComplete && this.#isFullyLoaded);
+    const known = {
+      workers: this.#scheduler.workers,
+      links: this.#links.byWorker,
+      isListLoaded: this.#workerList.isLoaded,
+      isFullyLoaded: this.#isFullyLoaded,
+    };
+    const { silent, isComplete } = this.#silence.find(known, steadyMs());
+    const mustReportSilent = this.#leases.updateSilent(silent, isComplete);
     // This node's own record accompanies each append: once read back, it shows that the append is
     // stored. Deletions of callers' records do not show that this node is alive, and other records
     // may be equal to earlier ones.
--- a/packages/runtime/src/internal/term-leases.ts
+++ b/packages/runtime/src/internal/term-leases.ts
@@ -29,10 +29,10 @@
   #writtenMs: number;
 
   /**
-   * Whether the silent workers are known; before that, the records of the term state the same bound
-   * as its claim.
+   * Whether all silent workers are known; before that, the records of the term state the same bound
+   * as its claim for all workers that they do not list.
    */
-  #hasReportedSilent = false;
+  #isComplete = false;
 
   #number = 0;
 
@@ -79,14 +79,13 @@
    * first time when each worker with running tasks has answered or is known to be silent.
    */
   updateSilent(workers: Iterable<SilentWorker>, isComplete: boolean): boolean {
-    if (!this.#hasReportedSilent && !isComplete) return false;
     const silent = new Map<string, number>();
     for (const { entry, leaseEndMs } of workers) {
       if (silent.size < MAX_SILENT_NAMED) silent.set(entry.id, leaseEndMs);
     }
     this.#silent = silent;
-    const isFirst = !this.#hasReportedSilent;
-    this.#hasReportedSilent = true;
+    const isFirst = isComplete && !this.#isComplete;
+    this.#isComplete ||= isComplete;
     const hasNewSilent = [...silent.keys()].some((worker) => !this.#writtenNames.has(worker));
     return isFirst || hasNewSilent || silent.size !== this.#writtenNames.size;
   }
@@ -99,7 +98,7 @@
     this.#writtenNames = new Set(this.#silent.keys());
     this.#excluded = new Set([...this.#excluded, ...this.#writtenNames]);
     this.#number += 1;
-    if (this.#hasReportedSilent) this.#writtenMs = CONFIRMED_LEASE_MS;
+    if (this.#isComplete) this.#writtenMs = CONFIRMED_LEASE_MS;
     return {
       ...this.#claimRecord,
       resigned: isResigning,
--- a/packages/runtime/src/leases.ts
+++ b/packages/runtime/src/leases.ts
@@ -3,6 +3,7 @@
  * sockets. Exported for models that check these rules.
  */
 export * from './internal/former-leases.js';
+export * from './internal/silent-workers.js';
 export * from './internal/start-views.js';
 export * from './internal/term-leases.js';
 export * from './internal/timing.js';
--- a/packages/runtime/src/test/lease-bounds_test.ts
+++ b/packages/runtime/src/test/lease-bounds_test.ts
@@ -1,7 +1,10 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import fc from 'fast-check';
+import type { WorkerState } from '@redwingcrank/jobs';
 import { FormerLeases } from '../internal/former-leases.js';
+import type { SilentWorkers } from '../internal/silent-workers.js';
+import { SilenceDetector } from '../internal/silent-workers.js';
 import { TermLeases } from '../internal/term-leases.js';
 import {
   CLAIM_LEASE_MS,
@@ -35,9 +38,17 @@
   /** Workers that have answered this leader. */
   readonly reached = new Set<string>();
 
+  /** When workers last answered this leader, by worker. */
+  readonly answeredMs = new Map<string, number>();
+
   /** Workers that do not answer this leader at present. */
   readonly silent = new Set<string>(WORKERS);
 
+  readonly detector: SilenceDetector;
+
+  /** Whether the detector tells which workers are listed as silent; otherwise any of them may be. */
+  readonly usesDetector: boolean;
+
   isOver = false;
 
   /** The append that has not been answered yet. */
@@ -45,7 +56,9 @@
 
   confirmedMs: number;
 
-  constructor(claim: LeaderRecord, sentMs: number, former: FormerLeases) {
+  constructor(claim: LeaderRecord, sentMs: number, former: FormerLeases, usesDetector: boolean) {
+    this.usesDetector = usesDetector;
+    this.detector = new SilenceDetector(former.namedEndMs);
     this.epoch = claim.epoch;
     this.former = former;
     this.confirmedMs = sentMs;
@@ -60,6 +73,28 @@
   *silentWorkers(): Generator<{ entry: { id: string }; leaseEndMs: number }> {
     for (const id of this.silent) yield { entry: { id }, leaseEndMs: this.endsMs.get(id)! };
   }
+
+  /** Returns the workers to be listed as silent; some are left out where `omitsSome` is set. */
+  listed(isFullyLoaded: boolean, omitsSome: boolean, nowMs: number): SilentWorkers {
+    if (this.usesDetector) return this.#detected(isFullyLoaded, nowMs);
+    const silent = [...this.silentWorkers()];
+    return { silent: omitsSome ? silent.slice(1) : silent, isComplete: isFullyLoaded };
+  }
+
+  #detected(isFullyLoaded: boolean, nowMs: number): SilentWorkers {
+    const workers = new Map<string, WorkerState>();
+    const links = new Map<string, { isLost: boolean; isOverdue: () => boolean }>();
+    for (const id of WORKERS) {
+      const isSilent = this.silent.has(id);
+      const worker = {
+        ...{ entry: { id }, runs: { size: 1 }, leaseEndMs: this.endsMs.get(id)! },
+        ...{ fenced: this.reached.has(id), answeredMs: this.answeredMs.get(id) ?? -Infinity },
+      };
+      workers.set(id, worker as unknown as WorkerState);
+      links.set(id, { isLost: isSilent, isOverdue: () => isSilent });
+    }
+    return this.detector.find({ workers, links, isListLoaded: true, isFullyLoaded }, nowMs);
+  }
 }
 
 /** The leader reads its own record before the answer; its next append may follow at once. */
@@ -96,7 +131,7 @@
     const worker = WORKERS[b % WORKERS.length]!;
     if (kind === 'wait') this.#nowMs += a * 150;
     else if (kind === 'read') this.#read(a % this.#readers.length);
-    else if (kind === 'claim') this.#claim(a % this.#readers.length, b * 200);
+    else if (kind === 'claim') this.#claim(a % this.#readers.length, b * 200, b % 2 === 0);
     else if (kind === 'restart') this.#restart(a % this.#readers.length);
     else if (kind === 'reload') this.#reload(a % this.#readers.length);
     else if (!term || term.isOver) return;
@@ -136,7 +171,7 @@
   }
 
   /** A claim is sent, and stored `lateMs` later; its node reads the log up to the claim. */
-  #claim(index: number, lateMs: number): void {
+  #claim(index: number, lateMs: number, usesDetector: boolean): void {
     this.#read(index);
     const { former } = this.#readers[index]!;
     const before = this.#log.findLast((rec) => rec !== undefined);
@@ -155,7 +190,7 @@
     this.#nowMs += lateMs;
     this.#log.push(claim);
     this.#read(index);
-    this.#terms.push(new Term(claim, sentMs, former));
+    this.#terms.push(new Term(claim, sentMs, former, usesDetector));
     for (const [id, worker] of this.#workers) this.#check(id, worker);
   }
 
@@ -166,7 +201,8 @@
       return;
     }
     if (!term.pending) {
-      const hasChanged = term.leases.updateSilent(term.silentWorkers(), b !== 1);
+      const { silent, isComplete } = term.listed(b !== 1, b === 2, this.#nowMs);
+      const hasChanged = term.leases.updateSilent(silent, isComplete);
       const resigns = b > 7;
       const isRecord = hasChanged || resigns || b === 0;
       const rec = isRecord ? term.leases.record(resigns, this.#nowMs) : undefined;
@@ -194,6 +230,8 @@
     if (!term.reached.has(id)) term.endsMs.set(id, this.#nowMs + withClockDrift(LEASE_MS));
     term.reached.add(id);
     term.silent.delete(id);
+    term.answeredMs.set(id, this.#nowMs);
+    term.detector.contacted(id);
     const leaseMs = Math.min(LEASE_MS, term.leases.limitMs(id, this.#nowMs));
     if (leaseMs <= 0) return;
     const boundMs = this.#nowMs + withClockDrift(leaseMs);
