Tests: the store of leadership_test has a log of workers

Traced: with reads that take longer than 150 ms a claim prefetches the workers' log, and the fixture's port had none: "TypeError: Cannot read properties of undefined (reading 'newest')" (in a trial with reads 200 ms slower, 1 of 1). Platform ports always have that log. With it, the same trial passes; the checks are the same.

--- a/packages/runtime/src/test/leadership_test.ts
+++ b/packages/runtime/src/test/leadership_test.ts
@@ -60,7 +60,8 @@
 
   constructor(store: KeyedLog) {
     const table = new WorkTable('n2');
-    const port = { workLog: store, jobLog: store, operatorLog: store } as unknown as PlatformPort;
+    const logs = { workLog: store, jobLog: store, workerLog: store, operatorLog: store };
+    const port = logs as unknown as PlatformPort;
     const follower = new WorkFollower(port, LOG, table);
     const config = new ConfigWatch(port, LOG);
     this.#follower = follower;
