Failing test: a node that has not read the jobs leads although others have

Nodes restart one after the other on narrow links, where reading the callers' log takes seconds. A node that has just started claims as early as those that have read the jobs. VirtualFleet gets a callers' log whose reads take long, or are not answered, for chosen nodes.

--- /dev/null
+++ b/packages/runtime/src/test/unread-claims_test.ts
@@ -0,0 +1,197 @@
+import assert from 'node:assert/strict';
+import type { TestContext } from 'node:test';
+import { test } from 'node:test';
+import { leaderKey } from '../internal/work-records.js';
+import type { VirtualNode } from './virtual-fleet.js';
+import { VirtualFleet, VirtualTime } from './virtual-fleet.js';
+
+// Guards against a leader that has not read the callers' jobs although other nodes have. It can neither
+// accept jobs nor start long-running tasks again, its heartbeats come in time, and on a narrow link it
+// needs seconds to read the jobs. This happens while nodes restart one after the other, where a node that
+// has just started claims as early as the others.
+
+/** Processor time of large and small nodes, in cores. */
+const LARGE = 1.35;
+const SMALL = 0.324;
+
+/** Number of random seeds that are tried. */
+const SEEDS = Number(process.env.SEEDS ?? 8);
+
+/** Upper bound of the time until a node leads after all nodes lost power at once, in milliseconds. */
+const POWER_RESTORED_MS = 4_000;
+
+/** Longer than a node waits before a claim for any reason, in milliseconds. */
+const OBSERVATION_MS = 10_000;
+
+/** A view of the callers' log that was not refreshed for this long is old, in milliseconds. */
+const OLD_VIEW_MS = 5_000;
+
+/** How the leader ends. */
+type LeaderEnd = 'loses power' | 'is killed' | 'is killed and restarts' | 'resigns';
+
+const LEADER_ENDS: readonly LeaderEnd[] = [
+  'loses power',
+  'is killed',
+  'is killed and restarts',
+  'resigns',
+];
+
+/** The sizes, in cores, of the nodes that have read the jobs and of those that have not. */
+interface FleetSizes {
+  readonly read: readonly number[];
+  readonly unread: readonly number[];
+}
+
+const FLEETS: readonly FleetSizes[] = [
+  { read: [LARGE, LARGE], unread: [LARGE, LARGE, LARGE, LARGE] },
+  { read: [SMALL, SMALL], unread: [LARGE, SMALL, SMALL, SMALL] },
+  { read: [LARGE, SMALL], unread: [LARGE, SMALL, SMALL, SMALL] },
+];
+
+/** Calls `run` with a new fleet for each seed and each combination of sizes. */
+async function forEachFleet(
+  context: TestContext,
+  run: (fleet: VirtualFleet, sizes: FleetSizes) => Promise<void>,
+): Promise<void> {
+  const time = new VirtualTime(context);
+  for (let seed = 1; seed <= SEEDS; seed += 1) {
+    for (const sizes of FLEETS) {
+      time.seed(seed);
+      const fleet = new VirtualFleet(time, true);
+      await run(fleet, sizes);
+      await fleet.stop();
+    }
+  }
+}
+
+/** Starts a leader and nodes that have read the jobs. */
+async function startFleet(fleet: VirtualFleet, { read }: FleetSizes): Promise<VirtualNode> {
+  const { time } = fleet;
+  const leader = fleet.add('first', LARGE);
+  await time.advanceUntil(() => leader.isLeading, 5_000);
+  await fleet.addMany(read);
+  await time.advance(2_000 + time.randomInt(500));
+  assert.ok(leader.isLeading && fleet.nodes.every(({ hasReadJobs }) => hasReadJobs));
+  return leader;
+}
+
+/** Ends the leader; a restarted one never reads the jobs. */
+async function endLeader(fleet: VirtualFleet, leader: VirtualNode, end: LeaderEnd): Promise<void> {
+  const { time } = fleet;
+  if (end === 'resigns') leader.retire();
+  else if (end === 'loses power') leader.losePower();
+  else leader.kill();
+  if (end !== 'is killed and restarts') return;
+  await time.advance(time.randomInt(400));
+  fleet.add(leader.name, leader.cores, Infinity);
+}
+
+/** Waits until a node leads after `former`; returns that node. */
+async function nextLeader(fleet: VirtualFleet, former: VirtualNode): Promise<VirtualNode> {
+  const find = (): VirtualNode | undefined =>
+    fleet.nodes.find((node) => node !== former && node.isLeading);
+  assert.ok(await fleet.time.advanceUntil(() => find() !== undefined, OBSERVATION_MS));
+  return find()!;
+}
+
+/** Collects which of the next leaders did not know the jobs, and fails the test if there are any. */
+class NextLeaders {
+  readonly #names: string[] = [];
+
+  #count = 0;
+
+  add({ name }: VirtualNode, knowsJobs: boolean): void {
+    this.#count += 1;
+    if (!knowsJobs) this.#names.push(name);
+  }
+
+  check(): void {
+    const unread = this.#names.length;
+    assert.equal(unread, 0, `${unread} of ${this.#count} did not know the jobs`);
+  }
+}
+
+for (const end of LEADER_ENDS) {
+  test(`a node that has read the jobs leads next when the leader ${end}`, async (t) => {
+    const leaders = new NextLeaders();
+    await forEachFleet(t, async (fleet, sizes) => {
+      const leader = await startFleet(fleet, sizes);
+      await fleet.addMany(sizes.unread, Infinity);
+      await fleet.time.advance(fleet.time.randomInt(3_000));
+      await endLeader(fleet, leader, end);
+      const next = await nextLeader(fleet, leader);
+      leaders.add(next, next.hasReadJobs);
+    });
+    leaders.check();
+  });
+}
+
+test('a node with a recent view of the jobs leads next while the views of others are old', async (t) => {
+  const leaders = new NextLeaders();
+  await forEachFleet(t, async (fleet, sizes) => {
+    const leader = await startFleet(fleet, sizes);
+    await fleet.addMany(sizes.unread);
+    await fleet.time.advance(1_000);
+    const silent = fleet.nodes.slice(-sizes.unread.length);
+    for (const { jobLog } of silent) jobLog.delayMs = Infinity;
+    await fleet.time.advance(OLD_VIEW_MS);
+    leader.losePower();
+    const next = await nextLeader(fleet, leader);
+    leaders.add(next, !silent.includes(next));
+  });
+  leaders.check();
+});
+
+test('a node that has not read the jobs is neither standby nor makes an offer', async (t) => {
+  const time = new VirtualTime(t);
+  const fleet = new VirtualFleet(time, true);
+  await fleet.addMany([SMALL, SMALL]);
+  await time.advanceUntil(() => fleet.leader !== undefined, 5_000);
+  const unread = fleet.add('large', LARGE, Infinity);
+  await time.advance(20_000);
+  const { leader } = fleet.store;
+  assert.ok(leader?.standby !== undefined && leader.standby !== unread.name, leader?.standby);
+  assert.ok(!unread.events.some(({ event }) => event === 'offer'));
+  unread.jobLog.delayMs = 0;
+  await fleet.stop();
+});
+
+test('a node leads in time after all nodes lost power although none can read the jobs', async (t) => {
+  const tookMs: number[] = [];
+  const time = new VirtualTime(t);
+  for (const sizes of [Array<number>(9).fill(SMALL), Array<number>(9).fill(LARGE)]) {
+    for (let seed = 1; seed <= SEEDS; seed += 1) {
+      time.seed(seed);
+      const fleet = new VirtualFleet(time, seed % 2 === 0);
+      const rec = {
+        ...{ epoch: 1, node: 'n0', nonce: 'b', resigned: false, leasesMs: 6_000, formerMs: 0 },
+        ...{ silent: {}, number: 1, cores: sizes[0], largestCores: LARGE },
+      };
+      // At the first start there is no leader's record.
+      if (seed % 3 > 0) fleet.store.put(leaderKey(), JSON.stringify(rec));
+      const sinceMs = time.nowMs;
+      await fleet.addMany(sizes, Infinity);
+      await time.advanceUntil(() => fleet.leader !== undefined, OBSERVATION_MS);
+      tookMs.push(time.nowMs - sinceMs);
+      await fleet.stop();
+    }
+  }
+  const worstMs = Math.max(...tookMs);
+  t.diagnostic(`worst ${worstMs} ms`);
+  assert.ok(worstMs <= POWER_RESTORED_MS, `${worstMs} ms`);
+});
+
+test('a node that has read the jobs leads next with a slow store', async (t) => {
+  const leaders = new NextLeaders();
+  await forEachFleet(t, async (fleet, sizes) => {
+    const leader = await startFleet(fleet, sizes);
+    fleet.store.oneWayMs = 75;
+    await fleet.addMany(sizes.unread, Infinity);
+    await fleet.time.advance(4_000 + fleet.time.randomInt(1_000));
+    assert.ok(leader.isLeading);
+    leader.losePower();
+    const next = await nextLeader(fleet, leader);
+    leaders.add(next, next.hasReadJobs);
+  });
+  leaders.check();
+});
--- a/packages/runtime/src/test/virtual-fleet.ts
+++ b/packages/runtime/src/test/virtual-fleet.ts
@@ -227,6 +227,29 @@
   }
 }
 
+/** One node's connection to the callers' log, which has no records. */
+class NodeJobLog extends EmptyLog {
+  readonly #time: VirtualTime;
+
+  /** Additional time that each read takes, in milliseconds; infinite if reads are not answered. */
+  delayMs = 0;
+
+  constructor(time: VirtualTime) {
+    super();
+    this.#time = time;
+  }
+
+  override async read(from: number, waitMs: number): Promise<ReadResult> {
+    if (this.delayMs > 0) await this.#time.after(this.delayMs);
+    return super.read(from, waitMs);
+  }
+
+  override async newest(): Promise<NewestPage> {
+    if (this.delayMs > 0) await this.#time.after(this.delayMs);
+    return super.newest();
+  }
+}
+
 /** The connection of one node to the store, until that node loses power. */
 class NodeStoreLog extends KeyedLog {
   readonly #store: VirtualStore;
@@ -269,6 +292,9 @@
 
   readonly #log: NodeStoreLog;
 
+  /** The node's connection to the callers' log. */
+  readonly jobLog: NodeJobLog;
+
   readonly #follower: WorkFollower;
 
   readonly #leadership: Leadership;
@@ -276,15 +302,22 @@
   /** The node's connections to other nodes; undefined where nodes only share the store. */
   readonly peers: VirtualPeers | undefined;
 
-  constructor(name: string, cores: number, store: VirtualStore, peers?: VirtualPeers) {
+  constructor(
+    name: string,
+    cores: number,
+    { store, time }: Pick<VirtualFleet, 'store' | 'time'>,
+    peers?: VirtualPeers,
+  ) {
     this.peers = peers;
     this.name = name;
     this.cores = cores;
     this.#log = new NodeStoreLog(store);
+    this.jobLog = new NodeJobLog(time);
     const log = new NodeLog(name, 'silent');
     log.observe((event, fields) => this.events.push({ event, fields }));
     const empty = new EmptyLog();
-    const logs = { workLog: this.#log, jobLog: empty, workerLog: empty, operatorLog: empty };
+    const { jobLog } = this;
+    const logs = { workLog: this.#log, jobLog, workerLog: empty, operatorLog: empty };
     const port = platformPort({ ...logs, ...(peers && { peers }) });
     const table = new WorkTable(name);
     this.#follower = new WorkFollower(port, log, table);
@@ -297,11 +330,21 @@
     return this.#leadership.isLeading && !this.#log.isDisconnected;
   }
 
+  /** Whether the node has read the callers' log. */
+  get hasReadJobs(): boolean {
+    return this.#follower.isLoaded;
+  }
+
   start(): void {
     this.#follower.run().catch(() => {});
     this.#leadership.run().catch(() => {});
   }
 
+  /** Tells the node to stop: as leader, it resigns. */
+  retire(): void {
+    this.#leadership.stop().catch(() => {});
+  }
+
   /** Simulates that the process is killed, which closes its connections. */
   kill(): void {
     this.losePower();
@@ -334,24 +377,31 @@
     this.store = new VirtualStore(time);
   }
 
-  /** Adds a node and starts it. */
-  add(name: string, cores: number): VirtualNode {
+  /**
+   * Adds a node and starts it. `jobDelayMs`: the additional time that each of its reads of the
+   * callers' log takes, in milliseconds; infinite if they are not answered.
+   */
+  add(name: string, cores: number, jobDelayMs = 0): VirtualNode {
     const peers = this.#network && new VirtualPeers(this.#network, name, cores);
-    const node = new VirtualNode(name, cores, this.store, peers);
+    const node = new VirtualNode(name, cores, this, peers);
+    node.jobLog.delayMs = jobDelayMs;
     this.nodes.push(node);
     node.start();
     return node;
   }
 
-  /** Adds a node for each of the sizes, in cores; they start within 0.3 s of each other. */
-  async addMany(sizes: readonly number[]): Promise<void> {
+  /**
+   * Adds a node for each of the sizes, in cores; they start within 0.3 s of each other. For
+   * `jobDelayMs` see `add`.
+   */
+  async addMany(sizes: readonly number[], jobDelayMs = 0): Promise<void> {
     const startups = sizes.map((cores) => ({ cores, delayMs: this.time.randomInt(300) }));
     startups.sort((a, b) => a.delayMs - b.delayMs);
     let passedMs = 0;
     for (const { cores, delayMs } of startups) {
       await this.time.advance(delayMs - passedMs);
       passedMs = delayMs;
-      this.add(`n${this.nodes.length}`, cores);
+      this.add(`n${this.nodes.length}`, cores, jobDelayMs);
     }
   }
 
