Claims: a node that has not read the jobs lets the others claim first

Callers saw long-running tasks down and accepted tasks not started for seconds after nodes were restarted one after the other. The leader had term-start jobs=0: it had just started, and on a link of 2 Mbit/s a node needs 3 to 6 s to read the callers' log. The vacancy check asked for the age of the work log alone, and a node that finds its own earlier incarnation on record claimed at once. Such a leader accepts nothing and starts no task again, but its records come in time, so nobody replaces it.

A node that has not read the callers' log, or not for 3 s, now puts off its claim by 1.25 s (UnreadJobsDelay), claims at once on no ground (own earlier incarnation, successor, standby), and confirms the vacancy by a read at the end of its wait as small nodes do. It goes on as usual once it has read the jobs. The delay is counted from the first check that finds leadership vacant since the leader's last record, so it is served once. Such a node makes no offer, and does not connect to the leader, which names its standby among the connected nodes. The log says claim-put-off reason=jobs-unread once for each vacancy.

--- a/packages/runtime/src/internal/leader-watch.ts
+++ b/packages/runtime/src/internal/leader-watch.ts
@@ -23,6 +23,20 @@
  */
 const MIN_CLAIM_INTERVAL_MS = 10_000;
 
+/** Interval of checks whether this node may watch the leader, in milliseconds. */
+const READY_POLL_INTERVAL_MS = 100;
+
+/** How a leader watch depends on its node. */
+export interface WatchingNode {
+  /**
+   * Whether this node may connect to the leader, which names one of the connected nodes as its
+   * standby.
+   */
+  readonly isReady: () => boolean;
+  /** Called when the leader's process has ended. */
+  readonly onProcessEnd: () => void;
+}
+
 /**
  * How a connection to the leader, or an attempt at one, has ended.
  *
@@ -57,13 +71,12 @@
 
   #watching = new AbortController();
 
-  /** Called when the leader's process has ended. */
-  readonly #onProcessEnd: () => void;
+  readonly #node: WatchingNode;
 
-  constructor(peers: PeerPort, log: NodeLog, onProcessEnd: () => void) {
+  constructor(peers: PeerPort, log: NodeLog, node: WatchingNode) {
     this.#peers = peers;
     this.#log = log;
-    this.#onProcessEnd = onProcessEnd;
+    this.#node = node;
   }
 
   /** Whether this node may claim leadership because the process of this leader record has ended. */
@@ -99,6 +112,7 @@
     signal: AbortSignal,
   ): Promise<void> {
     await delay(randomInt(CONNECT_SPREAD_MS), signal);
+    while (!signal.aborted && !this.#node.isReady()) await delay(READY_POLL_INTERVAL_MS, signal);
     let wasOpen = false;
     while (!signal.aborted) {
       const startedMs = steadyMs();
@@ -107,7 +121,7 @@
       if (end === 'replaced' || (end === 'refused' && wasOpen)) {
         this.#endedEpoch = epoch;
         this.#log.emit('info', 'leader-gone', { epoch, leader: node, reason: end });
-        this.#onProcessEnd();
+        this.#node.onProcessEnd();
         return;
       }
       wasOpen ||= end === 'closed';
--- a/packages/runtime/src/internal/leadership.ts
+++ b/packages/runtime/src/internal/leadership.ts
@@ -27,6 +27,7 @@
   DEFAULT_LEASE_MS,
   withClockDrift,
 } from './timing.js';
+import { UnreadJobsDelay } from './unread-jobs-delay.js';
 import { Watchers } from './watchers.js';
 import type { LeaderRecord, OfferRecord } from './work-records.js';
 import { encodeLeader, encodeOffer, isLeaderKey, leaderKey, offerKey } from './work-records.js';
@@ -110,6 +111,8 @@
 
   readonly #claimOrder: ClaimOrder;
 
+  readonly #unreadJobsDelay: UnreadJobsDelay;
+
   readonly #handOver: HandOver;
 
   readonly #watch: LeaderWatch | undefined;
@@ -165,9 +168,13 @@
     this.#config = config;
     this.#faults = faults;
     this.#claimOrder = new ClaimOrder(settings.cores);
+    this.#unreadJobsDelay = new UnreadJobsDelay(work, log);
     this.#handOver = new HandOver(settings.node, this.#claimOrder);
     if (port.peers) {
-      this.#watch = new LeaderWatch(port.peers, log, () => this.#checkPause.end());
+      this.#watch = new LeaderWatch(port.peers, log, {
+        isReady: () => work.hasRecentJobs,
+        onProcessEnd: () => this.#checkPause.end(),
+      });
       this.#watchers = new Watchers(port.peers);
     }
     table.changes$.subscribe((change) => {
@@ -184,8 +191,8 @@
     while (!this.#stopping.signal.aborted) {
       await this.#checkPause.wait(CHECK_INTERVAL_MS);
       if (this.#stopping.signal.aborted) return;
-      if (this.#isLeadershipVacant()) await this.#claimLeadership();
-      else this.#offerWhenDue();
+      if (!this.#isLeadershipVacant()) this.#offerWhenDue();
+      else if (!this.#unreadJobsDelay.putsOffClaim(this.#table)) await this.#claimLeadership();
     }
   }
 
@@ -243,9 +250,10 @@
    * its standby and its process has ended, or the leader on record is an earlier incarnation of
    * this node. That one has certainly ended, and after a power failure of all nodes the others
    * would wait for it in vain. A small node waits with the others anyway: larger nodes may be alive
-   * and consider its earlier incarnation dead only later.
+   * and consider its earlier incarnation dead only later. So does a node that has not read the jobs.
    */
   #mayClaimImmediately(leader: LeaderRecord): boolean {
+    if (!this.#work.hasRecentJobs) return false;
     if (this.#handOver.isSuccessor(leader)) return true;
     if (leader.standby === this.#settings.node && this.#hasLeaderProcessEnded(steadyMs()))
       return true;
@@ -253,8 +261,17 @@
     return isOwn && !this.#claimOrder.yieldsToLarger;
   }
 
-  /** Offers to take over from a smaller leader if an offer is due and the store is fast. */
+  /** Whether other nodes are to claim first; this one looks for their claims again after its wait. */
+  get #yieldsToOthers(): boolean {
+    return this.#claimOrder.yieldsToLarger || !this.#work.hasRecentJobs;
+  }
+
+  /**
+   * Offers to take over from a smaller leader if an offer is due, the store is fast, and this node
+   * has read the jobs.
+   */
   #offerWhenDue(): void {
+    if (!this.#work.hasRecentJobs) return;
     const nowMs = steadyMs();
     const offer = this.#handOver.due(nowMs);
     const { next, completeAsOfMs } = this.#follower;
@@ -298,9 +315,9 @@
       : 0;
     const waitMs = isImmediate ? 0 : standbyPriorityMs + this.#claimOrder.waitMs(vacancy);
     // The read that confirms the vacancy is part of the wait: with a slow store, both together take
-    // too long for the leases that the new leader has to renew. Small nodes read at the end of the
-    // wait, to see the claims of others.
-    const finalReadMs = this.#claimOrder.yieldsToLarger ? 0 : this.#follower.recentReadMs;
+    // too long for the leases that the new leader has to renew. Nodes that yield to others read at
+    // the end of the wait, to see their claims.
+    const finalReadMs = this.#yieldsToOthers ? 0 : this.#follower.recentReadMs;
     await delay(Math.max(0, waitMs - finalReadMs), this.#stopping.signal);
     if (!this.#isLeadershipVacant() || !(await this.#isVacancyConfirmed())) return;
     const before = this.#table.leader;
@@ -393,7 +410,7 @@
     const { leader } = this.#table;
     const { next } = this.#follower;
     const hasTermEnded = leader && (leader.resigned || this.#mayClaimImmediately(leader));
-    if ((hasTermEnded && !this.#claimOrder.yieldsToLarger) || next === undefined) return true;
+    if ((hasTermEnded && !this.#yieldsToOthers) || next === undefined) return true;
     try {
       const { records } = await this.#port.workLog.read(next, 0);
       return this.#isLeadershipVacant() && !records.some(({ key }) => isLeaderKey(key));
--- a/packages/runtime/src/internal/work-follower.ts
+++ b/packages/runtime/src/internal/work-follower.ts
@@ -30,6 +30,12 @@
  */
 const LEADER_JOBS_GAP_MS = 25;
 
+/**
+ * A view of the callers' log that is older than this may lack jobs that other nodes know, in
+ * milliseconds: every node must know a job within three seconds.
+ */
+const MAX_JOBS_VIEW_AGE_MS = 3_000;
+
 /** Interval of checks of a new leader whether the logs are loaded, in milliseconds. */
 const LOADED_POLL_INTERVAL_MS = 10;
 
@@ -99,6 +105,11 @@
     return this.workLog.isLoaded && this.#jobs.isLoaded && !this.#isJobsLoadDue;
   }
 
+  /** Whether both logs have been read, and the callers' log recently. */
+  get hasRecentJobs(): boolean {
+    return this.isLoaded && steadyMs() - this.jobsCompleteAsOfMs <= MAX_JOBS_VIEW_AGE_MS;
+  }
+
   /** Whether the latest read of one of the logs has failed. */
   get isLost(): boolean {
     return this.workLog.isLost || this.#jobs.isLost;
