Scheduler: crashes weigh by whether the start was confirmed

A worker may end while a start is only on its way to it. That run may never have begun, yet three such ends gave a task up just as fast as three crashes right after an answered start.

Change: a crash adds 2 to the weight of a task whose start was answered, or listed in a report, and 1 to that of a task whose start was only on its way; at 5 the task is given up: at the third confirmed crash, at two confirmed and one unconfirmed, or at five unconfirmed ones. No order of them allows more than five starts in all, the users' bound (fewer than three after three crashed workers). Silent workers count only confirmed runs, and the suspects are those with the highest weight, as before. The stored count is the sum, so the field is named crashWeight, in worker-crash too, which now tells whether the run was confirmed. The form of the record is the same.

--- a/packages/jobs/src/internal/crash-suspects.ts
+++ b/packages/jobs/src/internal/crash-suspects.ts
@@ -6,8 +6,20 @@
 import { findTask } from './runs.js';
 import type { WorkerRun, WorkerState } from './worker-state.js';
 
-/** How many workers may crash under a task, one after the other, before its job fails. */
-const MAX_CRASHES = 3;
+/** What a crash adds to the weight of a task whose start was answered, or listed in a report. */
+const CONFIRMED_CRASH_WEIGHT = 2;
+
+/**
+ * What a crash adds while the start was only on its way: it may never have begun. A task that ends
+ * its workers before they answer must still be limited.
+ */
+const UNCONFIRMED_CRASH_WEIGHT = 1;
+
+/**
+ * The weight at which a task is given up: after three confirmed crashes, and after five in all at
+ * the latest.
+ */
+const MAX_CRASH_WEIGHT = 5;
 
 /**
  * How long a run must have worked to be no suspect if its worker crashes, in milliseconds. A task
@@ -20,6 +32,8 @@
   readonly job: JobProgress;
   readonly ref: TaskRef;
   readonly task: TaskProgress;
+  /** Whether the run is known to have begun. */
+  readonly confirmed: boolean;
 }
 
 /**
@@ -27,9 +41,9 @@
  * without a count a task that crashes its workers would be started on one after the other, each
  * time with the loss of all other runs there.
  *
- * Suspects are the tasks whose runs have not worked for some time yet. The count of a task is the
- * number of its latest runs that crashed their workers, as far as is known. Only the suspects on a
- * worker with the highest count are counted, as the cause is most likely among them: a task that
+ * Suspects are the tasks whose runs have not worked for some time yet. The crash weight of a task
+ * is the sum over its latest runs that crashed their workers, as far as is known. Only the suspects
+ * on a worker with the highest weight get more, as the cause is most likely among them: a task that
  * shared a worker with it by chance is thus rarely counted twice.
  */
 export class CrashSuspects {
@@ -57,8 +71,8 @@
    * worker were lost together much later, the next leader would count on from the former crashes.
    */
   runWorked(job: JobProgress, task: TaskProgress): void {
-    if (!task.crashes || isFinal(job.state)) return;
-    delete task.crashes;
+    if (!task.crashWeight || isFinal(job.state)) return;
+    delete task.crashWeight;
     this.#state.changed.add(job);
   }
 
@@ -90,8 +104,8 @@
     // enough: a worker that only records name has such an entry.
     if (worker.leavesMs < Infinity) return;
     const suspects = [...this.#suspectsAmong(worker, runs)];
-    const highest = Math.max(0, ...suspects.map(({ task }) => crashesOf(task)));
-    for (const suspect of suspects.filter(({ task }) => crashesOf(task) === highest)) {
+    const highest = Math.max(0, ...suspects.map(({ task }) => crashWeightOf(task)));
+    for (const suspect of suspects.filter(({ task }) => crashWeightOf(task) === highest)) {
       this.#count(worker, suspect);
     }
   }
@@ -104,26 +118,29 @@
       const task = job && findTask(job, ref);
       const isCurrent =
         task?.phase === 'bound' && task.run === run.run && task.worker === worker.entry.id;
-      if (!run.isHarmless && isCurrent) yield { job: job!, ref, task };
+      if (run.isHarmless || !isCurrent) continue;
+      yield { job: job!, ref, task, confirmed: run.confirmed };
     }
   }
 
-  #count(worker: WorkerState, { job, ref, task }: Suspect): void {
+  #count(worker: WorkerState, { job, ref, task, confirmed }: Suspect): void {
     // The job may have ended, also just now by another of its tasks.
     if (isFinal(job.state)) return;
-    const crashes = crashesOf(task) + 1;
-    task.crashes = crashes;
+    const weight = confirmed ? CONFIRMED_CRASH_WEIGHT : UNCONFIRMED_CRASH_WEIGHT;
+    const crashWeight = crashWeightOf(task) + weight;
+    task.crashWeight = crashWeight;
     this.#state.changed.add(job);
     this.#state.logEvent('worker-crash', {
       task: taskName(ref),
       run: task.run,
       worker: worker.entry.id,
-      crashes,
+      confirmed,
+      crashWeight,
     });
-    if (crashes >= MAX_CRASHES) this.#state.failTask(job, ref);
+    if (crashWeight >= MAX_CRASH_WEIGHT) this.#state.failTask(job, ref);
   }
 }
 
-function crashesOf({ crashes }: TaskProgress): number {
-  return crashes ?? 0;
+function crashWeightOf({ crashWeight }: TaskProgress): number {
+  return crashWeight ?? 0;
 }
--- a/packages/jobs/src/internal/progress-record.ts
+++ b/packages/jobs/src/internal/progress-record.ts
@@ -4,14 +4,14 @@
 
 /**
  * 0: never started; 1: done; otherwise the phase's index, run, worker, failures, checkpoint and, if
- * there are any, crashes.
+ * it is above 0, the crash weight.
  */
 export type TaskTuple = 0 | 1 | [number, number, string, number, string, number?];
 
-/** The number of parts of a started task without crashes. */
+/** The number of parts of a started task without a crash weight. */
 const MIN_PARTS = 5;
 
-/** The number of parts of a started task with crashes. */
+/** The number of parts of a started task with a crash weight. */
 const MAX_PARTS = 6;
 
 /** A job's progress in the form of its record. */
@@ -65,9 +65,9 @@
 function isTask(tuple: unknown): boolean {
   if (tuple === 0 || tuple === 1) return true;
   if (!Array.isArray(tuple) || tuple.length < MIN_PARTS || tuple.length > MAX_PARTS) return false;
-  const [phase, run, worker, failures, checkpoint, crashes = 0] = tuple as unknown[];
+  const [phase, run, worker, failures, checkpoint, crashWeight = 0] = tuple as unknown[];
   if (!isCount(phase) || phase >= PHASES.length) return false;
-  if (!isCount(run) || !isCount(failures) || !isCount(crashes)) return false;
+  if (!isCount(run) || !isCount(failures) || !isCount(crashWeight)) return false;
   return typeof worker === 'string' && typeof checkpoint === 'string';
 }
 
--- a/packages/jobs/src/job-progress.ts
+++ b/packages/jobs/src/job-progress.ts
@@ -25,10 +25,10 @@
   /** The checkpoint from which the next run resumes; empty to start from the beginning. */
   checkpoint: string;
   /**
-   * How many of its latest runs crashed their workers, as far as is known (see `CrashSuspects`);
-   * absent if none did.
+   * The weight of its latest runs that crashed their workers, as far as is known (see
+   * `CrashSuspects`); absent if none did.
    */
-  crashes?: number;
+  crashWeight?: number;
 }
 
 /** One execution of all steps of a job. */
@@ -206,16 +206,16 @@
 function encodeTask(task: TaskProgress): TaskTuple {
   if (task.phase === 'done') return 1;
   if (task.phase === 'waiting' && task.run === 0) return 0;
-  const { phase, run, worker, failures, checkpoint, crashes } = task;
+  const { phase, run, worker, failures, checkpoint, crashWeight } = task;
   const tuple: TaskTuple = [PHASES.indexOf(phase), run, worker, failures, checkpoint];
-  if (crashes) tuple.push(crashes);
+  if (crashWeight) tuple.push(crashWeight);
   return tuple;
 }
 
 function decodeTask(tuple: TaskTuple): TaskProgress {
   if (tuple === 0) return newTask();
   if (tuple === 1) return { ...newTask(), phase: 'done' };
-  const [phase, run, worker, failures, checkpoint, crashes] = tuple;
+  const [phase, run, worker, failures, checkpoint, crashWeight] = tuple;
   const task = { phase: PHASES[phase]!, run, worker, failures, checkpoint };
-  return crashes ? { ...task, crashes } : task;
+  return crashWeight ? { ...task, crashWeight } : task;
 }
