Fuzz jobs: failed jobs, and tasks that crash their workers, are checked

The model asked that long-running tasks run again whatever happens, and no check concerned jobs that are shown as failed, or tasks that crash each worker that starts them.

Change: the oracle counts, by the actions of the workers alone, how many workers crashed under a begun run of each task, in all, as the users' rule reads (a task under which two minions have crashed may be given up). A job stored as failed needs a task with two such crashes, or, unless it is long-running, with its last attempt failed; below that it is a fault, for ordinary jobs too, which had no such check. A worker that vanishes unannounced has crashed; one that left as announced, or is out of reach, has not. The tasks of a job that was given up with reason need not run again: the only check that is narrowed. A run of the model may have one crashing task (also long-running): it ends its worker right after the start, whether the answer arrives or not, and the leaders learn of that 3 s later. It must get fewer than three starts after three crashed workers, and be given up in the recovery phase.

--- a/packages/fuzz/src/jobs/jobs-oracle.ts
+++ b/packages/fuzz/src/jobs/jobs-oracle.ts
@@ -7,6 +7,18 @@
 /** How long after a worker's announcement to leave a task may still start there, in milliseconds. */
 export const DRAIN_MS = 1_500;
 
+/** The number of workers that must have crashed under a task before its job may be given up. */
+const MIN_CRASHES_TO_GIVE_UP = 2;
+
+/** The number of crashed workers after which the starts of a crashing task are limited. */
+const MAX_CRASHES = 3;
+
+/** The number of starts after that which a crashing task must not reach. */
+const MAX_EXTRA_STARTS = 3;
+
+/** How a run was lost with its worker. */
+export type Removal = 'crashed' | 'left';
+
 interface TaskFacts {
   /** Workers on which the task runs now. */
   readonly runningOn: Set<string>;
@@ -14,9 +26,17 @@
   /** A successful end was acknowledged, so the task must not start again. */
   isEndAcknowledged: boolean;
   acknowledgedFailures: number;
+  /** The number of its runs that ended `failed`. */
+  failures: number;
+  /** The number of workers that crashed while a run of the task had begun there. */
+  crashes: number;
+  /** The task crashes each worker that starts it. */
+  isCrashing: boolean;
+  /** The number of starts after its first `MAX_CRASHES` crashes. */
+  extraStarts: number;
   /** The task is long-running: it has no successful end and is restarted after every failure. */
   isLongRunning: boolean;
-  /** The task is long-running, and its job is not cancelled. */
+  /** The task is long-running, and its job is neither cancelled nor given up. */
   mustRun: boolean;
   /** Since when a long-running task runs nowhere. */
   downSinceMs: number;
@@ -47,8 +67,39 @@
     }
   }
 
+  /** Limits the starts of the tasks of this job, which crash each worker that starts them. */
+  expectCrashes({ id, steps }: JobSpec): void {
+    for (let index = 0; index < steps[0]!.taskCount; index += 1) {
+      const name = taskName({ jobId: id, occurrence: 0, step: 0, index });
+      Object.assign(this.#facts(name), { isCrashing: true });
+    }
+  }
+
   /** Stops requiring the tasks of this job to run. */
   cancelled(jobId: string): void {
+    this.#expectNoRuns(jobId);
+  }
+
+  /**
+   * Checks that a job shown as failed has a task which may be given up: it has used up its
+   * attempts, or two workers have crashed under it.
+   */
+  failed(jobId: string): void {
+    const tasks = [...this.#tasks].filter(([name]) => parseTaskName(name)?.jobId === jobId);
+    const mayGiveUp = tasks.some(
+      ([, { isLongRunning, failures, crashes }]) =>
+        crashes >= MIN_CRASHES_TO_GIVE_UP || (!isLongRunning && failures >= MAX_ATTEMPTS),
+    );
+    expect(
+      mayGiveUp,
+      `${jobId} is shown as failed: ${tasks
+        .map(([name, { failures, crashes }]) => `${name} failed ${failures}, crashed ${crashes}`)
+        .join('; ')}`,
+    );
+    this.#expectNoRuns(jobId);
+  }
+
+  #expectNoRuns(jobId: string): void {
     for (const [name, facts] of this.#tasks) {
       if (parseTaskName(name)?.jobId === jobId) facts.mustRun = false;
     }
@@ -89,6 +140,11 @@
     );
     const mayStart = facts.isLongRunning || facts.acknowledgedFailures < MAX_ATTEMPTS;
     expect(mayStart, `${name} starts after its last attempt`);
+    if (facts.isCrashing && facts.crashes >= MAX_CRASHES) facts.extraStarts += 1;
+    expect(
+      facts.extraStarts < MAX_EXTRA_STARTS,
+      `${name} run ${run} is start ${facts.extraStarts} after ${MAX_CRASHES} workers crashed under it`,
+    );
     for (let index = 0; task.step > 0; index += 1) {
       const before = this.#tasks.get(taskName({ ...task, step: task.step - 1, index }));
       if (!before) break;
@@ -106,6 +162,7 @@
     facts.downSinceMs = this.nowMs;
     this.#load.set(worker, (this.#load.get(worker) ?? 0) - 1_000);
     if (row.how === 'done') facts.isDone = true;
+    if (row.how === 'failed') facts.failures += 1;
     const unacknowledged = this.#unacknowledged.get(worker) ?? new Set();
     this.#unacknowledged.set(worker, unacknowledged.add(`${worker} ${row.number}`));
   }
@@ -124,12 +181,20 @@
     if (row.how === 'failed') facts.acknowledgedFailures += 1;
   }
 
-  removed(worker: string, task: string): void {
+  /** Records that a run ended with its worker. */
+  removed(worker: string, task: string, removal: Removal): void {
     const facts = this.#facts(task);
+    if (removal === 'crashed') facts.crashes += 1;
     facts.runningOn.delete(worker);
     facts.downSinceMs = this.nowMs;
   }
 
+  /** Records that a start was on its way to a worker as that crashed. */
+  startLost(task: string): void {
+    const facts = this.#facts(task);
+    if (facts.runningOn.size === 0) facts.downSinceMs = this.nowMs;
+  }
+
   /** Checks that every task of a job shown as completed has ended successfully. */
   completed(jobId: string): void {
     for (const [name, facts] of this.#tasks) {
@@ -147,6 +212,10 @@
         isDone: false,
         isEndAcknowledged: false,
         acknowledgedFailures: 0,
+        failures: 0,
+        crashes: 0,
+        isCrashing: false,
+        extraStarts: 0,
         isLongRunning: false,
         mustRun: false,
         downSinceMs: this.nowMs,
--- a/packages/fuzz/src/jobs/jobs-script.ts
+++ b/packages/fuzz/src/jobs/jobs-script.ts
@@ -26,6 +26,9 @@
       case 'submit-lasting':
         world.submitLongRunning(1 + (a % 2));
         break;
+      case 'submit-crashing':
+        world.submitCrashing(a % 2 === 0);
+        break;
       case 'cancel':
         this.#cancel(a);
         break;
--- a/packages/fuzz/src/jobs/jobs-world.ts
+++ b/packages/fuzz/src/jobs/jobs-world.ts
@@ -1,12 +1,13 @@
 import type { JobSpec, WorkerEntry } from '@redwingcrank/jobs';
-import { JobProgress } from '@redwingcrank/jobs';
+import { JobProgress, taskName } from '@redwingcrank/jobs';
 import type { Coverage } from '../coverage.js';
 import { JobsOracle } from './jobs-oracle.js';
+import type { Removal } from './jobs-oracle.js';
 import type { Append, RenewRequest, SentOrder } from './model-leader.js';
 import { ModelLeader } from './model-leader.js';
 import type { LogEntry } from './model-node.js';
 import { ModelNode } from './model-node.js';
-import { ModelWorker, longRunningJob, modelJob } from './model-worker.js';
+import { ModelWorker, crashingJob, longRunningJob, modelJob } from './model-worker.js';
 
 /** The outcome of a renewal's delivery. */
 export type RenewOutcome = 'answered' | 'unanswered' | 'late';
@@ -29,6 +30,15 @@
 /** The maximum number of long-running tasks; one worker has the capacity for all of them. */
 const MAX_LONG_RUNNING_TASKS = 3;
 
+/** How long after a worker crashed under a crashing task the leaders learn of it, in milliseconds. */
+export const CRASH_NOTICE_MS = 3_000;
+
+/** A crash that the leaders do not know of yet. */
+interface CrashNotice {
+  readonly id: string;
+  readonly dueMs: number;
+}
+
 /** A renewal that reaches its worker after newer renewals. */
 interface DelayedRenewal {
   readonly worker: ModelWorker;
@@ -59,6 +69,11 @@
 
   readonly #progress = new Map<string, string>();
 
+  /** The job whose task crashes each worker that starts it; undefined if there is none. */
+  #crashingJobId: string | undefined;
+
+  #crashNotices: CrashNotice[] = [];
+
   readonly #cancelled = new Set<string>();
 
   /** Appends that the store holds already; repeating one changes nothing. */
@@ -97,6 +112,18 @@
     return this.#jobs.get(id)!.steps.some(({ lasting }) => lasting);
   }
 
+  /** Whether the job with the crashing task has neither ended nor been cancelled. */
+  get hasCrashingTask(): boolean {
+    const id = this.#crashingJobId;
+    if (id === undefined || this.#cancelled.has(id)) return false;
+    const stored = this.#progress.get(id);
+    return JobProgress.decodeState(this.#jobs.get(id)!, stored ?? '')?.state !== 'failed';
+  }
+
+  isCrashing(id: string): boolean {
+    return id === this.#crashingJobId;
+  }
+
   passTime(ms: number): void {
     this.#nowMs += ms;
     this.oracle.nowMs = this.#nowMs;
@@ -105,6 +132,13 @@
       worker.passTime(ms);
       if (this.#nowMs >= worker.removalMs) this.vanish(worker);
     }
+    const due = this.#crashNotices.filter(({ dueMs }) => this.#nowMs >= dueMs);
+    this.#crashNotices = this.#crashNotices.filter((notice) => !due.includes(notice));
+    for (const { id } of due) {
+      for (const { scheduler } of this.leaders) {
+        scheduler.workerEnded(id, this.#nowMs, 'other-life');
+      }
+    }
   }
 
   submit(width: number): void {
@@ -119,6 +153,15 @@
     this.#submit(spec);
   }
 
+  /** Submits the job whose task crashes each worker that starts it, unless there is one already. */
+  submitCrashing(lasting: boolean): void {
+    if (this.#crashingJobId !== undefined) return;
+    const spec = crashingJob(`job${this.#jobs.size}`, lasting);
+    this.#crashingJobId = spec.id;
+    this.oracle.expectCrashes(spec);
+    this.#submit(spec);
+  }
+
   cancel(id: string): void {
     this.#cancelled.add(id);
     this.oracle.cancelled(id);
@@ -230,11 +273,14 @@
       return;
     }
     const outcome = worker.order(sent.order, leader.epoch, sent.deadline);
+    const isCrashing =
+      sent.order.kind === 'start' && outcome === 'done' && this.isCrashing(sent.order.task.jobId);
     if (isUnanswered) {
       this.coverage.hit('order-unanswered');
       sent.mayRun = true;
       if (index % 2 === 0) leader.resend(sent, this.#nowMs);
       else leader.complete(sent, 'unknown', this.#nowMs);
+      if (isCrashing) this.#crashUnnoticed(worker);
       return;
     }
     leader.inFlight.splice(leader.inFlight.indexOf(sent), 1);
@@ -242,6 +288,7 @@
     if (outcome === 'too-late') this.coverage.hit('order-late');
     if (outcome === 'fenced') Object.assign(leader, { hasEnded: true });
     else leader.complete(sent, outcome, this.#nowMs);
+    if (isCrashing) this.#crashUnnoticed(worker);
   }
 
   /** Loses an order on its way. */
@@ -265,7 +312,7 @@
    */
   crash(worker: ModelWorker): void {
     this.coverage.hit('crash');
-    this.#remove(worker);
+    this.#remove(worker, 'crashed');
     const successor = this.#addWorker(worker.entry.address);
     for (const leader of this.leaders) {
       leader.scheduler.workerEnded(worker.entry.id, this.#nowMs, 'other-life');
@@ -295,7 +342,7 @@
   vanish(worker: ModelWorker): void {
     this.coverage.hit('vanish');
     this.lastRemovalMs = this.#nowMs;
-    this.#remove(worker);
+    this.#remove(worker, this.#nowMs >= worker.removalMs ? 'left' : 'crashed');
     const other = this.#addWorker(`host${this.#incarnationCount}`);
     for (const { scheduler } of this.leaders) {
       scheduler.unlistWorker(worker.entry.id);
@@ -337,6 +384,7 @@
       this.#progress.set(id, text);
       const stored = JobProgress.decodeState(this.#jobs.get(id)!, text);
       if (stored!.state === 'completed') this.oracle.completed(id);
+      if (stored!.state === 'failed') this.oracle.failed(id);
     }
     this.#announce(rec);
   }
@@ -351,8 +399,22 @@
     for (const { scheduler } of this.leaders) scheduler.addJob(new JobProgress(spec));
   }
 
-  #remove(worker: ModelWorker): void {
-    worker.crash();
+  /** Crashes the worker's process. The leaders learn of it later, from the next incarnation. */
+  #crashUnnoticed(worker: ModelWorker): void {
+    this.coverage.hit('crashing-task');
+    // Other tasks may be placed beside the crashing one each time; those whose starts are delivered
+    // after its start do not begin.
+    for (const { order } of this.leaders.flatMap(({ inFlight }) => inFlight)) {
+      const isLost = order.kind === 'start' && order.worker === worker.entry.id;
+      if (isLost) this.oracle.startLost(taskName(order.task));
+    }
+    this.#remove(worker, 'crashed');
+    this.#addWorker(worker.entry.address);
+    this.#crashNotices.push({ id: worker.entry.id, dueMs: this.#nowMs + CRASH_NOTICE_MS });
+  }
+
+  #remove(worker: ModelWorker, removal: Removal): void {
+    worker.remove(removal);
     this.workers.splice(this.workers.indexOf(worker), 1);
   }
 
--- a/packages/fuzz/src/targets/jobs.ts
+++ b/packages/fuzz/src/targets/jobs.ts
@@ -12,6 +12,7 @@
   kind: fc.constantFrom(
     ...Array<string>(2).fill('submit'),
     'submit-lasting',
+    'submit-crashing',
     ...Array<string>(8).fill('round'),
     ...Array<string>(16).fill('renew'),
     ...Array<string>(16).fill('deliver'),
@@ -49,10 +50,14 @@
  * orders and renewals, and store outages. In every case, no task runs in two places. No task starts
  * after its successful end was acknowledged, before the step it depends on has ended, after its
  * last attempt, or on a worker that announced long before that it leaves, even if the leader's list
- * lacks that. No worker exceeds its capacity, and no unfinished job is shown as completed.
+ * lacks that. No worker exceeds its capacity, and no unfinished job is shown as completed. A job is
+ * shown as failed only if a task of it has used up its attempts, or two workers have crashed under
+ * one. A task that crashes each worker that starts it gets fewer than three starts after three
+ * crashed workers.
  *
  * Each run ends with a recovery phase, in which one leader stays active. Long-running tasks must
- * run again within the time that the leases allow for, also after one more worker is lost.
+ * run again within the time that the leases allow for, also after one more worker is lost, unless
+ * their job was given up. A task that crashes its workers is given up.
  */
 export class Jobs extends FuzzTarget {
   readonly name = 'jobs';
@@ -70,6 +75,7 @@
     'order-late',
     'fail',
     'crash',
+    'crashing-task',
     'leave',
     'leave-unread',
     'vanish',
