Scheduler: all begun tasks are suspects of a crash, and suspects are started apart

Change: if any suspect on the worker is known to have begun, all of those are counted, and no start that was only on its way. Tasks with a weight are placed apart from each other, unless no other worker can take them. Leases that ran out weigh 1, as the worker may only be out of reach.

--- a/packages/jobs/src/internal/crash-suspects.ts
+++ b/packages/jobs/src/internal/crash-suspects.ts
@@ -6,12 +6,12 @@
 import { findTask } from './runs.js';
 import type { WorkerRun, WorkerState } from './worker-state.js';
 
-/** What a crash adds to the weight of a task whose start was answered, or listed in a report. */
+/** What the known end of a worker's process adds to the weight of a task that had begun there. */
 const CONFIRMED_CRASH_WEIGHT = 2;
 
 /**
- * What a crash adds while the start was only on its way: it may never have begun. A task that ends
- * its workers before they answer must still be limited.
+ * What a crash adds where the worker may only be out of reach, or where the start was only on its
+ * way. A task that ends its workers before they answer must still be limited.
  */
 const UNCONFIRMED_CRASH_WEIGHT = 1;
 
@@ -41,10 +41,10 @@
  * without a count a task that crashes its workers would be started on one after the other, each
  * time with the loss of all other runs there.
  *
- * Suspects are the tasks whose runs have not worked for some time yet. The crash weight of a task
- * is the sum over its latest runs that crashed their workers, as far as is known. Only the suspects
- * on a worker with the highest weight get more, as the cause is most likely among them: a task that
- * shared a worker with it by chance is thus rarely counted twice.
+ * Suspects are the tasks whose runs have not worked for some time yet; if any of them is known to
+ * have begun, only those. The crash weight of a task is the sum over its latest runs that crashed
+ * their workers, as far as is known. Tasks with a weight are placed apart from each other, so that
+ * one that shared a worker with the cause by chance is rarely counted twice.
  */
 export class CrashSuspects {
   readonly #state: ClusterState;
@@ -79,10 +79,8 @@
   /** Attributes the end of a worker's process to runs that it has begun, or may have begun. */
   workerEnded(worker: WorkerState): void {
     const runs = [...worker.runs.values()];
-    this.#attribute(
-      worker,
-      runs.filter(({ confirmed, sendCount }) => confirmed || sendCount > 0),
-    );
+    const sent = runs.filter(({ confirmed, sendCount }) => confirmed || sendCount > 0);
+    this.#attribute(worker, sent, CONFIRMED_CRASH_WEIGHT);
   }
 
   /**
@@ -92,22 +90,20 @@
    * begun either: tasks whose starts are lost with their links, repeatedly, would be given up.
    */
   workerSilent(worker: WorkerState, runs: readonly WorkerRun[]): void {
-    this.#attribute(
-      worker,
-      runs.filter(({ confirmed }) => confirmed),
-    );
+    const confirmed = runs.filter((run) => run.confirmed);
+    this.#attribute(worker, confirmed, UNCONFIRMED_CRASH_WEIGHT);
   }
 
   /** Counts a crash for the suspects, and fails the jobs of those with too many crashes. */
-  #attribute(worker: WorkerState, runs: readonly WorkerRun[]): void {
+  #attribute(worker: WorkerState, runs: readonly WorkerRun[], confirmedWeight: number): void {
     // A worker that announced that it leaves ends by itself. That an entry is draining is not
     // enough: a worker that only records name has such an entry.
     if (worker.leavesMs < Infinity) return;
     const suspects = [...this.#suspectsAmong(worker, runs)];
-    const highest = Math.max(0, ...suspects.map(({ task }) => crashWeightOf(task)));
-    for (const suspect of suspects.filter(({ task }) => crashWeightOf(task) === highest)) {
-      this.#count(worker, suspect);
-    }
+    const begun = suspects.filter(({ confirmed }) => confirmed);
+    for (const suspect of begun) this.#count(worker, suspect, confirmedWeight);
+    if (begun.length > 0) return;
+    for (const suspect of suspects) this.#count(worker, suspect, UNCONFIRMED_CRASH_WEIGHT);
   }
 
   /** Yields the tasks that are bound to these runs, unless the run is known to be harmless. */
@@ -123,11 +119,10 @@
     }
   }
 
-  #count(worker: WorkerState, { job, ref, task, confirmed }: Suspect): void {
+  #count(worker: WorkerState, { job, ref, task, confirmed }: Suspect, weight: number): void {
     // The job may have ended, also just now by another of its tasks.
     if (isFinal(job.state)) return;
-    const weight = confirmed ? CONFIRMED_CRASH_WEIGHT : UNCONFIRMED_CRASH_WEIGHT;
-    const crashWeight = crashWeightOf(task) + weight;
+    const crashWeight = (task.crashWeight ?? 0) + weight;
     task.crashWeight = crashWeight;
     this.#state.changed.add(job);
     this.#state.logEvent('worker-crash', {
@@ -140,7 +135,3 @@
     if (crashWeight >= MAX_CRASH_WEIGHT) this.#state.failTask(job, ref);
   }
 }
-
-function crashWeightOf({ crashWeight }: TaskProgress): number {
-  return crashWeight ?? 0;
-}
--- a/packages/jobs/src/internal/round-candidates.ts
+++ b/packages/jobs/src/internal/round-candidates.ts
@@ -9,12 +9,17 @@
 /** Larger than any difference of scores, so that a worker to avoid is the last choice. */
 const AVOID_PENALTY = 1_000_000;
 
+/** Larger than that: suspects share a worker only where no other can take them. */
+const SHARED_SUSPECTS_PENALTY = 100_000_000;
+
 /** A task to be placed. */
 export interface PlacementRequest {
   readonly ref: TaskRef;
   readonly spec: StepSpec;
   /** The worker on which the task failed or was lost before; it is avoided if there is another. */
   readonly avoid: string;
+  /** Whether the task is a suspect: workers crashed under its former runs. */
+  readonly isSuspect?: boolean;
 }
 
 interface Candidate {
@@ -49,7 +54,7 @@
   }
 
   /** Returns the best of the workers that can take the task now; undefined if there is none. */
-  choose({ ref, spec, avoid }: PlacementRequest): WorkerState | undefined {
+  choose({ ref, spec, avoid, isSuspect }: PlacementRequest): WorkerState | undefined {
     if (this.#isExhausted) return undefined;
     let best: WorkerState | undefined;
     let bestScore = -Infinity;
@@ -59,7 +64,9 @@
       if (candidate.version !== worker.version) this.#reevaluate(candidate);
       if (typeof candidate.score === 'number') {
         isExhausted = false;
-        const score = worker.entry.id === avoid ? candidate.score - AVOID_PENALTY : candidate.score;
+        let { score } = candidate;
+        if (worker.entry.id === avoid) score -= AVOID_PENALTY;
+        if (isSuspect && worker.hasSuspect()) score -= SHARED_SUSPECTS_PENALTY;
         if (score > bestScore && isBelowMaxPerWorker(ref, spec, worker)) {
           best = worker;
           bestScore = score;
--- a/packages/jobs/src/internal/runs.ts
+++ b/packages/jobs/src/internal/runs.ts
@@ -24,7 +24,7 @@
 /** Returns the state of a run that is about to be ordered. */
 export function newRun(
   ref: TaskRef,
-  { run, checkpoint }: Pick<TaskProgress, 'run' | 'checkpoint'>,
+  { run, checkpoint, crashWeight = 0 }: Pick<TaskProgress, 'run' | 'checkpoint' | 'crashWeight'>,
   spec: StepSpec,
   nowMs: number,
 ): WorkerRun {
@@ -37,6 +37,7 @@
     sendCount: 0,
     confirmed: false,
     isHarmless: false,
+    isSuspect: crashWeight > 0,
     stopSentMs: 0,
     stopReason: undefined,
     checkpoint,
--- a/packages/jobs/src/internal/task-placer.ts
+++ b/packages/jobs/src/internal/task-placer.ts
@@ -367,7 +367,8 @@
       if (task.phase === 'waiting') {
         if (started > 0 && !(budget.hasStarts && budget.hasTime)) return 'cut-short';
         const ref = { ...step.ref, index };
-        const worker = candidates.choose({ ref, spec: step.spec, avoid: task.worker });
+        const isSuspect = (task.crashWeight ?? 0) > 0;
+        const worker = candidates.choose({ ref, spec: step.spec, avoid: task.worker, isSuspect });
         // The tasks of a step are alike: if one of them does not fit, the next one does not either.
         if (!worker) return 'placeless';
         this.#bind(step, ref, task, worker, task.run + 1, nowMs);
--- a/packages/jobs/src/internal/worker-state.ts
+++ b/packages/jobs/src/internal/worker-state.ts
@@ -23,6 +23,8 @@
    * Whether the run is known not to crash its worker: it has worked there for some time, or is over.
    */
   isHarmless: boolean;
+  /** Whether its task is a suspect: workers crashed under its former runs. */
+  readonly isSuspect: boolean;
   /** When the latest stop was sent; 0 before the first. */
   stopSentMs: number;
   /** The reason of the first stop; undefined before that. */
@@ -169,6 +171,13 @@
     return cpuMilli <= capacity.cpuMilli && memMb <= capacity.memMb && gpus <= capacity.gpus;
   }
 
+  /** Returns whether a suspect here has not worked for long enough to be harmless. */
+  hasSuspect(): boolean {
+    for (const { isSuspect, isHarmless } of this.runs.values())
+      if (isSuspect && !isHarmless) return true;
+    return false;
+  }
+
   /** Returns whether a serving task here missed its target in the latest report. */
   missesTarget(): boolean {
     for (const { missedTargetSinceMs } of this.runs.values())
