--- a/packages/fuzz/src/jobs/model-leader.ts
+++ b/packages/fuzz/src/jobs/model-leader.ts
@@ -262,7 +262,8 @@
         this.complete(sent, mayRun ? 'unknown' : 'too-late', nowMs);
         return;
       }
-      this.#leaseSent(worker, nowMs + withClockDrift(windowMs));
+      this.#silence.contacted(worker);
+      this.scheduler.startSent(order, nowMs + withClockDrift(windowMs));
     }
     this.inFlight.push(sent);
   }
--- a/packages/runtime/src/internal/leader-term.ts
+++ b/packages/runtime/src/internal/leader-term.ts
@@ -219,7 +219,8 @@
   }
 
   startSent(order: Order, windowEndMs: number): void {
-    this.leaseSent(order.worker, windowEndMs);
+    this.#silence.contacted(order.worker);
+    this.#scheduler.startSent(order, windowEndMs);
     this.#load.startSent(this.views.ages(steadyMs()), this.#scheduler.waitedMs(order, steadyMs()));
   }
 
