Leases: many workers that a slow leader listed are not listed by its successors

Cause: a slow leader lists every worker whose first answer is late. With the bounds passed on, its successors list all of these in their first record, and a listed worker gets no lease until it has answered and a record without it is stored. With terms shorter than that, healthy workers would get no lease for several terms.

Change: inherited bounds are passed on while they concern at most 16 workers or a tenth of those with running tasks; beyond that a worker is listed when it is overdue, and those that remain are passed on once the others have answered. Overdue workers are listed before all were asked up to a tenth, no longer a quarter. Leaving a worker out only makes later bounds later.

--- a/packages/runtime/src/internal/silent-workers.ts
+++ b/packages/runtime/src/internal/silent-workers.ts
@@ -5,10 +5,15 @@
 
 /**
  * Largest share of overdue workers, among those that have answered or are overdue, at which they
- * are listed before all workers were asked. With more, the answers are probably delayed by this
- * node itself.
+ * are listed before all workers were asked; also the largest share of workers with running tasks
+ * that are listed because earlier terms did. With more, the leader itself is or was slow. It would
+ * list healthy workers, which get no lease until two more records are stored, and with short terms
+ * and a slow store they would get none for many terms.
  */
-const MAX_OVERDUE_SHARE = 0.25;
+const MAX_LISTED_SHARE = 0.1;
+
+/** As many workers are listed because earlier terms did, whatever share they are. */
+const FEW_WORKERS = 16;
 
 /** The workers that may hold leases and do not answer this node, or never did. */
 export interface SilentWorkers {
@@ -64,13 +69,14 @@
 
   /** Finds the workers that are silent now. */
   find(known: KnownWorkers, nowMs: number): SilentWorkers {
-    const silent: SilentWorker[] = this.#inheritedSilent(known);
+    const inherited = this.#inheritedSilent(known);
+    const silent: SilentWorker[] = [...inherited.values()];
     const overdue: WorkerState[] = [];
     let answeredCount = 0;
     let isComplete = known.isFullyLoaded;
     for (const worker of known.workers.values()) {
       const { id } = worker.entry;
-      if (worker.runs.size > 0 && !this.#inherited.has(id)) {
+      if (worker.runs.size > 0 && !inherited.has(id)) {
         const link = known.links.get(id);
         if (worker.fenced) {
           answeredCount += 1;
@@ -87,7 +93,7 @@
 
   /** Returns those overdue workers that are listed. */
   #listed(overdue: readonly WorkerState[], answeredCount: number): readonly WorkerState[] {
-    const isShareSmall = overdue.length <= MAX_OVERDUE_SHARE * (overdue.length + answeredCount);
+    const isShareSmall = overdue.length <= MAX_LISTED_SHARE * (overdue.length + answeredCount);
     const listed =
       this.#wereAllAsked || isShareSmall
         ? overdue
@@ -96,12 +102,15 @@
     return listed;
   }
 
-  #inheritedSilent({ workers, isFullyLoaded }: KnownWorkers): SilentWorker[] {
-    const silent: SilentWorker[] = [];
+  /** Returns the workers that are listed because earlier terms did, by worker. */
+  #inheritedSilent({ workers, isFullyLoaded }: KnownWorkers): ReadonlyMap<string, SilentWorker> {
+    const silent = new Map<string, SilentWorker>();
     for (const [id, leaseEndMs] of this.#inherited) {
       const mayRunTasks = !isFullyLoaded || (workers.get(id)?.runs.size ?? 0) > 0;
-      if (mayRunTasks) silent.push({ entry: { id }, leaseEndMs });
+      if (mayRunTasks) silent.set(id, { entry: { id }, leaseEndMs });
     }
-    return silent;
+    if (silent.size <= FEW_WORKERS) return silent;
+    const busyCount = [...workers.values()].filter(({ runs }) => runs.size > 0).length;
+    return silent.size <= MAX_LISTED_SHARE * busyCount ? silent : new Map();
   }
 }
