Test: a worker that is lost shortly before its leader resigns

What callers see: a long-running task of a worker that is lost a second before its leader is stopped as planned is down for ten seconds. The leader has not listed the worker yet, and its successors assume leases of 7.6 s after the resignation.

Same set-up as the other tests of short terms, the worker is lost 1 s before the first leader resigns.

--- a/packages/runtime/src/test/short-terms_test.ts
+++ b/packages/runtime/src/test/short-terms_test.ts
@@ -33,6 +33,9 @@
 /** Processor time of each node, in cores. */
 const CORES = 1.35;
 
+/** Less than the time after which a leader lists a worker that no longer answers, in milliseconds. */
+const NOT_LISTED_MS = 1_000;
+
 const WORKER_IDS = Array.from({ length: WORKERS }, (_, i) => `w${i}`);
 
 const [LOST] = WORKER_IDS;
@@ -95,11 +98,16 @@
   }
 
   /**
-   * Loses a worker when the first leader ends, and ends each further leader after a short term;
+   * Loses a worker `aliveMs` before the first leader ends, and ends each further leader after a short
+   * term;
    * `inTerm` is called in the middle of each term. Returns the time from the loss until a leader
    * takes the leases of the worker to have expired; the last leader stays.
    */
-  async expiryMs(end: (leader: VirtualNode) => void, inTerm: () => void): Promise<number> {
+  async expiryMs(
+    end: (leader: VirtualNode) => void,
+    inTerm: () => void,
+    aliveMs: number,
+  ): Promise<number> {
     const { fleet } = this;
     const { time } = fleet;
     assert.ok(await time.advanceUntil(() => fleet.leader !== undefined, 5_000));
@@ -108,6 +116,7 @@
     await time.advance(TERM_MS / 2);
     const lostMs = time.nowMs;
     this.#workers.isOneLost = true;
+    await time.advance(aliveMs);
     for (let i = 0; i < TERMS; i += 1) {
       const { leader } = fleet;
       end(leader!);
@@ -134,13 +143,14 @@
   context: TestContext,
   end: (leader: VirtualNode) => void,
   prepare: (fleet: VirtualFleet) => () => void,
+  aliveMs = 0,
 ): Promise<number> {
   const time = new VirtualTime(context);
   const tookMs: number[] = [];
   for (let seed = 1; seed <= SEEDS; seed += 1) {
     time.seed(seed);
     const terms = new ShortTerms(time);
-    tookMs.push(await terms.expiryMs(end, prepare(terms.fleet)));
+    tookMs.push(await terms.expiryMs(end, prepare(terms.fleet), aliveMs));
     await terms.fleet.stop();
   }
   context.diagnostic(`after ms: ${tookMs.join(', ')}`);
@@ -187,3 +197,10 @@
   const tookMs = await longestExpiryMs(t, losePower, startInTerm);
   assert.ok(tookMs <= LOST_MS, `${tookMs} ms`);
 });
+
+test('the leases of a worker expire in time that is lost shortly before its leader resigns', async (t) => {
+  // Guards against successors that assume a renewal until the resignation as long as with a leader that
+  // may still renew leases while the store is silent.
+  const tookMs = await longestExpiryMs(t, resign, startInTerm, NOT_LISTED_MS);
+  assert.ok(tookMs <= LOST_MS, `${tookMs} ms`);
+});
