Leases: a resignation states the length of one lease

What callers saw: in planned restarts, a long-running task of a worker that was lost shortly before its leader was stopped was down for ten seconds.

Cause: the last record of a leader that resigns stated 7.6 s like every other. That bound covers renewals while the store is silent; after a resignation there are none. All successors waited for it, counted from the resignation.

Change: the record with which a leader resigns states 6 s, the length of one lease, and while that record is unanswered the leader renews no lease beyond it. Where the store falls silent during a planned stop, the leases that this leader renews end 6 s after the resignation was sent, up to 1.6 s sooner than before, unless the next leader renews them. The format of the records is unchanged.

--- a/packages/runtime/src/internal/term-leases.ts
+++ b/packages/runtime/src/internal/term-leases.ts
@@ -1,7 +1,12 @@
 import type { WorkerEntry, WorkerState } from '@redwingcrank/jobs';
 import type { FormerLeases } from './former-leases.js';
 import type { LeaderWriter } from './leader-writer.js';
-import { CONFIRMED_LEASE_MS, COMPACT_RECORD_MAX_SILENT, MAX_SILENT_NAMED } from './timing.js';
+import {
+  CONFIRMED_LEASE_MS,
+  COMPACT_RECORD_MAX_SILENT,
+  LEASE_MS,
+  MAX_SILENT_NAMED,
+} from './timing.js';
 import type { LeaderRecord } from './work-records.js';
 
 /** A worker that does not answer, and when all leases there expire. */
@@ -36,6 +41,9 @@
 
   #number = 0;
 
+  /** When the record was written with which this node resigns; Infinity before that. */
+  #resigningMs = Infinity;
+
   /** When leases expire on the workers to be listed as silent in the next record, by worker. */
   #silent: ReadonlyMap<string, number> = new Map();
 
@@ -70,7 +78,8 @@
    */
   limitMs(worker: string, nowMs: number): number {
     if (this.#excluded.has(worker)) return 0;
-    return this.#writer.confirmedMs + this.#storedMs - nowMs;
+    const endMs = this.#writer.confirmedMs + this.#storedMs;
+    return Math.min(endMs, this.#resigningMs + LEASE_MS) - nowMs;
   }
 
   /**
@@ -99,6 +108,11 @@
     this.#excluded = new Set([...this.#excluded, ...this.#writtenNames]);
     this.#number += 1;
     if (this.#isComplete) this.#writtenMs = CONFIRMED_LEASE_MS;
+    if (isResigning) {
+      // No earlier lease ends later than one that starts now, and none is renewed beyond that.
+      this.#resigningMs = Math.min(this.#resigningMs, nowMs);
+      this.#writtenMs = Math.min(this.#writtenMs, LEASE_MS);
+    }
     return {
       ...this.#claimRecord,
       resigned: isResigning,
--- a/packages/runtime/src/test/lease-bounds_test.ts
+++ b/packages/runtime/src/test/lease-bounds_test.ts
@@ -292,3 +292,15 @@
   assert.equal(former.namedEndMs.get('w1'), 6_000);
   assert.equal(former.generalEndMs, 3_500 + withClockDrift(CONFIRMED_LEASE_MS));
 });
+
+test('a leader that resigns renews no lease beyond the bound of its last record', () => {
+  // Guards against leases that outlast the wait of the next leader while the last record is unanswered.
+  const writer = { confirmedMs: 900 };
+  const leases = new TermLeases(leaderRecord(), writer, new FormerLeases('n1', 0));
+  leases.updateSilent([], true);
+  leases.record(false, 900);
+  leases.recordStored();
+  assert.equal(leases.limitMs('w1', 1_000), 900 + CONFIRMED_LEASE_MS - 1_000);
+  assert.equal(leases.record(true, 1_000).leasesMs, LEASE_MS);
+  assert.equal(leases.limitMs('w1', 3_000), 1_000 + LEASE_MS - 3_000);
+});
