Log follower: the second read after a start follows without a pause

What callers see: with leaders that have each just started, the bound of a lost worker's leases moves by 0.12 s with each change of leader.

Cause: a bound is stated as the time that remains when the record is sent. A node that has just started counts it from when it reads the record; its reads pause 0.25 s and so do the leader's records, so it read every record of the term equally late.

Change: after its first read a follower reads again at once. That read waits at the store and returns the next record when it is stored. One read more for each log that a node starts to follow.

--- a/packages/runtime/src/internal/keyed-follower.ts
+++ b/packages/runtime/src/internal/keyed-follower.ts
@@ -62,6 +62,8 @@
 
   #isLost = false;
 
+  #isFirstPause = true;
+
   /** The durations of the latest reads without their wait at the store, in milliseconds. */
   readonly #recentReadsMs: number[] = [];
 
@@ -268,6 +270,13 @@
   #pauseMs(): number {
     const viewAgeMs = steadyMs() - this.#completeAsOfMs;
     if (this.#completeAsOfMs === -Infinity) return 0;
+    // The second read waits at the store and returns the next record when it is stored. A node that
+    // has just started would otherwise count the leases of lost workers, whose remaining time that
+    // record states, from the end of a pause.
+    if (this.#isFirstPause) {
+      this.#isFirstPause = false;
+      return 0;
+    }
     return Math.max(Math.min(MIN_GAP_MS, this.#gapMs), this.#gapMs - viewAgeMs);
   }
 
