Failing test: a leader that cannot read the jobs leads on although others have read them

A node without the jobs became leader while no other node had them. Others read them seconds later, but the leader's records come in time, so nobody replaces it. The second test bounds the changes of leader while all nodes read the callers' log again in vain; it passes without a hand-over.

--- a/packages/runtime/src/test/unread-claims_test.ts
+++ b/packages/runtime/src/test/unread-claims_test.ts
@@ -26,6 +26,12 @@
 /** A view of the callers' log that was not refreshed for this long is old, in milliseconds. */
 const OLD_VIEW_MS = 5_000;
 
+/**
+ * Upper bound of the time in which a leader without the jobs is replaced by a node that has just
+ * started and reads them at once, in milliseconds: that node connects to the leader within 1.1 s.
+ */
+const UNREAD_LEADER_MS = 3_500;
+
 /** How the leader ends. */
 type LeaderEnd = 'loses power' | 'is killed' | 'is killed and restarts' | 'resigns';
 
@@ -195,3 +201,41 @@
   });
   leaders.check();
 });
+
+test('a leader that cannot read the jobs hands over to a node that has read them', async (t) => {
+  // A node without the jobs became leader while no other node could. Guards against a term in which no
+  // task starts for as long as this node needs to read the jobs, although others have read them since.
+  const time = new VirtualTime(t);
+  for (let seed = 1; seed <= SEEDS; seed += 1) {
+    time.seed(seed);
+    const fleet = new VirtualFleet(time, true);
+    const unread = fleet.add('unread', SMALL, Infinity);
+    await time.advanceUntil(() => unread.isLeading, 5_000);
+    await fleet.addMany([SMALL, SMALL, SMALL]);
+    const isReplaced = await time.advanceUntil(
+      () => fleet.leader?.hasReadJobs === true,
+      UNREAD_LEADER_MS,
+    );
+    assert.ok(isReplaced, `seed ${seed}`);
+    await fleet.stop();
+  }
+});
+
+test('the leadership does not go back and forth while no node can read the jobs', async (t) => {
+  const time = new VirtualTime(t);
+  const fleet = new VirtualFleet(time, true);
+  await fleet.addMany([SMALL, SMALL, SMALL]);
+  await time.advanceUntil(() => fleet.leader !== undefined, 5_000);
+  await time.advance(3_000);
+  // All nodes read the jobs again, each of them in vain.
+  for (const { jobLog } of fleet.nodes) jobLog.delayMs = Infinity;
+  for (const { jobLog } of fleet.nodes) jobLog.isExpired = true;
+  const { epoch } = fleet.store.leader!;
+  await time.advance(2_000);
+  assert.ok(fleet.nodes.every(({ hasReadJobs }) => !hasReadJobs));
+  await time.advance(28_000);
+  const changes = fleet.store.leader!.epoch - epoch;
+  t.diagnostic(`${changes} changes of leader in 30 s`);
+  assert.ok(changes <= 3, `${changes} changes of leader`);
+  await fleet.stop();
+});
--- a/packages/runtime/src/test/virtual-fleet.ts
+++ b/packages/runtime/src/test/virtual-fleet.ts
@@ -15,7 +15,7 @@
   NewestPage,
   ReadResult,
 } from '../keyed-log.js';
-import { KeyedLog, StoreUnavailableError } from '../keyed-log.js';
+import { KeyedLog, RecordsExpiredError, StoreUnavailableError } from '../keyed-log.js';
 import type { LogFields } from '../node-log.js';
 import { NodeLog } from '../node-log.js';
 import { nodeSettings } from './fixtures.js';
@@ -234,17 +234,24 @@
   /** Additional time that each read takes, in milliseconds; infinite if reads are not answered. */
   delayMs = 0;
 
+  /** Whether records that followers need have expired, so that they read the log from its start. */
+  isExpired = false;
+
   constructor(time: VirtualTime) {
     super();
     this.#time = time;
   }
 
   override async read(from: number, waitMs: number): Promise<ReadResult> {
+    if (this.isExpired) throw new RecordsExpiredError('expired');
     if (this.delayMs > 0) await this.#time.after(this.delayMs);
     return super.read(from, waitMs);
   }
 
-  override async newest(): Promise<NewestPage> {
+  override async newest(after = ''): Promise<NewestPage> {
+    // Only a page of a log that is read again replaces the view of it.
+    const isFirst = this.isExpired && after === '';
+    if (isFirst) return { records: [{ key: 'first', value: '' }], hasMore: true, end: 0 };
     if (this.delayMs > 0) await this.#time.after(this.delayMs);
     return super.newest();
   }
