Terms: a leader that cannot read the jobs hands over to its standby

A leader that has not read the callers' log for 2 s resigns with its standby as successor. The standby had read the jobs when it connected to the leader (LeaderWatch), so a node of this version can go on at once. No such hand-over follows another one within 10 s, as nodes of an earlier version connect before they have read the jobs. Without a standby the leader leads on: it renews leases. The log says hand-over reason=jobs-unread.

--- a/packages/runtime/src/internal/hand-over.ts
+++ b/packages/runtime/src/internal/hand-over.ts
@@ -6,6 +6,8 @@
   OFFER_INTERVAL_MS,
   OFFER_SPREAD_MS,
   SUCCESSOR_PRIORITY_MS,
+  UNREAD_HAND_OVER_INTERVAL_MS,
+  UNREAD_TERM_MS,
 } from './timing.js';
 import type { LeaderRecord, OfferRecord } from './work-records.js';
 
@@ -35,6 +37,9 @@
   /** No offer is accepted before this time. */
   #acceptFromMs = -Infinity;
 
+  /** When a leader last resigned in favour of a successor, on the steady clock. */
+  #lastHandOverMs = -Infinity;
+
   /** How many times the named successor did not take over. */
   #missedCount = 0;
 
@@ -53,6 +58,7 @@
   leaderSeen(leader: LeaderRecord, nowMs: number): boolean {
     const before = this.#leader;
     this.#leader = leader;
+    if (leader.resigned && leader.successor !== undefined) this.#lastHandOverMs = nowMs;
     if (before?.epoch === leader.epoch) return false;
     this.#leaderSinceMs = nowMs;
     this.#nextOfferMs = nowMs + HAND_OVER_MIN_TERM_MS + randomInt(OFFER_SPREAD_MS);
@@ -96,6 +102,15 @@
     return nowMs - this.#leaderSinceMs >= HAND_OVER_MIN_TERM_MS && nowMs >= this.#acceptFromMs;
   }
 
+  /**
+   * Whether this node, as leader, resigns in favour of its standby as it has not read the callers'
+   * jobs for the given time. The standby had read them when it connected to the leader.
+   */
+  isDueForUnreadJobs(epoch: number, unreadMs: number, nowMs: number): boolean {
+    const wasRecent = nowMs - this.#lastHandOverMs < UNREAD_HAND_OVER_INTERVAL_MS;
+    return unreadMs >= UNREAD_TERM_MS && !wasRecent && epoch !== this.#handedOverEpoch;
+  }
+
   /** Called when this node, as leader, hands over leadership. */
   handedOver(epoch: number): void {
     this.#handedOverEpoch = epoch;
--- a/packages/runtime/src/internal/leadership.ts
+++ b/packages/runtime/src/internal/leadership.ts
@@ -147,6 +147,9 @@
    */
   #extraSilentMs = 0;
 
+  /** When this node last was not leader or had read the jobs, on the steady clock. */
+  #notUnreadMs = -Infinity;
+
   /** The earliest time of the next claim; a record of another leader resets it. */
   #nextClaimMs = -Infinity;
 
@@ -191,6 +194,7 @@
     while (!this.#stopping.signal.aborted) {
       await this.#checkPause.wait(CHECK_INTERVAL_MS);
       if (this.#stopping.signal.aborted) return;
+      this.#handOverUnlessJobsAreRead();
       if (!this.#isLeadershipVacant()) this.#offerWhenDue();
       else if (!this.#unreadJobsDelay.putsOffClaim(this.#table)) await this.#claimLeadership();
     }
@@ -305,6 +309,26 @@
     this.#term.resign(node);
   }
 
+  /**
+   * Hands over leadership if this node cannot read the callers' jobs, without which it starts no
+   * task, and another node that has read them can lead.
+   */
+  #handOverUnlessJobsAreRead(): void {
+    const nowMs = steadyMs();
+    const term = this.#term;
+    if (!term || this.#work.isLoaded) {
+      this.#notUnreadMs = nowMs;
+      return;
+    }
+    const { token: epoch } = term;
+    const successor = this.#watchers?.standby;
+    if (successor === undefined) return;
+    if (!this.#handOver.isDueForUnreadJobs(epoch, nowMs - this.#notUnreadMs, nowMs)) return;
+    this.#log.emit('info', 'hand-over', { epoch, successor, reason: 'jobs-unread' });
+    this.#handOver.handedOver(epoch);
+    term.resign(successor);
+  }
+
   async #claimLeadership(): Promise<void> {
     const { leader } = this.#table;
     const isImmediate = leader !== undefined && this.#mayClaimImmediately(leader);
--- a/packages/runtime/src/internal/timing.ts
+++ b/packages/runtime/src/internal/timing.ts
@@ -106,6 +106,18 @@
  */
 export const UNREAD_JOBS_CLAIM_DELAY_MS = 1_250;
 
+/**
+ * A leader that has not read the callers' jobs for this long hands over leadership to its standby.
+ * By then it has renewed the leases of the workers that it can contact.
+ */
+export const UNREAD_TERM_MS = 2_000;
+
+/**
+ * A leader that has not read the jobs does not hand over within this time after another hand-over:
+ * leases would expire while leadership goes back and forth.
+ */
+export const UNREAD_HAND_OVER_INTERVAL_MS = 10_000;
+
 /**
  * After the leader's process has ended, the other nodes leave the claim to the standby that the
  * leader has named for this long plus two reads of the store: one precedes its claim, the other
--- a/packages/runtime/src/test/unread-claims_test.ts
+++ b/packages/runtime/src/test/unread-claims_test.ts
@@ -1,7 +1,11 @@
 import assert from 'node:assert/strict';
 import type { TestContext } from 'node:test';
 import { test } from 'node:test';
+import { ClaimOrder } from '../internal/claim-order.js';
+import { HandOver } from '../internal/hand-over.js';
+import { UNREAD_TERM_MS } from '../internal/timing.js';
 import { leaderKey } from '../internal/work-records.js';
+import { leaderRecord } from './leader-record.js';
 import type { VirtualNode } from './virtual-fleet.js';
 import { VirtualFleet, VirtualTime } from './virtual-fleet.js';
 
@@ -239,3 +243,19 @@
   assert.ok(changes <= 3, `${changes} changes of leader`);
   await fleet.stop();
 });
+
+test('a leader without the jobs does not hand over within ten seconds after another hand-over', () => {
+  // Nodes of an earlier version connect to the leader before they have read the jobs. Guards against such
+  // nodes that hand over to each other every two seconds.
+  const handOver = new HandOver('n2', new ClaimOrder(SMALL));
+  const first = leaderRecord({ epoch: 1, node: 'n1', nonce: '1' });
+  handOver.leaderSeen(first, 0);
+  handOver.leaderSeen({ ...first, resigned: true, successor: 'n2' }, 1_000);
+  handOver.leaderSeen(leaderRecord({ epoch: 2, node: 'n2', nonce: '2' }), 1_500);
+  assert.ok(!handOver.isDueForUnreadJobs(2, UNREAD_TERM_MS, 1_500 + UNREAD_TERM_MS));
+  assert.ok(!handOver.isDueForUnreadJobs(2, 9_400, 10_900));
+  assert.ok(handOver.isDueForUnreadJobs(2, 9_500, 11_000));
+  assert.ok(!handOver.isDueForUnreadJobs(2, UNREAD_TERM_MS - 1, 20_000));
+  handOver.handedOver(2);
+  assert.ok(!handOver.isDueForUnreadJobs(2, 9_500, 11_000));
+});
