--- a/packages/runtime/src/test/unread-claims_test.ts
+++ b/packages/runtime/src/test/unread-claims_test.ts
@@ -1,7 +1,11 @@
 import assert from 'node:assert/strict';
 import type { TestContext } from 'node:test';
 import { test } from 'node:test';
+import { ClaimOrder } from '../internal/claim-order.js';
+import { HandOver } from '../internal/hand-over.js';
+import { UNREAD_TERM_MS } from '../internal/timing.js';
 import { leaderKey } from '../internal/work-records.js';
+import { leaderRecord } from './leader-record.js';
 import type { VirtualNode } from './virtual-fleet.js';
 import { VirtualFleet, VirtualTime } from './virtual-fleet.js';
 
@@ -26,6 +30,12 @@
 /** A view of the callers' log that was not refreshed for this long is old, in milliseconds. */
 const OLD_VIEW_MS = 5_000;
 
+/**
+ * Upper bound of the time in which a leader without the jobs is replaced by a node that has just
+ * started and reads them at once, in milliseconds: that node connects to the leader within 1.1 s.
+ */
+const UNREAD_LEADER_MS = 3_500;
+
 /** How the leader ends. */
 type LeaderEnd = 'loses power' | 'is killed' | 'is killed and restarts' | 'resigns';
 
@@ -195,3 +205,57 @@
   });
   leaders.check();
 });
+
+test('a leader that cannot read the jobs hands over to a node that has read them', async (t) => {
+  // A node without the jobs became leader while no other node could. Guards against a term in which no
+  // task starts for as long as this node needs to read the jobs, although others have read them since.
+  const time = new VirtualTime(t);
+  for (let seed = 1; seed <= SEEDS; seed += 1) {
+    time.seed(seed);
+    const fleet = new VirtualFleet(time, true);
+    const unread = fleet.add('unread', SMALL, Infinity);
+    await time.advanceUntil(() => unread.isLeading, 5_000);
+    await fleet.addMany([SMALL, SMALL, SMALL]);
+    const isReplaced = await time.advanceUntil(
+      () => fleet.leader?.hasReadJobs === true,
+      UNREAD_LEADER_MS,
+    );
+    assert.ok(isReplaced, `seed ${seed}`);
+    await fleet.stop();
+  }
+});
+
+test('the leadership does not go back and forth while no node can read the jobs', async (t) => {
+  const time = new VirtualTime(t);
+  const fleet = new VirtualFleet(time, true);
+  await fleet.addMany([SMALL, SMALL, SMALL]);
+  await time.advanceUntil(() => fleet.leader !== undefined, 5_000);
+  await time.advance(3_000);
+  // All nodes read the jobs again, each of them in vain.
+  for (const { jobLog } of fleet.nodes) jobLog.delayMs = Infinity;
+  for (const { jobLog } of fleet.nodes) jobLog.isExpired = true;
+  const { epoch } = fleet.store.leader!;
+  await time.advance(2_000);
+  assert.ok(fleet.nodes.every(({ hasReadJobs }) => !hasReadJobs));
+  await time.advance(28_000);
+  const changes = fleet.store.leader!.epoch - epoch;
+  t.diagnostic(`${changes} changes of leader in 30 s`);
+  assert.ok(changes <= 3, `${changes} changes of leader`);
+  await fleet.stop();
+});
+
+test('a leader without the jobs does not hand over within ten seconds after another hand-over', () => {
+  // Nodes of an earlier version connect to the leader before they have read the jobs. Guards against such
+  // nodes that hand over to each other every two seconds.
+  const handOver = new HandOver('n2', new ClaimOrder(SMALL));
+  const first = leaderRecord({ epoch: 1, node: 'n1', nonce: '1' });
+  handOver.leaderSeen(first, 0);
+  handOver.leaderSeen({ ...first, resigned: true, successor: 'n2' }, 1_000);
+  handOver.leaderSeen(leaderRecord({ epoch: 2, node: 'n2', nonce: '2' }), 1_500);
+  assert.ok(!handOver.isDueForUnreadJobs(2, UNREAD_TERM_MS, 1_500 + UNREAD_TERM_MS));
+  assert.ok(!handOver.isDueForUnreadJobs(2, 9_400, 10_900));
+  assert.ok(handOver.isDueForUnreadJobs(2, 9_500, 11_000));
+  assert.ok(!handOver.isDueForUnreadJobs(2, UNREAD_TERM_MS - 1, 20_000));
+  handOver.handedOver(2);
+  assert.ok(!handOver.isDueForUnreadJobs(2, 9_500, 11_000));
+});
