Scheduler: a task whose start was not answered is a suspect too

Found by the review: where the start of a crashing task gets no answer, and neighbours had begun, only these were counted.

Change: every suspect is counted, with weight 2 if its start was answered and 1 if it was only on its way. Suspects are placed apart, so that those beside the cause are cleared by their next run; the traces in crash-traces_test that led to the former rule pass.

--- a/packages/jobs/src/internal/crash-suspects.ts
+++ b/packages/jobs/src/internal/crash-suspects.ts
@@ -41,8 +41,7 @@
  * without a count a task that crashes its workers would be started on one after the other, each
  * time with the loss of all other runs there.
  *
- * Suspects are the tasks whose runs have not worked for some time yet; if any of them is known to
- * have begun, only those. The crash weight of a task is the sum over its latest runs that crashed
+ * Suspects are the tasks whose runs have not worked for some time yet. The crash weight of a task is the sum over its latest runs that crashed
  * their workers, as far as is known. Tasks with a weight are placed apart from each other, so that
  * one that shared a worker with the cause by chance is rarely counted twice.
  */
@@ -100,10 +99,9 @@
     // enough: a worker that only records name has such an entry.
     if (worker.leavesMs < Infinity) return;
     const suspects = [...this.#suspectsAmong(worker, runs)];
-    const begun = suspects.filter(({ confirmed }) => confirmed);
-    for (const suspect of begun) this.#count(worker, suspect, confirmedWeight);
-    if (begun.length > 0) return;
-    for (const suspect of suspects) this.#count(worker, suspect, UNCONFIRMED_CRASH_WEIGHT);
+    for (const suspect of suspects) {
+      this.#count(worker, suspect, suspect.confirmed ? confirmedWeight : UNCONFIRMED_CRASH_WEIGHT);
+    }
   }
 
   /** Yields the tasks that are bound to these runs, unless the run is known to be harmless. */
--- a/packages/jobs/src/internal/round-candidates.ts
+++ b/packages/jobs/src/internal/round-candidates.ts
@@ -9,7 +9,7 @@
 /** Larger than any difference of scores, so that a worker to avoid is the last choice. */
 const AVOID_PENALTY = 1_000_000;
 
-/** Larger than that: suspects share a worker only where no other can take them. */
+/** Larger than `AVOID_PENALTY`: suspects share a worker only where no other can take them. */
 const SHARED_SUSPECTS_PENALTY = 100_000_000;
 
 /** A task to be placed. */
--- a/packages/jobs/src/test/crashing-tasks_test.ts
+++ b/packages/jobs/src/test/crashing-tasks_test.ts
@@ -340,6 +340,32 @@
   assert.equal(lateJob.state, 'completed');
 });
 
+test('a crashing task whose starts are not answered is limited beside tasks that have begun', () => {
+  // Guards against a crashing task that is started without limit: only its neighbours, whose starts were
+  // answered, were suspects.
+  const harness = new SchedulerHarness(['w1', 'w2', 'w3', 'w4'].map((id) => workerEntry(id)));
+  const crashing = harness.submit(jobSpec([stepSpec({ lasting: true })]));
+  let startCount = 0;
+  for (let round = 0; round < 20 && crashing.state !== 'failed'; round += 1) {
+    for (let index = 0; index < 4; index += 1) {
+      const id = `0000000000${String(round).padStart(3, '0')}${String(index).padStart(3, '0')}`;
+      harness.submit(jobSpec([stepSpec()], { id }));
+    }
+    const starts = harness.starts();
+    for (const start of starts) {
+      harness.scheduler.startSent(start, harness.nowMs + 1_600);
+      if (start.task.jobId !== crashing.spec.id) harness.answer(start, 'done');
+    }
+    const start = starts.find(({ task }) => task.jobId === crashing.spec.id);
+    if (start) {
+      startCount += 1;
+      crash(harness, start.worker);
+    }
+  }
+  assert.equal(crashing.state, 'failed');
+  assert.ok(startCount <= MAX_STARTS, `${startCount} starts`);
+});
+
 test('suspects are started on different workers where there are enough', () => {
   // Guards against giving up the tasks that are started together with a crashing one each time, as
   // the worker with the most free capacity is the best for all of them.
