Texts: a guard line above each failure test, crash suspects

No change of behaviour. The users ask for one line above each failure test; two files had one for several.

--- a/packages/jobs/src/internal/crash-suspects.ts
+++ b/packages/jobs/src/internal/crash-suspects.ts
@@ -41,9 +41,10 @@
  * without a count a task that crashes its workers would be started on one after the other, each
  * time with the loss of all other runs there.
  *
- * Suspects are the tasks whose runs have not worked for some time yet. The crash weight of a task is the sum over its latest runs that crashed
- * their workers, as far as is known. Tasks with a weight are placed apart from each other, so that
- * one that shared a worker with the cause by chance is rarely counted twice.
+ * Suspects are the tasks whose runs have not worked for some time yet. The crash weight of a task
+ * is the sum over its latest runs that crashed their workers, as far as is known. Tasks with a
+ * weight are placed apart from each other, so that one that shared a worker with the cause by chance
+ * is rarely counted twice.
  */
 export class CrashSuspects {
   readonly #state: ClusterState;
@@ -93,13 +94,15 @@
     this.#attribute(worker, confirmed, UNCONFIRMED_CRASH_WEIGHT);
   }
 
-  /** Counts a crash for the suspects, and fails the jobs of those with too many crashes. */
+  /**
+   * Counts a crash for the suspects, and fails the jobs of those with too many crashes.
+   * `confirmedWeight`: the weight for tasks that are known to have begun.
+   */
   #attribute(worker: WorkerState, runs: readonly WorkerRun[], confirmedWeight: number): void {
     // A worker that announced that it leaves ends by itself. That an entry is draining is not
     // enough: a worker that only records name has such an entry.
     if (worker.leavesMs < Infinity) return;
-    const suspects = [...this.#suspectsAmong(worker, runs)];
-    for (const suspect of suspects) {
+    for (const suspect of [...this.#suspectsAmong(worker, runs)]) {
       this.#count(worker, suspect, suspect.confirmed ? confirmedWeight : UNCONFIRMED_CRASH_WEIGHT);
     }
   }
--- a/packages/runtime/src/test/short-terms_test.ts
+++ b/packages/runtime/src/test/short-terms_test.ts
@@ -175,24 +175,25 @@
 
 const losePower = (leader: VirtualNode): void => leader.losePower();
 
-// Guards against a wait for former leases that starts over with each leader: the long-running tasks of a
-// lost worker stay down for as long as leadership keeps changing.
-
+// Guards against a wait for former leases that starts over with each leader that resigns.
 test('the leases of a lost worker expire in time while leaders resign after short terms', async (t) => {
   const tookMs = await longestExpiryMs(t, resign, startTogether);
   assert.ok(tookMs <= LOST_MS, `${tookMs} ms`);
 });
 
+// Guards against bounds that are lost where each leader has read only the newest record.
 test('the leases of a lost worker expire in time where each of these leaders has just started', async (t) => {
   const tookMs = await longestExpiryMs(t, resign, startInTerm);
   assert.ok(tookMs <= LOST_MS, `${tookMs} ms`);
 });
 
+// Guards against a wait that starts over with each leader that dies.
 test('the leases of a lost worker expire in time while leaders lose power after short terms', async (t) => {
   const tookMs = await longestExpiryMs(t, losePower, startTogether);
   assert.ok(tookMs <= LOST_MS, `${tookMs} ms`);
 });
 
+// Guards against bounds that are lost with leaders that die after a short term.
 test('the leases of a lost worker expire in time where each leader has just started and loses power', async (t) => {
   const tookMs = await longestExpiryMs(t, losePower, startInTerm);
   assert.ok(tookMs <= LOST_MS, `${tookMs} ms`);
--- a/packages/runtime/src/test/unread-claims_test.ts
+++ b/packages/runtime/src/test/unread-claims_test.ts
@@ -136,6 +136,7 @@
   });
 }
 
+// Guards against a leader whose view of the jobs is old although other nodes have a recent one.
 test('a node with a recent view of the jobs leads next while the views of others are old', async (t) => {
   const leaders = new NextLeaders();
   await forEachFleet(t, async (fleet, sizes) => {
@@ -152,6 +153,7 @@
   leaders.check();
 });
 
+// Guards against a node without the jobs that is preferred as the next leader.
 test('a node that has not read the jobs is neither standby nor makes an offer', async (t) => {
   const time = new VirtualTime(t);
   const fleet = new VirtualFleet(time, true);
@@ -166,6 +168,7 @@
   await fleet.stop();
 });
 
+// Guards against leases that expire because no node claims without the jobs.
 test('a node leads in time after all nodes lost power although none can read the jobs', async (t) => {
   const tookMs: number[] = [];
   const time = new VirtualTime(t);
@@ -191,6 +194,7 @@
   assert.ok(worstMs <= POWER_RESTORED_MS, `${worstMs} ms`);
 });
 
+// Guards against a delay that is too short where each call to the store takes longer.
 test('a node that has read the jobs leads next with a slow store', async (t) => {
   const leaders = new NextLeaders();
   await forEachFleet(t, async (fleet, sizes) => {
@@ -206,6 +210,7 @@
   leaders.check();
 });
 
+// Guards against a leader that starts nothing, while its records come in time.
 test('a leader that cannot read the jobs hands over to a node that has read them', async (t) => {
   // A node without the jobs became leader while no other node could. Guards against a term in which no
   // task starts for as long as this node needs to read the jobs, although others have read them since.
@@ -225,6 +230,7 @@
   }
 });
 
+// Guards against leases that expire as each leader hands over to another one without the jobs.
 test('the leadership does not go back and forth while no node can read the jobs', async (t) => {
   const time = new VirtualTime(t);
   const fleet = new VirtualFleet(time, true);
@@ -244,6 +250,7 @@
   await fleet.stop();
 });
 
+// Guards against the same where the standby is of a version that connects before it has the jobs.
 test('a leader without the jobs does not hand over within ten seconds after another hand-over', () => {
   // Nodes of an earlier version connect to the leader before they have read the jobs. Guards against such
   // nodes that hand over to each other every two seconds.
