--- a/packages/runtime/src/internal/leader-term.ts
+++ b/packages/runtime/src/internal/leader-term.ts
@@ -362,22 +362,18 @@
     return Math.max(1, Math.min(MAX_ROUND_INTERVAL_MS, dueMs - Date.now()));
   }
 
-  /** Returns whether the worker answered. */
-  async #send(order: Order): Promise<boolean> {
+  #send(order: Order): void {
     const link = this.#links.byWorker.get(order.worker);
     if (!link) {
       this.#scheduler.answered(order, 'unknown', steadyMs(), steadyMs());
-      return false;
+      return;
     }
-    try {
-      return await link.order(order);
-    } catch (err) {
+    link.order(order).catch((err) => {
       this.#failed('order', err);
       // Without an answer the task would be considered in transit to the worker forever.
       const sendCompletedMs = steadyMs() + withClockDrift(START_WINDOW_MS);
       this.#scheduler.answered(order, 'unknown', steadyMs(), sendCompletedMs);
-      return false;
-    }
+    });
   }
 
   #startedJobsLoaded(isLoaded: boolean): void {
--- a/packages/runtime/src/internal/round-pacing.ts
+++ b/packages/runtime/src/internal/round-pacing.ts
@@ -1,7 +1,6 @@
 import type { Order, RoundLimits } from '@redwingcrank/jobs';
 import { taskName } from '@redwingcrank/jobs';
 import { Pause, delay, steadyMs } from './delay.js';
-import type { SendOrder } from './order-sender.js';
 import { OrderSender } from './order-sender.js';
 import { INPUT_BATCH_MS, MAX_ROUND_PAUSE_MS, PLACEMENT_BUDGET_MS } from './timing.js';
 
@@ -36,13 +35,12 @@
 
   #endedMs = -Infinity;
 
-  constructor(signal: AbortSignal, send: SendOrder) {
+  constructor(signal: AbortSignal, send: (order: Order) => void) {
     this.#signal = signal;
     this.#starts = new OrderSender(signal, send);
     const sendUrgent = (order: Order): void => {
       this.#unsent.delete(keyOf(order));
-      // Stops must not wait for answers to others: a worker that is leaving ends soon.
-      void send(order);
+      send(order);
     };
     this.#urgent = new OrderSender(signal, sendUrgent, URGENT_REST_FACTOR);
   }
--- a/packages/runtime/src/internal/worker-link.ts
+++ b/packages/runtime/src/internal/worker-link.ts
@@ -131,15 +131,14 @@
 
   /**
    * Sends an order until it is answered or no longer useful, and reports the outcome. Without a
-   * retry left the outcome of a start stays unknown until the worker's next report. Returns whether
-   * the worker answered.
+   * retry left the outcome of a start stays unknown until the worker's next report.
    */
-  async order(order: Order): Promise<boolean> {
+  async order(order: Order): Promise<void> {
     let outcome: OrderOutcome = 'unknown';
     let sendCompletedMs = Infinity;
     let mayHaveStarted = false;
     for (let attempt = 0; attempt < START_ATTEMPTS && outcome === 'unknown'; attempt += 1) {
-      if (this.#stopping.signal.aborted) return false;
+      if (this.#stopping.signal.aborted) return;
       if (attempt === 0) this.#retries.called();
       else if (!this.#retries.tryRetry()) break;
       const sentMs = steadyMs();
@@ -170,13 +169,12 @@
       }
       this.#logOrder(order, outcome, result.reason, attempt, sentMs);
     }
-    if (this.#stopping.signal.aborted) return false;
+    if (this.#stopping.signal.aborted) return;
     if (outcome === 'fenced') this.#listener.fenced(this.id, 'order');
     // The run of an earlier unanswered attempt may have started, whatever the outcome of this one.
     else if (mayHaveStarted && isRefusal(outcome))
       this.#listener.answered(order, 'unknown', sendCompletedMs);
     else this.#listener.answered(order, outcome, sendCompletedMs);
-    return !isUnanswered(outcome);
   }
 
   /**
@@ -294,11 +292,6 @@
   }
 }
 
-/** Whether the outcome may have been decided without an answer of the worker. */
-function isUnanswered(outcome: OrderOutcome): boolean {
-  return outcome === 'unknown' || outcome === 'too-late' || outcome === 'unhealthy';
-}
-
 /** Whether the outcome means that this attempt had no effect. */
 function isRefusal(outcome: OrderOutcome): boolean {
   return outcome !== 'done' && outcome !== 'other-life';
