--- a/packages/runtime/src/internal/term-load.ts
+++ b/packages/runtime/src/internal/term-load.ts
@@ -43,6 +43,9 @@
 
   #appendMs = 0;
 
+  /** The part of the latest report interval in which the event loop was not idle. */
+  #busyShare = 0;
+
   #appendSentMs: number | undefined;
 
   #reports = 0;
@@ -98,7 +101,9 @@
     while (!signal.aborted) {
       const sinceMs = steadyMs();
       const usage = process.cpuUsage();
+      const utilization = performance.eventLoopUtilization();
       await delay(REPORT_INTERVAL_MS, signal);
+      this.#busyShare = performance.eventLoopUtilization(utilization).utilization;
       if (!signal.aborted) this.#report(sinceMs, usage, view());
     }
   }
@@ -110,6 +115,7 @@
       epoch: this.#epoch,
       lateMs: Math.round(nowMs - sinceMs - REPORT_INTERVAL_MS),
       cpuMs: Math.round((user + system) / 1_000),
+      busyPercent: Math.round(100 * this.#busyShare),
       rounds: this.#rounds,
       decideMs: Math.round(this.#decideMs),
       longestDecideMs: Math.round(this.#longestDecideMs),
