Admission: what a slow leader has yet to start bounds what all nodes accept

Cause: jobs are promised by nodes that know nothing, or nothing recent, of the leader's backlog. A refusal stood only in a record at most 1.5 s old, a new leader began without an estimate, only steps that were ready counted, and all nodes together accepted without limit until the next record.

Change: the leader's record states how many tasks a second it can start, measured while rounds are cut short and its event loop is not idle; the rate passes to the next leader's claim, in proportion to the nodes' sizes, holds for 4 s, doubles each 4 s after that and is forgotten after 20 s. Every node knows from the stored jobs and their progress how many tasks are unstarted, whoever leads and however old the record is, and refuses where these would take over 5 s, with the excess as Retry-After. While a rate is stated, a job is stored only at the end of the log up to which all jobs were counted, so that nodes do not use up the same rest twice.

--- a/packages/jobs/src/admission.ts
+++ b/packages/jobs/src/admission.ts
@@ -16,17 +16,54 @@
   return isBestEffort ? `${pool} best-effort` : `${pool} reserved`;
 }
 
+/**
+ * How long the leader may take to start the unstarted tasks of the accepted jobs, in milliseconds: a
+ * third of the longest wait of an accepted job, as steps wait for each other and tasks that fail are
+ * started again.
+ */
+export const MAX_START_WAIT_MS = 5_000;
+
+/** The lowest rate of starts: a lower one means that the leader was stopped, not slow. */
+const MIN_STARTS_PER_SECOND = 1;
+
+/** The highest rate of starts; it limits nothing. */
+const MAX_STARTS_PER_SECOND = 1_000_000;
+
+/** Returns the nearest rate of starts that a leader's record may state. */
+export function clampedStartRate(startsPerSecond: number): number {
+  return Math.min(MAX_STARTS_PER_SECOND, Math.max(MIN_STARTS_PER_SECOND, startsPerSecond));
+}
+
+/** Returns whether a job is accepted whatever waits. */
+export function isAlwaysAccepted({ schedule, steps }: JobSpec): boolean {
+  return schedule !== undefined || steps.some(({ lasting }) => lasting);
+}
+
+/**
+ * Returns after how many milliseconds a leader with this rate of starts will have started so many of
+ * the unstarted tasks that the others wait no longer than they may; undefined if they need not wait
+ * longer now.
+ */
+export function startBacklogMs(
+  unstartedTasks: number,
+  startsPerSecond: number,
+): number | undefined {
+  const excessMs = (1_000 * unstartedTasks) / startsPerSecond - MAX_START_WAIT_MS;
+  return excessMs > 0 ? Math.ceil(excessMs) : undefined;
+}
+
 /**
  * Returns how long a caller should wait before it submits the job again, in milliseconds; undefined
  * if the job can be accepted now. Long-running and scheduled jobs have no priority starts and are
  * always accepted.
  */
 export function retryDelayMs(
-  { schedule, steps }: JobSpec,
+  spec: JobSpec,
   { pool }: QueuePolicy,
   retryAfterMs: RetryAfter,
 ): number | undefined {
-  if (schedule || steps.some(({ lasting }) => lasting)) return undefined;
+  if (isAlwaysAccepted(spec)) return undefined;
+  const { steps } = spec;
   const delaysMs = steps.map(({ fills }) => retryAfterMs[capacityClassOf(pool, fills)] ?? 0);
   return Math.max(0, ...delaysMs) || undefined;
 }
--- a/packages/jobs/src/internal/round-limits.ts
+++ b/packages/jobs/src/internal/round-limits.ts
@@ -8,6 +8,8 @@
    */
   readonly starts: number;
   readonly clockMs: () => number;
+  /** Whether the node has no processor time left; absent if it is not known. */
+  readonly isNodeBusy?: boolean;
 }
 
 export const NO_LIMITS: RoundLimits = {
--- a/packages/jobs/src/internal/start-backlog.ts
+++ b/packages/jobs/src/internal/start-backlog.ts
@@ -1,3 +1,5 @@
+import { MAX_START_WAIT_MS, clampedStartRate } from '../admission.js';
+
 /** The time over which starts are counted, in milliseconds. */
 const WINDOW_MS = 4_000;
 
@@ -10,17 +12,32 @@
  */
 const MIN_OVERLOADED_MS = 1_000;
 
+/** Weight of the newest measurement in the moving average of the rate. */
+const NEWEST_WEIGHT = 0.25;
+
+/** How long the rate stays as it was measured last, in milliseconds: a new leader measures it first. */
+const RATE_HOLD_MS = 4_000;
+
 /**
- * How long the waiting tasks of accepted jobs may take to be started, in milliseconds: a third of
- * the longest wait of an accepted job, as later steps and tasks that fail need starts too.
+ * After that the rate doubles in each such time in which the leader is not overloaded, in
+ * milliseconds: jobs are accepted more quickly step by step until it is overloaded again or the rate
+ * is forgotten.
  */
-const MAX_START_WAIT_MS = 5_000;
+const RATE_DOUBLING_MS = 4_000;
+
+/** How long after the last overload the rate is forgotten, in milliseconds. */
+const RATE_LIFETIME_MS = 20_000;
 
 interface Bucket {
   readonly sinceMs: number;
   count: number;
 }
 
+interface MeasuredRate {
+  readonly startsPerSecond: number;
+  readonly atMs: number;
+}
+
 /**
  * Estimates how long waiting tasks wait for their starts where the leader, not the workers' capacity,
  * limits the starts: it is short of processor time or its link is saturated. Accepted jobs would
@@ -33,8 +50,14 @@
   /** When a round last placed all tasks for which there was capacity. */
   #completeMs: number;
 
+  /** When a round was last cut short while the node was not busy. */
+  #notBusyMs = -Infinity;
+
   #waitingTasks = 0;
 
+  /** The rate of starts when the leader was last overloaded. */
+  #rate: MeasuredRate | undefined;
+
   constructor(nowMs: number) {
     this.#completeMs = nowMs;
   }
@@ -45,10 +68,36 @@
     this.#started(starts, nowMs);
   }
 
-  /** Records a round that was cut short before it had tried to place this many tasks. */
-  cutShort(starts: number, waitingTasks: number, nowMs: number): void {
+  /**
+   * Records a round that was cut short before it had tried to place this many tasks. `isNodeBusy`:
+   * the node has no processor time left; otherwise it waits for the store or the workers, and the
+   * starts say nothing about its rate.
+   */
+  cutShort(starts: number, waitingTasks: number, nowMs: number, isNodeBusy: boolean): void {
     this.#waitingTasks = waitingTasks;
     this.#started(starts, nowMs);
+    if (!isNodeBusy) this.#notBusyMs = nowMs;
+    const sinceMs = Math.max(this.#completeMs, this.#notBusyMs);
+    if (nowMs - sinceMs < MIN_OVERLOADED_MS) return;
+    const { count, overMs } = this.#startsSince(sinceMs, nowMs);
+    const measured = (1_000 * count) / overMs;
+    const former = this.startsPerSecond(nowMs) ?? measured;
+    this.#setRate(former + NEWEST_WEIGHT * (measured - former), nowMs);
+  }
+
+  /** Restores the rate that an earlier leader stated. */
+  restoreRate(startsPerSecond: number, nowMs: number): void {
+    this.#setRate(startsPerSecond, nowMs);
+  }
+
+  /**
+   * Returns how many tasks a second the leader can start; undefined if it was not overloaded
+   * recently.
+   */
+  startsPerSecond(nowMs: number): number | undefined {
+    if (!this.#rate || nowMs - this.#rate.atMs > RATE_LIFETIME_MS) return undefined;
+    const doublings = (nowMs - this.#rate.atMs - RATE_HOLD_MS) / RATE_DOUBLING_MS;
+    return clampedStartRate(this.#rate.startsPerSecond * 2 ** Math.max(0, doublings));
   }
 
   /**
@@ -57,14 +106,24 @@
    */
   retryAfterMs(nowMs: number): number | undefined {
     if (nowMs - this.#completeMs < MIN_OVERLOADED_MS) return undefined;
-    const observedMs = Math.min(WINDOW_MS, nowMs - this.#completeMs);
-    const starts = this.#buckets
-      .filter(({ sinceMs }) => sinceMs >= nowMs - observedMs)
-      .reduce((sum, { count }) => sum + count, 0);
-    const waitMs = (this.#waitingTasks * observedMs) / Math.max(1, starts);
+    const { count, overMs } = this.#startsSince(this.#completeMs, nowMs);
+    const waitMs = (this.#waitingTasks * overMs) / Math.max(1, count);
     return waitMs > MAX_START_WAIT_MS ? Math.ceil(waitMs - MAX_START_WAIT_MS) : undefined;
   }
 
+  /** Returns the number of starts since the given time, of the last seconds at most. */
+  #startsSince(sinceMs: number, nowMs: number): { count: number; overMs: number } {
+    const overMs = Math.min(WINDOW_MS, nowMs - sinceMs);
+    const count = this.#buckets
+      .filter((bucket) => bucket.sinceMs >= nowMs - overMs)
+      .reduce((sum, bucket) => sum + bucket.count, 0);
+    return { count, overMs };
+  }
+
+  #setRate(startsPerSecond: number, atMs: number): void {
+    this.#rate = { startsPerSecond: clampedStartRate(startsPerSecond), atMs };
+  }
+
   #started(starts: number, nowMs: number): void {
     const newest = this.#buckets.at(-1);
     if (newest && nowMs - newest.sinceMs < BUCKET_MS) newest.count += starts;
--- a/packages/jobs/src/internal/task-placer.ts
+++ b/packages/jobs/src/internal/task-placer.ts
@@ -86,8 +86,15 @@
   placeAll(nowMs: number, limits: RoundLimits): boolean {
     this.#startCount = 0;
     const isCutShort = this.#placeWaiting(nowMs, limits);
-    if (isCutShort) this.#startBacklog.cutShort(this.#startCount, this.#waitingCount(), nowMs);
-    else this.#startBacklog.completed(this.#startCount, nowMs);
+    if (isCutShort) {
+      const waitingTasks = this.#waitingCount();
+      this.#startBacklog.cutShort(
+        this.#startCount,
+        waitingTasks,
+        nowMs,
+        limits.isNodeBusy === true,
+      );
+    } else this.#startBacklog.completed(this.#startCount, nowMs);
     this.#starvedUnplaced.length = 0;
     this.#holdCapacity(nowMs);
     return isCutShort;
@@ -137,6 +144,19 @@
     return byClass;
   }
 
+  /** Restores the rate of starts that an earlier leader stated. */
+  restoreStartRate(startsPerSecond: number, nowMs: number): void {
+    this.#startBacklog.restoreRate(startsPerSecond, nowMs);
+  }
+
+  /**
+   * Returns how many tasks a second this leader can start; undefined if it was not overloaded
+   * recently.
+   */
+  startsPerSecond(nowMs: number): number | undefined {
+    return this.#startBacklog.startsPerSecond(nowMs);
+  }
+
   /** Returns how many tasks of the steps of the latest round still wait for a worker. */
   #waitingCount(): number {
     let count = 0;
--- a/packages/jobs/src/job-progress.ts
+++ b/packages/jobs/src/job-progress.ts
@@ -175,18 +175,43 @@
   }
 
   /**
-   * Decodes only the state, for nodes that answer callers but do not schedule. Returns undefined if
-   * the text is not the progress of this job; `decode` must not be called with such a text.
+   * Decodes only the state and the number of tasks that have yet to be started (see
+   * `unstartedTasksOf`), for nodes that answer callers but do not schedule. Returns undefined if the
+   * text is not the progress of this job; `decode` must not be called with such a text.
    */
   static decodeState(
     spec: JobSpec,
     text: string,
-  ): { state: JobState; endedMs: number } | undefined {
+  ): { state: JobState; endedMs: number; unstartedTasks: number } | undefined {
     const rec = parseProgress(spec, text);
-    return rec && { state: rec.s, endedMs: rec.e ?? 0 };
+    return rec && { state: rec.s, endedMs: rec.e ?? 0, unstartedTasks: unstartedIn(spec, rec) };
   }
 }
 
+/**
+ * Returns how many tasks of a new job the leader has to start. Long-running and scheduled jobs count
+ * as none: they are accepted whatever waits.
+ */
+export function unstartedTasksOf({ schedule, steps }: JobSpec): number {
+  if (schedule) return 0;
+  return steps.reduce((sum, { lasting, taskCount }) => sum + (lasting ? 0 : taskCount), 0);
+}
+
+function unstartedIn({ schedule, steps }: JobSpec, { s, o }: ProgressRecord): number {
+  if (schedule || isFinal(s)) return 0;
+  let count = 0;
+  for (const [, stepTasks] of o) {
+    for (const [step, tasks] of stepTasks.entries()) {
+      if (!steps[step]!.lasting) count += tasks.filter(isUnstarted).length;
+    }
+  }
+  return count;
+}
+
+function isUnstarted(tuple: TaskTuple): boolean {
+  return tuple === 0 || (tuple !== 1 && PHASES[tuple[0]] === 'waiting');
+}
+
 function isDone({ phase }: TaskProgress): boolean {
   return phase === 'done';
 }
--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -319,6 +319,19 @@
     return this.#placer.retryAfter(nowMs);
   }
 
+  /** Restores the rate of starts that an earlier leader stated. */
+  restoreStartRate(startsPerSecond: number, nowMs: number): void {
+    this.#placer.restoreStartRate(startsPerSecond, nowMs);
+  }
+
+  /**
+   * Returns how many tasks a second this leader can start; undefined if it was not overloaded
+   * recently.
+   */
+  startsPerSecond(nowMs: number): number | undefined {
+    return this.#placer.startsPerSecond(nowMs);
+  }
+
   /**
    * Returns the earliest due time of an occurrence that is not open yet; undefined if there is
    * none.
--- /dev/null
+++ b/packages/jobs/src/test/start-rate_test.ts
@@ -0,0 +1,93 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { Order } from '../order.js';
+import {
+  SchedulerHarness,
+  jobSpec,
+  runningRow,
+  stepSpec,
+  workerEntry,
+} from './scheduler-harness.js';
+
+const ROUND_MS = 100;
+
+const STARTS_PER_ROUND = 4;
+
+const WORKERS = Array.from({ length: 60 }, (_, i) => workerEntry(`w${i}`));
+
+/** A leader with more tasks to start than it can start in the test, on workers with free capacity. */
+class BusyLeader {
+  readonly #harness = new SchedulerHarness(WORKERS);
+
+  readonly #orders: Order[] = [];
+
+  constructor() {
+    this.#harness.submit(jobSpec([stepSpec({ taskCount: 1_000, cpuMilli: 100 })]));
+  }
+
+  get startsPerSecond(): number | undefined {
+    return this.#harness.scheduler.startsPerSecond(this.#harness.nowMs);
+  }
+
+  /** Runs rounds for some time, each of which may start up to `starts` tasks. */
+  run(ms: number, isNodeBusy: boolean, starts = STARTS_PER_ROUND): void {
+    const endMs = this.#harness.nowMs + ms;
+    while (this.#harness.nowMs < endMs) {
+      this.#harness.nowMs += ROUND_MS;
+      const { nowMs, scheduler } = this.#harness;
+      for (const { id } of WORKERS) {
+        const running = this.#orders.filter(({ worker }) => worker === id);
+        const percent = Math.floor(nowMs / ROUND_MS) % 100;
+        this.#harness.report(id, {
+          running: running.map((order) => runningRow(order, { percent })),
+        });
+      }
+      const limits = { placingMs: Infinity, starts, clockMs: () => nowMs, isNodeBusy };
+      for (const order of scheduler.decide(nowMs, nowMs, limits).orders) {
+        this.#harness.answer(order, 'done');
+        this.#orders.push(order);
+      }
+    }
+  }
+
+  pass(ms: number): void {
+    this.#harness.nowMs += ms;
+  }
+}
+
+test('the start rate of a leader is measured while it has no processor time left', () => {
+  // Guards against nodes that do not learn how few tasks a slow leader can start.
+  const leader = new BusyLeader();
+  leader.run(900, true);
+  assert.equal(leader.startsPerSecond, undefined);
+  leader.run(3_000, true);
+  const rate = (1_000 * STARTS_PER_ROUND) / ROUND_MS;
+  assert.ok(Math.abs(leader.startsPerSecond! - rate) < 0.1 * rate, `${leader.startsPerSecond}`);
+});
+
+test('a wait for the store is not taken for a low start rate', () => {
+  // Guards against nodes that refuse jobs after an outage of the store, because the leader started
+  // no task meanwhile.
+  const leader = new BusyLeader();
+  leader.run(5_000, false, 0);
+  assert.equal(leader.startsPerSecond, undefined);
+  leader.run(3_000, true);
+  const rate = leader.startsPerSecond!;
+  leader.run(5_000, false, 0);
+  leader.run(500, true);
+  assert.ok(leader.startsPerSecond! >= rate, `${leader.startsPerSecond} after ${rate}`);
+});
+
+test('the start rate rises step by step after an overload, and is forgotten', () => {
+  // Guards against refusals that outlast the overload, and against accepting all jobs at once as soon
+  // as the leader has caught up.
+  const leader = new BusyLeader();
+  leader.run(3_000, true);
+  const rate = leader.startsPerSecond!;
+  leader.pass(4_000);
+  assert.equal(leader.startsPerSecond, rate);
+  leader.pass(8_000);
+  assert.equal(leader.startsPerSecond, 4 * rate);
+  leader.pass(9_000);
+  assert.equal(leader.startsPerSecond, undefined);
+});
--- a/packages/runtime/src/internal/leader-term.ts
+++ b/packages/runtime/src/internal/leader-term.ts
@@ -162,6 +162,9 @@
       silentWorkers: this.#inheritedEndsMs.size,
     });
     for (const job of this.#table.jobs.values()) loadJob(this.#scheduler, job);
+    const { startsPerSecond } = this.#record;
+    if (startsPerSecond !== undefined)
+      this.#scheduler.restoreStartRate(startsPerSecond, steadyMs());
     this.#scheduler.inheritLeases(this.#inheritedEndsMs);
     this.#applyQueues();
     this.#scheduler.restoreLearned(this.#table.learned);
@@ -264,7 +267,9 @@
     const startedMs = steadyMs();
     // A start that cannot be sent now is not bound either: its binding would be stored in vain, and
     // again later.
-    const limits = this.views.windowMs(startedMs) > 0 ? this.#pacing.limits : NO_STARTS;
+    const { isNodeBusy } = this.#load;
+    const limits =
+      this.views.windowMs(startedMs) > 0 ? { ...this.#pacing.limits, isNodeBusy } : NO_STARTS;
     const decisions = this.#scheduler.decide(startedMs, Date.now(), limits);
     this.#load.decided(steadyMs() - startedMs);
     const writes: KeyedWrite[] = decisions.changed.map((job) => ({
@@ -292,10 +297,13 @@
     if (writesRecord) {
       const standby = this.#watchers?.standby;
       const retryAfterMs = this.#scheduler.retryAfter(steadyMs());
+      const startsPerSecond = this.#scheduler.startsPerSecond(steadyMs());
+      const { startsPerSecond: _former, ...leases } = this.#leases.record(resigns, steadyMs());
       const rec = {
-        ...this.#leases.record(resigns, steadyMs()),
+        ...leases,
         ...(standby && { standby }),
         ...(Object.keys(retryAfterMs).length > 0 && { retryAfterMs }),
+        ...(startsPerSecond !== undefined && { startsPerSecond }),
       };
       this.#lastRecord = { number: rec.number, sentMs: steadyMs() };
       writes.push({ key: leaderKey(), value: encodeLeader(rec) });
@@ -351,6 +359,8 @@
     return {
       jobs: this.#scheduler.jobs.size,
       leaseLeftMs: this.#leases.limitMs('', steadyMs()),
+      unstartedTasks: this.#table.unstartedTasks,
+      startsPerSecond: this.#scheduler.startsPerSecond(steadyMs()) ?? 0,
       ...reachabilityOf(this.#scheduler.workers.values(), steadyMs()),
       ...this.#scheduler.backlog(steadyMs()),
     };
--- a/packages/runtime/src/internal/leadership.ts
+++ b/packages/runtime/src/internal/leadership.ts
@@ -1,4 +1,5 @@
 import { randomBytes, randomInt } from 'node:crypto';
+import { clampedStartRate } from '@redwingcrank/jobs';
 import type { KeyedLog } from '../keyed-log.js';
 import type { NodeLog } from '../node-log.js';
 import type { NodeSettings } from '../node-settings.js';
@@ -385,9 +386,23 @@
       cores: this.#claimOrder.cores,
       largestCores: this.#claimOrder.largestCores,
       ...this.#ownProcess(),
+      ...this.#formerStartRate(before),
     };
   }
 
+  /**
+   * Returns the rate of starts that the record of the former leader states, in proportion to the
+   * processor time of both nodes. Until this node has measured its own, other nodes would accept
+   * jobs without limit otherwise, and as leaders change under load, most of all when there is a
+   * backlog.
+   */
+  #formerStartRate(before: LeaderRecord | undefined): Pick<LeaderRecord, 'startsPerSecond'> {
+    if (before?.startsPerSecond === undefined) return {};
+    const { cores } = this.#claimOrder;
+    const rate = (before.startsPerSecond * cores) / (before.cores || cores);
+    return { startsPerSecond: clampedStartRate(rate) };
+  }
+
   /** Returns how long other nodes leave the claim to the standby that the leader has named. */
   #standbyPriorityMs(leader: LeaderRecord | undefined): number {
     return leader?.standby === undefined
--- a/packages/runtime/src/internal/term-load.ts
+++ b/packages/runtime/src/internal/term-load.ts
@@ -5,6 +5,12 @@
 /** Interval of log lines about the load of a leader, in milliseconds: one line costs 0.1 ms. */
 const REPORT_INTERVAL_MS = 1_000;
 
+/**
+ * A node whose event loop is idle for less than this part of a second has no processor time left: work
+ * waits for other work.
+ */
+const MIN_IDLE_SHARE = 0.1;
+
 const NO_STARTS_SENT = { workersAgeMs: 0, jobsAgeMs: 0, startWaitMs: 0 };
 
 /** Which workers with running tasks, or tasks that may run, this node is in contact with. */
@@ -23,6 +29,10 @@
   readonly jobs: number;
   /** How long leases may be granted from now, in milliseconds; 0 or less if none are. */
   readonly leaseLeftMs: number;
+  /** How many tasks of all jobs have yet to be started. */
+  readonly unstartedTasks: number;
+  /** How many tasks a second the leader can start; 0 if it was not overloaded recently. */
+  readonly startsPerSecond: number;
 }
 
 /**
@@ -63,6 +73,11 @@
     this.#epoch = epoch;
   }
 
+  /** Whether the node had no processor time left when its load was last reported. */
+  get isNodeBusy(): boolean {
+    return this.#busyShare > 1 - MIN_IDLE_SHARE;
+  }
+
   /** Records that a round of decisions took this long without its append. */
   decided(tookMs: number): void {
     this.#rounds += 1;
@@ -126,6 +141,8 @@
       jobs: view.jobs,
       unreached: view.unreached,
       quietMs: Math.round(view.quietMs),
+      unstartedTasks: view.unstartedTasks,
+      startsPerSecond: Math.round(view.startsPerSecond),
       idleJobs: view.idleJobs,
       longestIdleMs: Math.round(view.longestIdleMs),
       reservedPercent: view.reservedPercent,
--- a/packages/runtime/src/internal/work-follower.ts
+++ b/packages/runtime/src/internal/work-follower.ts
@@ -95,6 +95,11 @@
     return this.#jobs.completeAsOfMs;
   }
 
+  /** The offset of the callers' log up to which it was read; undefined before it is loaded. */
+  get nextJob(): number | undefined {
+    return this.#jobs.next;
+  }
+
   /** When the less recent of the two views was last known to be complete, on the steady clock. */
   get completeAsOfMs(): number {
     return Math.min(this.workLog.completeAsOfMs, this.#jobs.completeAsOfMs);
--- a/packages/runtime/src/internal/work-records.ts
+++ b/packages/runtime/src/internal/work-records.ts
@@ -67,6 +67,11 @@
   readonly standby?: string;
   /** When callers may retry, in milliseconds, by capacity class that accepts no jobs now. */
   readonly retryAfterMs?: RetryAfter;
+  /**
+   * How many tasks a second this leader, or one before it, could start when it was overloaded; absent
+   * if none was recently. With a silent or a new leader, this is still the best estimate.
+   */
+  readonly startsPerSecond?: number;
 }
 
 /** A node's offer to take over from a smaller leader. */
@@ -136,7 +141,7 @@
   if (!isNonNegative(formerMs)) return wrongType('formerMs');
   if (!isRecordOf(silent, isNonNegative)) return wrongType('silent');
   if (!isNonNegative(number)) return wrongType('number');
-  const { cores, largestCores, successor, process, standby, retryAfterMs } = rec;
+  const { cores, largestCores, successor, process, standby, retryAfterMs, startsPerSecond } = rec;
   if (cores !== undefined && !isNonNegative(cores)) return wrongType('cores');
   if (largestCores !== undefined && !isNonNegative(largestCores)) return wrongType('largestCores');
   if (successor !== undefined && typeof successor !== 'string') return wrongType('successor');
@@ -144,6 +149,8 @@
   if (standby !== undefined && typeof standby !== 'string') return wrongType('standby');
   if (retryAfterMs !== undefined && !isRecordOf(retryAfterMs, isNonNegative))
     return wrongType('retryAfterMs');
+  if (startsPerSecond !== undefined && !isPositive(startsPerSecond))
+    return wrongType('startsPerSecond');
   const required = { epoch, node, nonce, resigned, leasesMs, formerMs, silent, number };
   const sizes = cores === undefined || largestCores === undefined ? {} : { cores, largestCores };
   return {
@@ -154,6 +161,7 @@
       ...(process === undefined ? {} : { process }),
       ...(standby === undefined ? {} : { standby }),
       ...(retryAfterMs === undefined ? {} : { retryAfterMs }),
+      ...(startsPerSecond === undefined ? {} : { startsPerSecond }),
     },
   };
 }
@@ -198,6 +206,10 @@
   return Number.isSafeInteger(value) && (value as number) > 0;
 }
 
+function isPositive(value: unknown): value is number {
+  return isNonNegative(value) && value > 0;
+}
+
 function isNonNegative(value: unknown): value is number {
   return typeof value === 'number' && Number.isFinite(value) && value >= 0;
 }
--- a/packages/runtime/src/internal/work-table.ts
+++ b/packages/runtime/src/internal/work-table.ts
@@ -1,6 +1,6 @@
 import { Subject } from 'rxjs';
 import type { JobSpec, JobState, InterferenceWeights } from '@redwingcrank/jobs';
-import { JobProgress, isFinal } from '@redwingcrank/jobs';
+import { JobProgress, isFinal, unstartedTasksOf } from '@redwingcrank/jobs';
 import type { KeyedRecord } from '../keyed-log.js';
 import type { Decoded, RecordFault } from '../record-fault.js';
 import { steadyMs } from './delay.js';
@@ -24,6 +24,8 @@
    */
   isUnsure: boolean;
   cancelled: boolean;
+  /** How many of its tasks the leader has yet to start, as of its newest progress. */
+  unstartedTasks: number;
 }
 
 /** Time constant of the decay of the largest gap between leader records, in milliseconds. */
@@ -114,6 +116,14 @@
     return [...this.#early.values()].some(({ progress, isUnsure }) => progress ?? isUnsure);
   }
 
+  /** How many tasks of all jobs the leader has yet to start. */
+  get unstartedTasks(): number {
+    let count = 0;
+    for (const { cancelled, unstartedTasks } of this.#jobs.values())
+      if (!cancelled) count += unstartedTasks;
+    return count;
+  }
+
   /** Deleted jobs whose progress is not deleted yet. */
   get orphanedProgress(): Iterable<string> {
     return this.#orphanedProgress;
@@ -265,6 +275,7 @@
       changedMs: steadyMs(),
       isUnsure: false,
       cancelled: false,
+      unstartedTasks: unstartedTasksOf(spec),
     });
     this.#orphanedProgress.delete(id);
     const { progress, isUnsure, cancel } = this.#early.get(id) ?? {};
--- a/packages/runtime/src/job-api.ts
+++ b/packages/runtime/src/job-api.ts
@@ -144,6 +144,9 @@
       const retryDelayMs = this.#node.jobs.retryDelayMs(spec, queue);
       if (retryDelayMs !== undefined) return { result: RESULT_CODES.longWait, retryDelayMs };
       const outcome = await this.#node.jobs.submit(spec, steadyMs() + CALL_TIMEOUT_MS);
+      const backlogMs = outcome === 'not-run' ? this.#node.jobs.startBacklogMs(spec) : undefined;
+      if (backlogMs !== undefined)
+        return { result: RESULT_CODES.longWait, retryDelayMs: backlogMs };
       return { result: SUBMIT_RESULTS[outcome] };
     } catch (err) {
       if (!(err instanceof JobFaultsError)) throw err;
--- a/packages/runtime/src/job-service.ts
+++ b/packages/runtime/src/job-service.ts
@@ -1,14 +1,16 @@
 import type { Observable } from 'rxjs';
 import { firstValueFrom, from, map, merge, race, timer } from 'rxjs';
 import type { JobSpec, JobState, QueuePolicy } from '@redwingcrank/jobs';
-import { retryDelayMs } from '@redwingcrank/jobs';
+import { isAlwaysAccepted, retryDelayMs, startBacklogMs } from '@redwingcrank/jobs';
 import type { KeyedLog, KeyedWrite } from './keyed-log.js';
+import { RecordsExpiredError, StoreUnavailableError } from './keyed-log.js';
 import type { NodeLog } from './node-log.js';
 import { AppendBatcher } from './internal/append-batcher.js';
 import { encodeJob } from './internal/job-record.js';
 import { cancelKey, jobKey } from './internal/work-records.js';
 import type { WorkTable } from './internal/work-table.js';
 import { shownState } from './internal/work-table.js';
+import { UnreadJobs } from './internal/unread-jobs.js';
 import { delay, steadyMs } from './internal/delay.js';
 
 /**
@@ -35,6 +37,12 @@
 /** Leader records older than this do not cause a job to be refused, in milliseconds. */
 const MAX_REFUSAL_AGE_MS = 1_500;
 
+/**
+ * How many times a job is checked against the complete log of the jobs; after that, other jobs were
+ * stored each time, and there are more callers than the leader can serve.
+ */
+const MAX_CHECKS = 4;
+
 /** The pause before an unanswered append is repeated, in milliseconds. */
 const RETRY_PAUSE_MS = 50;
 
@@ -55,6 +63,7 @@
  * - `deadline`: the deadline passed before the store answered.
  * - `no-answer`: the connection ended without an answer, and the store is lost.
  * - `refused-after-loss`: the store refused the last append, but an earlier one has no answer.
+ * - `start-backlog`: the leader would take too long to start the tasks of the jobs that are stored.
  */
 type StoreReason =
   | 'confirmed'
@@ -64,13 +73,16 @@
   | 'lost-under-way'
   | 'deadline'
   | 'no-answer'
-  | 'refused-after-loss';
+  | 'refused-after-loss'
+  | 'start-backlog';
 
 /** The node's view of the logs of work, as the service uses it. */
 export interface WorkView {
   readonly table: WorkTable;
   /** When the view was last known to be complete, on the steady clock. */
   readonly completeAsOfMs: number;
+  /** The offset of the callers' log up to which it was read; undefined before it is loaded. */
+  readonly nextJob: number | undefined;
   /** Whether the store cannot be read now. */
   readonly isLost: boolean;
   /** Emits when the store can no longer be read. */
@@ -81,8 +93,12 @@
 export class JobService {
   readonly #view: WorkView;
 
+  readonly #target: KeyedLog;
+
   readonly #batcher: AppendBatcher;
 
+  readonly #unread: UnreadJobs;
+
   readonly #log: NodeLog;
 
   /** Jobs that were stored through this node and not yet read back. */
@@ -90,7 +106,9 @@
 
   constructor(view: WorkView, target: KeyedLog, log: NodeLog) {
     this.#view = view;
+    this.#target = target;
     this.#batcher = new AppendBatcher(target);
+    this.#unread = new UnreadJobs(target);
     this.#log = log;
     view.table.changes$.subscribe((change) => {
       if (change.kind === 'accepted') this.#justAccepted.delete(change.id);
@@ -106,7 +124,10 @@
     const known = this.#find(spec.id);
     if (known) return this.#repeatedOutcome(spec, known);
     const write = { key: jobKey(spec.id), value: encodeJob(spec) };
-    const { outcome, reason, sends } = await this.#store(write, deadlineMs);
+    const isLimited = !isAlwaysAccepted(spec) && this.#startsPerSecond !== undefined;
+    const { outcome, reason, sends } = isLimited
+      ? await this.#storeUnlessBacklog(spec, write, deadlineMs)
+      : await this.#store(write, deadlineMs);
     if (outcome === 'stored' && !this.#view.table.jobs.has(spec.id)) {
       this.#justAccepted.set(spec.id, spec);
     }
@@ -131,15 +152,17 @@
   retryDelayMs(spec: JobSpec, queue: QueuePolicy): number | undefined {
     const { leader, leaderSeenMs } = this.#view.table;
     const leaderAgeMs = steadyMs() - leaderSeenMs;
-    const hasRefusals = leader?.retryAfterMs !== undefined && leaderAgeMs < MAX_REFUSAL_AGE_MS;
-    if (!hasRefusals || this.#find(spec.id)) return undefined;
-    const waitMs = retryDelayMs(spec, queue, leader.retryAfterMs);
-    if (waitMs === undefined) return undefined;
+    if (this.#find(spec.id)) return undefined;
+    const isRecent = leaderAgeMs < MAX_REFUSAL_AGE_MS;
+    const idleMs = isRecent ? retryDelayMs(spec, queue, leader?.retryAfterMs ?? {}) : undefined;
+    const backlogMs = this.startBacklogMs(spec);
+    if (idleMs === undefined && backlogMs === undefined) return undefined;
+    const waitMs = Math.max(idleMs ?? 0, backlogMs ?? 0);
     this.#log.emit('info', 'submit', {
       job: spec.id,
       queue: spec.queue,
       outcome: 'not-run',
-      reason: 'idle-jobs',
+      reason: backlogMs === undefined ? 'idle-jobs' : 'start-backlog',
       retryAfterMs: Math.round(waitMs),
       leaderAgeMs: Math.round(leaderAgeMs),
       tookMs: 0,
@@ -148,6 +171,19 @@
     return waitMs;
   }
 
+  /**
+   * Returns in how many milliseconds a caller should retry a job because the leader, short of
+   * processor time, has too many tasks to start; undefined if it has not. This counts stored facts
+   * alone, and so holds while the leader is silent or has just been replaced.
+   */
+  startBacklogMs(spec: JobSpec): number | undefined {
+    const startsPerSecond = this.#startsPerSecond;
+    if (startsPerSecond === undefined || isAlwaysAccepted(spec)) return undefined;
+    const { table, nextJob = 0 } = this.#view;
+    const unstartedTasks = table.unstartedTasks + this.#unread.unstartedTasks(nextJob);
+    return startBacklogMs(unstartedTasks, startsPerSecond);
+  }
+
   async cancel(id: string, queue: string, deadlineMs: number): Promise<CancelOutcome> {
     const known = this.#find(id);
     if (known?.queue !== queue) {
@@ -175,6 +211,10 @@
     return this.#isUpToDate() ? this.#view.table.pending(queue) : undefined;
   }
 
+  get #startsPerSecond(): number | undefined {
+    return this.#view.table.leader?.startsPerSecond;
+  }
+
   #find(id: string): JobSpec | undefined {
     return this.#view.table.jobs.get(id)?.spec ?? this.#justAccepted.get(id);
   }
@@ -203,19 +243,76 @@
     return isSame ? 'accepted' : 'conflict';
   }
 
+  /**
+   * Stores a job unless the leader has too many tasks to start. Each check is based on all jobs that
+   * are stored: the append fails if another one was stored after them.
+   */
+  async #storeUnlessBacklog(
+    spec: JobSpec,
+    write: KeyedWrite,
+    deadlineMs: number,
+  ): Promise<StoreResult> {
+    for (let sends = 0; sends < MAX_CHECKS; sends += 1) {
+      const at = await this.#endOfJobs(deadlineMs);
+      if (at === undefined) return { outcome: 'not-run', reason: 'store-lost', sends };
+      if (this.startBacklogMs(spec) !== undefined) break;
+      const append = this.#target.append([write], { at });
+      const result = await this.#untilLost(append, deadlineMs);
+      if (typeof result === 'string')
+        return { outcome: 'unknown', reason: result, sends: sends + 1 };
+      switch (result.outcome) {
+        case 'appended':
+          return { outcome: 'stored', reason: 'confirmed', sends: sends + 1 };
+        case 'refused':
+          return { outcome: 'not-run', reason: 'store-refused', sends: sends + 1 };
+        case 'moved':
+          break;
+        default:
+          // The job may be stored, so it can be refused no more.
+          return this.#store(write, deadlineMs, sends + 1);
+      }
+    }
+    return { outcome: 'not-run', reason: 'start-backlog', sends: 0 };
+  }
+
+  /** Returns the end of the callers' log after reading up to it; undefined if it cannot be read. */
+  async #endOfJobs(deadlineMs: number): Promise<number | undefined> {
+    const { nextJob } = this.#view;
+    if (nextJob === undefined || !this.#canStore()) return undefined;
+    try {
+      const end = await this.#untilLost(this.#unread.read(nextJob), deadlineMs);
+      return typeof end === 'string' ? undefined : end;
+    } catch (err) {
+      if (err instanceof StoreUnavailableError || err instanceof RecordsExpiredError)
+        return undefined;
+      throw err;
+    }
+  }
+
+  /** Waits for a result until the store is lost or the deadline passes. */
+  #untilLost<T>(
+    result: Promise<T>,
+    deadlineMs: number,
+  ): Promise<T | 'lost-under-way' | 'deadline'> {
+    const lost = this.#view.lost$.pipe(map(() => 'lost-under-way' as const));
+    const late = timer(deadlineMs - steadyMs()).pipe(map(() => 'deadline' as const));
+    return firstValueFrom(race(from(result), merge(lost, late)));
+  }
+
   /**
    * Stores one record, with retries until the deadline while there is no answer. Returns `not-run`
-   * only if the store refused every attempt or none was sent.
+   * only if the store refused every attempt or none was sent; `formerSends` attempts had no answer.
    */
-  async #store(write: KeyedWrite, deadlineMs: number): Promise<StoreResult> {
-    if (!this.#canStore()) return { outcome: 'not-run', reason: 'store-lost', sends: 0 };
-    let sends = 0;
+  async #store(write: KeyedWrite, deadlineMs: number, formerSends = 0): Promise<StoreResult> {
+    let sends = formerSends;
+    if (!this.#canStore()) {
+      if (sends > 0) return { outcome: 'unknown', reason: 'no-answer', sends };
+      return { outcome: 'not-run', reason: 'store-lost', sends };
+    }
     while (steadyMs() < deadlineMs) {
       // Once the store is lost, a longer wait would only keep the caller from trying another node.
-      const lost = this.#view.lost$.pipe(map(() => 'lost-under-way' as const));
-      const late = timer(deadlineMs - steadyMs()).pipe(map(() => 'deadline' as const));
       const append = this.#batcher.append(write);
-      const result = await firstValueFrom(race(from(append.result), merge(lost, late)));
+      const result = await this.#untilLost(append.result, deadlineMs);
       if (typeof result === 'string') {
         // A record that is sent later, after an outage, could be stored although its caller has
         // given up.
--- a/packages/runtime/src/node.ts
+++ b/packages/runtime/src/node.ts
@@ -67,6 +67,9 @@
       get completeAsOfMs() {
         return work.completeAsOfMs;
       },
+      get nextJob() {
+        return work.nextJob;
+      },
       get isLost() {
         return work.isLost;
       },
--- a/packages/runtime/src/test/broken-work-records_test.ts
+++ b/packages/runtime/src/test/broken-work-records_test.ts
@@ -47,6 +47,8 @@
   { ...LEADER, cores: '1.35' },
   { ...LEADER, largestCores: null },
   { ...LEADER, successor: 7 },
+  { ...LEADER, startsPerSecond: '40' },
+  { ...LEADER, startsPerSecond: 0 },
 ];
 
 let table: WorkTable;
--- a/packages/runtime/src/test/job-service_test.ts
+++ b/packages/runtime/src/test/job-service_test.ts
@@ -7,9 +7,10 @@
 import { steadyMs } from '../internal/delay.js';
 import { JobService } from '../job-service.js';
 import { NodeMetrics } from '../internal/node-metrics.js';
-import { encodeLeader, leaderKey } from '../internal/work-records.js';
+import { encodeJob } from '../internal/job-record.js';
+import { cancelKey, encodeLeader, jobKey, leaderKey } from '../internal/work-records.js';
 import type { WorkView } from '../job-service.js';
-import type { AppendResult, KeyedWrite } from '../keyed-log.js';
+import type { AppendResult, KeyedRecord, KeyedWrite, ReadResult } from '../keyed-log.js';
 import { NodeLog } from '../node-log.js';
 import { StaticLog } from './static-log.js';
 import { LONG_RUNNING_JOB } from './job-fixtures.js';
@@ -19,6 +20,14 @@
 class ManualLog extends StaticLog {
   readonly appends: (readonly KeyedWrite[])[] = [];
 
+  /** The records that a read returns. */
+  records: KeyedRecord[] = [];
+
+  override async read(from: number): Promise<ReadResult> {
+    const end = this.records.length;
+    return { records: this.records.slice(from), next: end, end, asOfMs: steadyMs() };
+  }
+
   #resolvers: ((result: AppendResult) => void)[] = [];
 
   override append(records: readonly KeyedWrite[]): Promise<AppendResult> {
@@ -43,8 +52,16 @@
     this.table.apply({ key: leaderKey(), value });
   }
 
+  /** Reads a leader record that states how many tasks a second the leader can start. */
+  readStartRate(startsPerSecond: number): void {
+    const value = encodeLeader(leaderRecord({ startsPerSecond }));
+    this.table.apply({ key: leaderKey(), value });
+  }
+
   readonly lost$ = new Subject<void>();
 
+  readonly nextJob = 0;
+
   isLost = false;
 
   get completeAsOfMs(): number {
@@ -83,6 +100,10 @@
   submit(id: string, waitMs = 3_000): Promise<string> {
     return this.#service.submit({ ...LONG_RUNNING_JOB, id }, steadyMs() + waitMs);
   }
+
+  submitJob(spec: JobSpec): Promise<string> {
+    return this.#service.submit(spec, steadyMs() + 3_000);
+  }
 }
 
 /** Waits advanceUntil the promises that can resolve now have done so. */
@@ -165,3 +186,54 @@
   t.mock.method(performance, 'now', () => nowMs + 2_000);
   assert.equal(service.refusalMs(job, 'full'), undefined);
 });
+
+/** Returns a job whose tasks all have to be started. */
+function jobOf(id: string, taskCount: number): JobSpec {
+  return { ...LONG_RUNNING_JOB, id, steps: [{ ...PLAIN_STEP, taskCount }] };
+}
+
+test('jobs are refused while the stored jobs have more tasks than the leader starts in 5 s', (t) => {
+  // Guards against accepting jobs because the leader is silent: its backlog is as long as before.
+  const service = new ControlledService();
+  const stored = jobOf('00000000000000a1', 60);
+  service.view.table.apply({ key: jobKey(stored.id), value: encodeJob(stored) });
+  const job = jobOf('00000000000000a2', 1);
+  assert.equal(service.refusalMs(job, 'full'), undefined);
+  service.view.readStartRate(10);
+  const nowMs = performance.now();
+  t.mock.method(performance, 'now', () => nowMs + 60_000);
+  assert.equal(service.refusalMs(job, 'full'), 1_000);
+  assert.equal(service.refusalMs(stored, 'full'), undefined);
+  assert.equal(service.refusalMs(LONG_RUNNING_JOB, 'full'), undefined);
+  service.view.table.apply({ key: cancelKey(stored.id), value: '1' });
+  assert.equal(service.refusalMs(job, 'full'), undefined);
+});
+
+test('the jobs that other nodes have just stored count before a job is accepted', async () => {
+  // Guards against nodes that each accept as many jobs as the leader can start in all.
+  const service = new ControlledService();
+  service.view.readStartRate(10);
+  const job = jobOf('00000000000000a2', 1);
+  assert.equal(service.refusalMs(job, 'full'), undefined);
+  const other = jobOf('00000000000000a1', 60);
+  const submitted = service.submitJob(job);
+  await nextEventLoopTurn();
+  service.log.records.push({ key: jobKey(other.id), value: encodeJob(other) });
+  service.log.answer('moved');
+  assert.equal(await submitted, 'not-run');
+  assert.equal(service.refusalMs(job, 'full'), 1_000);
+  assert.equal(service.log.appends.length, 1);
+});
+
+test('a job whose first append has no answer is never reported as not run, whatever waits', async () => {
+  // Guards against refusing a job for the backlog after it may have been stored.
+  const service = new ControlledService();
+  service.view.readStartRate(10);
+  const submitted = service.submitJob(jobOf('00000000000000a2', 1));
+  await nextEventLoopTurn();
+  service.log.answer('unknown');
+  await nextEventLoopTurn();
+  assert.equal(service.log.appends.length, 2);
+  service.log.answer('refused');
+  assert.equal(await submitted, 'unknown');
+});
--- /dev/null
+++ b/packages/runtime/src/test/start-backlog_test.ts
@@ -0,0 +1,68 @@
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { MAX_START_WAIT_MS } from '@redwingcrank/jobs';
+import { STARTS_PER_SECOND, SlowLeaderFleet, TASKS_PER_JOB } from './slow-leader-fleet.js';
+import { VirtualTime } from './virtual-fleet.js';
+
+/** Ten times as many tasks as the leader can start. */
+const JOBS_PER_SECOND = 8;
+
+const SUBMITTING_MS = 40_000;
+
+/** How long after the last submission all accepted jobs must have ended, in milliseconds. */
+const FINISH_MS = 14_000;
+
+/** How long there is no leader when one is replaced, in milliseconds. */
+const NO_LEADER_MS = 2_500;
+
+/** How long before the last submission the leader is replaced, or all nodes are, in milliseconds. */
+const LATE_MS = 3_000;
+
+test('while the leader is silent and replaced, no more jobs are accepted than it can start', async (t) => {
+  // Guards against accepting all jobs as soon as the leader's last record is old, and until the next
+  // leader has measured how many tasks it can start.
+  const fleet = new SlowLeaderFleet(new VirtualTime(t));
+  await fleet.play(SUBMITTING_MS - LATE_MS, JOBS_PER_SECOND);
+  fleet.stopLeader();
+  await fleet.play(NO_LEADER_MS, JOBS_PER_SECOND);
+  fleet.replaceLeader();
+  await fleet.play(LATE_MS - NO_LEADER_MS, JOBS_PER_SECOND);
+  await fleet.play(FINISH_MS, 0);
+  assert.deepEqual(fleet.unfinished(), []);
+});
+
+test('nodes that have just started accept no more jobs than the leader can start', async (t) => {
+  // Guards against refusals that nodes keep only in memory: after a power failure of all nodes, each
+  // job would be accepted.
+  const fleet = new SlowLeaderFleet(new VirtualTime(t));
+  await fleet.play(SUBMITTING_MS - LATE_MS, JOBS_PER_SECOND);
+  fleet.stopLeader();
+  fleet.restartNodes();
+  await fleet.play(NO_LEADER_MS, JOBS_PER_SECOND);
+  fleet.replaceLeader();
+  await fleet.play(LATE_MS - NO_LEADER_MS, JOBS_PER_SECOND);
+  await fleet.play(FINISH_MS, 0);
+  assert.deepEqual(fleet.unfinished(), []);
+});
+
+test('nodes that accept jobs at the same time accept no more together than the leader can start', async (t) => {
+  // Guards against nodes that each use up the whole remaining backlog: refused callers return at the
+  // same time, and no node knows yet what the others accept.
+  const fleet = new SlowLeaderFleet(new VirtualTime(t));
+  await fleet.play(SUBMITTING_MS / 2, JOBS_PER_SECOND);
+  fleet.mostUnstarted = 0;
+  await fleet.play(SUBMITTING_MS / 2, JOBS_PER_SECOND);
+  const limit = (MAX_START_WAIT_MS / 1_000) * STARTS_PER_SECOND + TASKS_PER_JOB;
+  assert.ok(fleet.mostUnstarted <= 1.1 * limit, `${fleet.mostUnstarted} tasks wait`);
+  await fleet.play(FINISH_MS, 0);
+  assert.deepEqual(fleet.unfinished(), []);
+});
+
+test('a leader that limits the starts is kept busy with the jobs that are accepted', async (t) => {
+  // Guards against an admission that meets the other bounds by refusing nearly all jobs.
+  const fleet = new SlowLeaderFleet(new VirtualTime(t));
+  await fleet.play(SUBMITTING_MS, JOBS_PER_SECOND);
+  const wanted = (SUBMITTING_MS / 1_000) * STARTS_PER_SECOND;
+  const accepted = fleet.accepted.length * TASKS_PER_JOB;
+  assert.ok(accepted >= 0.9 * wanted, `${accepted} tasks accepted of ${wanted}`);
+});
--- a/packages/runtime/src/test/term-load_test.ts
+++ b/packages/runtime/src/test/term-load_test.ts
@@ -10,6 +10,8 @@
   unreached: 3,
   quietMs: 1_500.4,
   leaseLeftMs: -20,
+  unstartedTasks: 0,
+  startsPerSecond: 0,
   idleJobs: 2,
   longestIdleMs: 4_200.3,
   reservedPercent: 45,
--- a/packages/runtime/src/test/virtual-fleet.ts
+++ b/packages/runtime/src/test/virtual-fleet.ts
@@ -212,7 +212,7 @@
   }
 
   /** The newest leader record. */
-  get leader(): Pick<LeaderRecord, 'node' | 'epoch' | 'standby'> | undefined {
+  get leader(): LeaderRecord | undefined {
     return leaderOf(this.#records.findLast(({ key }) => key === leaderKey())?.value);
   }
 
