Admission: at most 3 s of unstarted tasks wait for a slow leader

Cause: the bound of 5 s leaves no time for a change of leader. Accepted jobs are due 14 s after the last submission; a change takes up to five of these, and steps of up to two seconds run one after another.

The leader's own bound for steps that are ready stays at 5 s.

--- a/packages/jobs/src/admission.ts
+++ b/packages/jobs/src/admission.ts
@@ -17,11 +17,11 @@
 }
 
 /**
- * How long the leader may take to start the unstarted tasks of the accepted jobs, in milliseconds: a
- * third of the longest wait of an accepted job, as steps wait for each other and tasks that fail are
- * started again.
+ * How long the leader may take to start the unstarted tasks of all accepted jobs, in milliseconds. An
+ * accepted job ends within 14 s: a change of leader takes five of these, and three steps of two
+ * seconds run one after another.
  */
-export const MAX_START_WAIT_MS = 5_000;
+export const MAX_BACKLOG_MS = 3_000;
 
 /** The lowest rate of starts: a lower one means that the leader was stopped, not slow. */
 const MIN_STARTS_PER_SECOND = 1;
@@ -48,7 +48,7 @@
   unstartedTasks: number,
   startsPerSecond: number,
 ): number | undefined {
-  const excessMs = (1_000 * unstartedTasks) / startsPerSecond - MAX_START_WAIT_MS;
+  const excessMs = (1_000 * unstartedTasks) / startsPerSecond - MAX_BACKLOG_MS;
   return excessMs > 0 ? Math.ceil(excessMs) : undefined;
 }
 
--- a/packages/jobs/src/internal/start-backlog.ts
+++ b/packages/jobs/src/internal/start-backlog.ts
@@ -1,4 +1,4 @@
-import { MAX_START_WAIT_MS, clampedStartRate } from '../admission.js';
+import { clampedStartRate } from '../admission.js';
 
 /** The time over which starts are counted, in milliseconds. */
 const WINDOW_MS = 4_000;
@@ -12,6 +12,12 @@
  */
 const MIN_OVERLOADED_MS = 1_000;
 
+/**
+ * How long the waiting tasks of accepted jobs may take to be started, in milliseconds: a third of
+ * the longest wait of an accepted job, as later steps and tasks that fail need starts too.
+ */
+const MAX_START_WAIT_MS = 5_000;
+
 /** Weight of the newest measurement in the moving average of the rate. */
 const NEWEST_WEIGHT = 0.25;
 
--- a/packages/runtime/src/test/job-service_test.ts
+++ b/packages/runtime/src/test/job-service_test.ts
@@ -192,7 +192,7 @@
   return { ...LONG_RUNNING_JOB, id, steps: [{ ...PLAIN_STEP, taskCount }] };
 }
 
-test('jobs are refused while the stored jobs have more tasks than the leader starts in 5 s', (t) => {
+test('jobs are refused while the stored jobs have more tasks than the leader starts in 3 s', (t) => {
   // Guards against accepting jobs because the leader is silent: its backlog is as long as before.
   const service = new ControlledService();
   const stored = jobOf('00000000000000a1', 60);
@@ -202,7 +202,7 @@
   service.view.readStartRate(10);
   const nowMs = performance.now();
   t.mock.method(performance, 'now', () => nowMs + 60_000);
-  assert.equal(service.refusalMs(job, 'full'), 1_000);
+  assert.equal(service.refusalMs(job, 'full'), 3_000);
   assert.equal(service.refusalMs(stored, 'full'), undefined);
   assert.equal(service.refusalMs(LONG_RUNNING_JOB, 'full'), undefined);
   service.view.table.apply({ key: cancelKey(stored.id), value: '1' });
@@ -221,7 +221,7 @@
   service.log.records.push({ key: jobKey(other.id), value: encodeJob(other) });
   service.log.answer('moved');
   assert.equal(await submitted, 'not-run');
-  assert.equal(service.refusalMs(job, 'full'), 1_000);
+  assert.equal(service.refusalMs(job, 'full'), 3_000);
   assert.equal(service.log.appends.length, 1);
 });
 
--- a/packages/runtime/src/test/start-backlog_test.ts
+++ b/packages/runtime/src/test/start-backlog_test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { MAX_START_WAIT_MS } from '@redwingcrank/jobs';
+import { MAX_BACKLOG_MS } from '@redwingcrank/jobs';
 import { STARTS_PER_SECOND, SlowLeaderFleet, TASKS_PER_JOB } from './slow-leader-fleet.js';
 import { VirtualTime } from './virtual-fleet.js';
 
@@ -52,7 +52,7 @@
   await fleet.play(SUBMITTING_MS / 2, JOBS_PER_SECOND);
   fleet.mostUnstarted = 0;
   await fleet.play(SUBMITTING_MS / 2, JOBS_PER_SECOND);
-  const limit = (MAX_START_WAIT_MS / 1_000) * STARTS_PER_SECOND + TASKS_PER_JOB;
+  const limit = (MAX_BACKLOG_MS / 1_000) * STARTS_PER_SECOND + TASKS_PER_JOB;
   assert.ok(fleet.mostUnstarted <= 1.1 * limit, `${fleet.mostUnstarted} tasks wait`);
   await fleet.play(FINISH_MS, 0);
   assert.deepEqual(fleet.unfinished(), []);
