Admission: the rate of starts is measured only where the workers have free capacity

The workers limit the starts, and the count of waiting tasks says nothing about the leader.

Change: a round counts for the rate only while under 60 % of the processors are reserved, the share up to which idle jobs go by ample capacity.

Test: a case of start-rate_test, which fails without the condition.

--- a/packages/jobs/src/internal/idle-jobs.ts
+++ b/packages/jobs/src/internal/idle-jobs.ts
@@ -15,7 +15,7 @@
 const ALLOWANCE_WHEN_FULL: IdleAllowance = { idleMs: 10_000, share: 0.15 };
 
 /** Up to this reserved share of the processors, `ALLOWANCE_WITH_CAPACITY` applies. */
-const AMPLE_CAPACITY_BELOW = 0.6;
+export const AMPLE_CAPACITY_BELOW = 0.6;
 
 /** From this reserved share on, `ALLOWANCE_WHEN_FULL` applies. */
 const FULL_ABOVE = 0.85;
--- a/packages/jobs/src/internal/start-backlog.ts
+++ b/packages/jobs/src/internal/start-backlog.ts
@@ -56,8 +56,8 @@
   /** When a round last placed all tasks for which there was capacity. */
   #completeMs: number;
 
-  /** When a round was last cut short while the node was not busy. */
-  #notBusyMs = -Infinity;
+  /** When a round was last cut short while the leader did not limit the starts. */
+  #notLimitingMs = -Infinity;
 
   #waitingTasks = 0;
 
@@ -75,15 +75,15 @@
   }
 
   /**
-   * Records a round that was cut short before it had tried to place this many tasks. `isNodeBusy`:
-   * the node has no processor time left; otherwise it waits for the store or the workers, and the
-   * starts say nothing about its rate.
+   * Records a round that was cut short before it had tried to place this many tasks.
+   * `isLeaderLimiting`: the leader's node has no processor time left, and the workers have free
+   * capacity; otherwise the starts say nothing about the rate of the leader.
    */
-  cutShort(starts: number, waitingTasks: number, nowMs: number, isNodeBusy: boolean): void {
+  cutShort(starts: number, waitingTasks: number, nowMs: number, isLeaderLimiting: boolean): void {
     this.#waitingTasks = waitingTasks;
     this.#started(starts, nowMs);
-    if (!isNodeBusy) this.#notBusyMs = nowMs;
-    const sinceMs = Math.max(this.#completeMs, this.#notBusyMs);
+    if (!isLeaderLimiting) this.#notLimitingMs = nowMs;
+    const sinceMs = Math.max(this.#completeMs, this.#notLimitingMs);
     if (nowMs - sinceMs < MIN_OVERLOADED_MS) return;
     const { count, overMs } = this.#startsSince(sinceMs, nowMs);
     const measured = (1_000 * count) / overMs;
--- a/packages/jobs/src/internal/task-placer.ts
+++ b/packages/jobs/src/internal/task-placer.ts
@@ -10,7 +10,7 @@
 import type { HaltedRun } from './halted-runs.js';
 import { haltedRuns } from './halted-runs.js';
 import { CapacityHold } from './capacity-hold.js';
-import { IdleJobs, STARVED_RANK, CATCH_UP_RANK } from './idle-jobs.js';
+import { AMPLE_CAPACITY_BELOW, IdleJobs, STARVED_RANK, CATCH_UP_RANK } from './idle-jobs.js';
 import type { PlacementPolicy } from './placement.js';
 import { StartBacklog } from './start-backlog.js';
 import { StepRotation } from './step-rotation.js';
@@ -87,13 +87,9 @@
     this.#startCount = 0;
     const isCutShort = this.#placeWaiting(nowMs, limits);
     if (isCutShort) {
-      const waitingTasks = this.#waitingCount();
-      this.#startBacklog.cutShort(
-        this.#startCount,
-        waitingTasks,
-        nowMs,
-        limits.isNodeBusy === true,
-      );
+      const hasAmpleCapacity = this.#state.reservedShare() < AMPLE_CAPACITY_BELOW;
+      const isLeaderLimiting = limits.isNodeBusy === true && hasAmpleCapacity;
+      this.#startBacklog.cutShort(this.#startCount, this.#waitingCount(), nowMs, isLeaderLimiting);
     } else this.#startBacklog.completed(this.#startCount, nowMs);
     this.#starvedUnplaced.length = 0;
     this.#holdCapacity(nowMs);
--- a/packages/jobs/src/test/start-rate_test.ts
+++ b/packages/jobs/src/test/start-rate_test.ts
@@ -21,8 +21,10 @@
 
   readonly #orders: Order[] = [];
 
-  constructor() {
-    this.#harness.submit(jobSpec([stepSpec({ taskCount: 1_000, cpuMilli: 100 })]));
+  /** Each task reserves the given part of the processors of a worker, in percent. */
+  constructor(percentPerTask = 1) {
+    const cpuMilli = 80 * percentPerTask;
+    this.#harness.submit(jobSpec([stepSpec({ taskCount: 1_000, cpuMilli, memMb: 1 })]));
   }
 
   get startsPerSecond(): number | undefined {
@@ -91,3 +93,11 @@
   leader.pass(9_000);
   assert.equal(leader.startsPerSecond, undefined);
 });
+
+test('the starts of a leader whose workers are nearly full are not taken for its rate', () => {
+  // Guards against nodes that refuse jobs because the workers leave little to start.
+  const leader = new BusyLeader(100);
+  leader.run(900, true, 5);
+  leader.run(1_500, true, 1);
+  assert.equal(leader.startsPerSecond, undefined);
+});
