--- a/packages/jobs/src/internal/start-backlog.ts
+++ b/packages/jobs/src/internal/start-backlog.ts
@@ -58,7 +58,8 @@
  * Estimates how long waiting tasks wait for their starts where the leader, not the workers' capacity,
  * limits the starts: it is short of processor time or its link is saturated. Accepted jobs would
  * wait longer and longer beside free capacity. The estimate is based on the starts since the leader
- * became overloaded; before, fewer tasks may have waited than it could start.
+ * became overloaded; before, fewer tasks may have waited than it could start. The rate of starts is
+ * kept for some time after the overload, and stated to all nodes and to later leaders.
  */
 export class StartBacklog {
   readonly #buckets: Bucket[] = [];
