--- a/packages/jobs/src/internal/task-placer.ts
+++ b/packages/jobs/src/internal/task-placer.ts
@@ -1,18 +1,17 @@
 import { capacityClassOf } from '../admission.js';
-import type { RetryAfter } from '../admission.js';
 import type { Backlog } from '../backlog.js';
 import type { JobProgress, TaskProgress } from '../job-progress.js';
 import { isFinal } from '../job.js';
 import type { StepSpec } from '../job.js';
 import type { TaskRef } from '../task-ref.js';
 import { taskName } from '../task-ref.js';
+import { AdmissionControl } from './admission-control.js';
 import type { ClusterState } from './cluster-state.js';
 import type { HaltedRun } from './halted-runs.js';
 import { haltedRuns } from './halted-runs.js';
 import { CapacityHold } from './capacity-hold.js';
-import { AMPLE_CAPACITY_BELOW, IdleJobs, STARVED_RANK, CATCH_UP_RANK } from './idle-jobs.js';
+import { IdleJobs, STARVED_RANK, CATCH_UP_RANK } from './idle-jobs.js';
 import type { PlacementPolicy } from './placement.js';
-import { StartBacklog } from './start-backlog.js';
 import { StepRotation } from './step-rotation.js';
 import type { Candidates } from './round-candidates.js';
 import { RoundCandidates } from './round-candidates.js';
@@ -62,7 +61,8 @@
   /** The number of idle jobs by the capacity class of their first step, as of this round. */
   readonly #idleByClass = new Map<string, number>();
 
-  readonly #startBacklog: StartBacklog;
+  /** Determines which jobs can be accepted, as of the latest round. */
+  readonly admission: AdmissionControl;
 
   /** The steps that the latest round had to place. */
   #waiting: readonly WaitingStep[] = [];
@@ -76,7 +76,7 @@
   constructor(state: ClusterState, placement: PlacementPolicy) {
     this.#state = state;
     this.#placement = placement;
-    this.#startBacklog = new StartBacklog(state.startedMs);
+    this.admission = new AdmissionControl(state, this.#idle, this.#idleByClass);
   }
 
   /**
@@ -86,12 +86,9 @@
   placeAll(nowMs: number, limits: RoundLimits): boolean {
     this.#startCount = 0;
     const isCutShort = this.#placeWaiting(nowMs, limits);
-    if (isCutShort) {
-      const hasAmpleCapacity = this.#state.reservedShare() < AMPLE_CAPACITY_BELOW;
-      const busyLimit = hasAmpleCapacity ? 'leader' : 'workers';
-      const limit = limits.isNodeBusy ? busyLimit : 'other';
-      this.#startBacklog.cutShort(this.#startCount, this.#waitingCount(), nowMs, limit);
-    } else this.#startBacklog.completed(this.#startCount, nowMs);
+    if (isCutShort)
+      this.admission.cutShort(this.#startCount, this.#waitingCount(), nowMs, limits.isNodeBusy);
+    else this.admission.completed(this.#startCount, nowMs);
     this.#starvedUnplaced.length = 0;
     this.#holdCapacity(nowMs);
     return isCutShort;
@@ -119,41 +116,6 @@
     return { idleJobs, longestIdleMs, ...this.#state.usage() };
   }
 
-  /**
-   * Returns, for each capacity class with too many idle jobs, after how many milliseconds callers
-   * may retry; as of the latest round. A leader that is overloaded itself names all classes.
-   */
-  retryAfter(nowMs: number): RetryAfter {
-    const byIdleJobs = this.#state.idleWaits.retryAfter(
-      this.#idleByClass,
-      this.#idle.allowance,
-      nowMs,
-    );
-    const overloadMs = this.#startBacklog.retryAfterMs(nowMs);
-    if (overloadMs === undefined) return byIdleJobs;
-    const byClass: Record<string, number> = { ...byIdleJobs };
-    for (const { pool } of this.#state.queues.values()) {
-      for (const isBestEffort of [true, false]) {
-        const capacityClass = capacityClassOf(pool, isBestEffort);
-        byClass[capacityClass] = Math.max(byClass[capacityClass] ?? 0, overloadMs);
-      }
-    }
-    return byClass;
-  }
-
-  /** Restores the rate of starts that an earlier leader stated. */
-  restoreStartRate(startsPerSecond: number): void {
-    this.#startBacklog.restoreRate(startsPerSecond);
-  }
-
-  /**
-   * Returns how many tasks a second this leader can start; undefined if it was not overloaded
-   * recently.
-   */
-  startsPerSecond(): number | undefined {
-    return this.#startBacklog.startsPerSecond();
-  }
-
   /** Returns how many tasks of the steps of the latest round still wait for a worker. */
   #waitingCount(): number {
     let count = 0;
--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -316,12 +316,12 @@
    * callers may retry.
    */
   retryAfter(nowMs: number): RetryAfter {
-    return this.#placer.retryAfter(nowMs);
+    return this.#placer.admission.retryAfter(nowMs);
   }
 
   /** Restores the rate of starts that an earlier leader stated. */
   restoreStartRate(startsPerSecond: number): void {
-    this.#placer.restoreStartRate(startsPerSecond);
+    this.#placer.admission.restoreStartRate(startsPerSecond);
   }
 
   /**
@@ -329,7 +329,7 @@
    * recently.
    */
   startsPerSecond(): number | undefined {
-    return this.#placer.startsPerSecond();
+    return this.#placer.admission.startsPerSecond();
   }
 
   /**
