Logs: what a start, a refusal and a task without room wait for

A refused job now states how many unstarted tasks it counts, and how many of them come before it; the end of a run its queue, the time since its binding and the time until its start was answered; 'room' is split into processors and 'memory'; the load of a leader states what long-running tasks reserve, also as a metric. No decision changes.

--- a/packages/jobs/src/backlog.ts
+++ b/packages/jobs/src/backlog.ts
@@ -2,6 +2,8 @@
 export interface Usage {
   /** The part that tasks have reserved, in percent. */
   readonly reservedPercent: number;
+  /** The part that long-running tasks have reserved, in percent. */
+  readonly longRunningPercent: number;
   /** The part that best-effort tasks claim, in percent; they reserve none. */
   readonly bestEffortPercent: number;
 }
--- a/packages/jobs/src/internal/cluster-state.ts
+++ b/packages/jobs/src/internal/cluster-state.ts
@@ -89,6 +89,9 @@
   usage(): Usage {
     return {
       reservedPercent: Math.round(100 * this.reservedShare()),
+      longRunningPercent: Math.round(
+        100 * this.#shareOf(({ longRunningMilli }) => longRunningMilli),
+      ),
       bestEffortPercent: Math.round(100 * this.#shareOf(({ bestEffortMilli }) => bestEffortMilli)),
     };
   }
--- a/packages/jobs/src/internal/obstacle.ts
+++ b/packages/jobs/src/internal/obstacle.ts
@@ -4,12 +4,18 @@
  * - `closed`: the worker takes no tasks now: it is leaving, does not answer, is suspected, or has
  *   just rejected a start for lack of capacity.
  * - `label`: it lacks a label that the task requires.
- * - `room`: its unreserved capacity is too small.
+ * - `room`: its unreserved processors are too few.
+ * - `memory`: its unreserved memory or GPUs are too few.
  * - `harmed`: a serving task there misses its target; only best-effort tasks are kept away.
  * - `processors`: the best-effort tasks there use all processors that other tasks leave.
  * - `slack`: the serving tasks there have no latency headroom for one more best-effort task.
  */
-export type Obstacle = 'closed' | 'label' | 'room' | 'harmed' | 'processors' | 'slack';
+export type Obstacle = 'closed' | 'label' | 'room' | 'memory' | 'harmed' | 'processors' | 'slack';
+
+/** Whether a score of a worker is an obstacle that its ended tasks may remove. */
+export function isCapacityLack(score: number | Obstacle): boolean {
+  return score === 'room' || score === 'memory';
+}
 
 /** Why the tasks of a step wait: an obstacle, the `limits` of the rounds, or no known cause. */
 export type WaitCause = Obstacle | 'limits' | 'none';
--- a/packages/jobs/src/internal/placement.ts
+++ b/packages/jobs/src/internal/placement.ts
@@ -34,7 +34,8 @@
   ): number | Obstacle {
     if (!isOpen(worker, nowMs)) return 'closed';
     if (!hasLabel(spec, worker)) return 'label';
-    if (!worker.hasCapacityFor(spec)) return 'room';
+    if (!worker.hasProcessorsFor(spec)) return 'room';
+    if (!worker.hasMemoryFor(spec)) return 'memory';
     return isStarved ? this.starvedScore(spec, worker, nowMs) : this.score(spec, worker, nowMs);
   }
 }
--- a/packages/jobs/src/internal/report-reader.ts
+++ b/packages/jobs/src/internal/report-reader.ts
@@ -10,7 +10,7 @@
 import { choosePaces } from './pacing.js';
 import type { TailLatencyModel } from './tail-latency-model.js';
 import { findTask, newRun } from './runs.js';
-import type { WorkerState } from './worker-state.js';
+import type { WorkerRun, WorkerState } from './worker-state.js';
 
 /** The maximum number of attempts of a task whose queue is no longer known. */
 const DEFAULT_ATTEMPTS = 3;
@@ -133,6 +133,8 @@
       worker: worker.entry.id,
       how: row.how,
       current: isBoundRun,
+      ...(job && { queue: job.spec.queue }),
+      ...(run && isCurrent && timesOf(run, nowMs)),
     });
     if (!job || !task) return;
     this.#crashSuspects.runWorked(job, task);
@@ -224,3 +226,14 @@
     });
   }
 }
+
+/**
+ * Returns how long ago a run was bound, and how long after that its start was answered, in
+ * milliseconds.
+ */
+function timesOf(run: WorkerRun, nowMs: number): { tookMs: number; startMs?: number } {
+  const { startedMs, sendCompletedMs } = run;
+  const tookMs = Math.round(nowMs - startedMs);
+  if (!Number.isFinite(sendCompletedMs)) return { tookMs };
+  return { tookMs, startMs: Math.round(sendCompletedMs - startedMs) };
+}
--- a/packages/jobs/src/internal/task-placer.ts
+++ b/packages/jobs/src/internal/task-placer.ts
@@ -18,6 +18,7 @@
 import type { RoundLimits } from './round-limits.js';
 import { RoundBudget } from './round-limits.js';
 import { newRun } from './runs.js';
+import { isCapacityLack } from './obstacle.js';
 import { StepWaits } from './step-waits.js';
 import type { WaitingStep } from './waiting-steps.js';
 import { IN_TIME_RANK, byUrgency, waitingStepsOf } from './waiting-steps.js';
@@ -232,7 +233,7 @@
       [...this.#state.workers.values()].filter(
         (worker) =>
           worker.entry.pool === queue.pool &&
-          this.#placement.evaluate(spec, worker, nowMs) === 'room',
+          isCapacityLack(this.#placement.evaluate(spec, worker, nowMs)),
       );
     if (!this.#hold.start(workersLackingCapacity, nowMs)) return;
     const { job, spec } = this.#hold.step!;
--- a/packages/jobs/src/internal/worker-state.ts
+++ b/packages/jobs/src/internal/worker-state.ts
@@ -96,6 +96,8 @@
 
   #servingMilli = 0;
 
+  #longRunningMilli = 0;
+
   readonly #bestEffortClaims = new Map<string, number>();
 
   /** The number of serving tasks here, by image. */
@@ -131,6 +133,11 @@
     return this.#servingMilli;
   }
 
+  /** The processor time that is reserved by long-running tasks. */
+  get longRunningMilli(): number {
+    return this.#longRunningMilli;
+  }
+
   /** Returns, for each image, the processor time that best-effort tasks here claim. */
   bestEffortClaims(): ReadonlyMap<string, number> {
     return this.#bestEffortClaims;
@@ -149,15 +156,19 @@
     this.#count(run.spec, -1);
   }
 
-  hasCapacityFor(spec: StepSpec): boolean {
+  /** Whether the unreserved processors suffice for a task of the step. */
+  hasProcessorsFor(spec: StepSpec): boolean {
+    return spec.fills || this.#cpuMilli + spec.cpuMilli <= this.entry.capacity.cpuMilli;
+  }
+
+  /** Whether the unreserved memory and GPUs suffice for a task of the step. */
+  hasMemoryFor(spec: StepSpec): boolean {
     const { capacity } = this.entry;
-    const cpu = spec.fills ? 0 : spec.cpuMilli;
-    if (this.#cpuMilli + cpu > capacity.cpuMilli) return false;
     if (this.#memMb + spec.memMb > capacity.memMb) return false;
     return this.#gpus + spec.gpus <= capacity.gpus;
   }
 
-  /** Like `hasCapacityFor`, once all tasks here except the long-running ones have ended. */
+  /** Whether the capacity suffices for a task once all tasks here but long-running ones have ended. */
   hasCapacityBesideLongRunning(spec: StepSpec): boolean {
     const { capacity } = this.entry;
     let [cpuMilli, memMb, gpus] = [spec.fills ? 0 : spec.cpuMilli, spec.memMb, spec.gpus];
@@ -201,6 +212,7 @@
       addTo(this.#bestEffortClaims, spec.image, sign * spec.cpuMilli);
     } else {
       this.#cpuMilli += sign * spec.cpuMilli;
+      if (spec.lasting) this.#longRunningMilli += sign * spec.cpuMilli;
     }
     if (spec.targetMs > 0) {
       this.#servingMilli += sign * spec.cpuMilli;
--- a/packages/jobs/src/test/wait-and-stop-logs_test.ts
+++ b/packages/jobs/src/test/wait-and-stop-logs_test.ts
@@ -25,6 +25,35 @@
   ]);
 });
 
+test('the log of a binding tells missing memory from missing processors', () => {
+  // Guards against a log in which tasks that wait for the memory of best-effort tasks look like tasks
+  // of a cluster whose processors are all reserved.
+  const harness = new SchedulerHarness([workerEntry('w1')]);
+  harness.submit(jobSpec([stepSpec({ taskCount: 2, memMb: 10_000 })]));
+  const [first] = harness.starts();
+  harness.nowMs += 700;
+  harness.report('w1', { ended: [harness.end(first!, 'done')] });
+  harness.decide();
+  assert.deepEqual(
+    harness.fieldsOf('bound').map(({ keptBy }) => keptBy),
+    ['none', 'memory'],
+  );
+});
+
+test('the log of an end has the queue, and the times of the run and of its start', () => {
+  // Guards against a log in which a task that is started late looks like one that runs for long.
+  const harness = new SchedulerHarness([workerEntry('w1')]);
+  harness.submit(jobSpec([stepSpec()]));
+  const [start] = harness.starts();
+  harness.nowMs += 300;
+  harness.answer(start!, 'done');
+  harness.nowMs += 900;
+  harness.report('w1', { ended: [harness.end(start!, 'done')] });
+  const [ended] = harness.fieldsOf('run-ended');
+  const { queue, startMs, tookMs } = ended!;
+  assert.deepEqual({ queue, startMs, tookMs }, { queue: 'q', startMs: 300, tookMs: 1_200 });
+});
+
 test('the log of a stop has its reason and the work that is not covered by a checkpoint', () => {
   const harness = new SchedulerHarness([workerEntry('w1')]);
   harness.submit(jobSpec([stepSpec({ cpuMilli: 2_000 })]));
--- a/packages/runtime/src/internal/node-metrics.ts
+++ b/packages/runtime/src/internal/node-metrics.ts
@@ -75,6 +75,11 @@
     help: "The part of the workers' processors that tasks have reserved.",
     divisor: 100,
   },
+  longRunningPercent: {
+    name: 'redwingcrank_scheduler_long_running_ratio',
+    help: "The part of the workers' processors that long-running tasks have reserved.",
+    divisor: 100,
+  },
   bestEffortPercent: {
     name: 'redwingcrank_scheduler_best_effort_ratio',
     help: "The part of the workers' processors that best-effort tasks claim.",
--- a/packages/runtime/src/internal/term-load.ts
+++ b/packages/runtime/src/internal/term-load.ts
@@ -146,6 +146,7 @@
       idleJobs: view.idleJobs,
       longestIdleMs: Math.round(view.longestIdleMs),
       reservedPercent: view.reservedPercent,
+      longRunningPercent: view.longRunningPercent,
       bestEffortPercent: view.bestEffortPercent,
       leaseLeftMs: Math.round(view.leaseLeftMs),
       // The line itself may be late, or dropped, on a node that is short of processor time.
--- a/packages/runtime/src/internal/unread-jobs.ts
+++ b/packages/runtime/src/internal/unread-jobs.ts
@@ -2,11 +2,11 @@
 import type { KeyedLog, KeyedRecord } from '../keyed-log.js';
 import { decodeJob } from './job-record.js';
 import { parseKey } from './work-records.js';
+import type { UnstartedJob } from './work-table.js';
 
-interface UnreadJob {
+interface UnreadJob extends UnstartedJob {
   /** The offset of its newest record. */
   readonly offset: number;
-  readonly unstartedTasks: number;
 }
 
 /**
@@ -26,14 +26,12 @@
     this.#target = target;
   }
 
-  /** Returns how many tasks of the jobs from this offset on the leader has yet to start. */
-  unstartedTasks(viewNext: number): number {
-    let count = 0;
-    for (const [id, { offset, unstartedTasks }] of this.#jobs) {
-      if (offset < viewNext) this.#jobs.delete(id);
-      else count += unstartedTasks;
+  /** Yields how many tasks of the jobs from this offset on the leader has yet to start. */
+  *unstarted(viewNext: number): Generator<UnstartedJob> {
+    for (const [id, job] of this.#jobs) {
+      if (job.offset < viewNext) this.#jobs.delete(id);
+      else yield job;
     }
-    return count;
   }
 
   /**
@@ -57,7 +55,8 @@
     const { kind, id = '' } = parseKey(key) ?? {};
     if (kind !== 'job') return;
     const decoded = value === undefined ? undefined : decodeJob(id, value);
-    const unstartedTasks = decoded && 'value' in decoded ? unstartedTasksOf(decoded.value) : 0;
-    this.#jobs.set(id, { offset, unstartedTasks });
+    const spec = decoded && 'value' in decoded ? decoded.value : undefined;
+    const unstartedTasks = spec ? unstartedTasksOf(spec) : 0;
+    this.#jobs.set(id, { offset, queue: spec?.queue ?? '', unstartedTasks });
   }
 }
--- a/packages/runtime/src/internal/work-table.ts
+++ b/packages/runtime/src/internal/work-table.ts
@@ -28,6 +28,12 @@
   unstartedTasks: number;
 }
 
+/** A job with tasks that the leader has yet to start. */
+export interface UnstartedJob {
+  readonly queue: string;
+  readonly unstartedTasks: number;
+}
+
 /** Time constant of the decay of the largest gap between leader records, in milliseconds. */
 const GAP_DECAY_MS = 5_000;
 
@@ -119,11 +125,16 @@
   /** How many tasks of all jobs the leader has yet to start. */
   get unstartedTasks(): number {
     let count = 0;
-    for (const { cancelled, unstartedTasks } of this.#jobs.values())
-      if (!cancelled) count += unstartedTasks;
+    for (const { unstartedTasks } of this.unstarted()) count += unstartedTasks;
     return count;
   }
 
+  /** Yields how many tasks the leader has yet to start, job by job. */
+  *unstarted(): Generator<UnstartedJob> {
+    for (const { spec, cancelled, unstartedTasks } of this.#jobs.values())
+      if (!cancelled && unstartedTasks > 0) yield { queue: spec.queue, unstartedTasks };
+  }
+
   /** Deleted jobs whose progress is not deleted yet. */
   get orphanedProgress(): Iterable<string> {
     return this.#orphanedProgress;
--- a/packages/runtime/src/job-service.ts
+++ b/packages/runtime/src/job-service.ts
@@ -89,6 +89,9 @@
   readonly lost$: Observable<void>;
 }
 
+/** Returns the operators' settings of a queue; undefined if it is not configured. */
+export type QueueLookup = (name: string) => QueuePolicy | undefined;
+
 /** Submits, cancels and shows jobs; every node offers this service to its callers. */
 export class JobService {
   readonly #view: WorkView;
@@ -101,11 +104,14 @@
 
   readonly #log: NodeLog;
 
+  readonly #queueOf: QueueLookup;
+
   /** Jobs that were stored through this node and not yet read back. */
   readonly #justAccepted = new Map<string, JobSpec>();
 
-  constructor(view: WorkView, target: KeyedLog, log: NodeLog) {
+  constructor(view: WorkView, target: KeyedLog, log: NodeLog, queueOf: QueueLookup) {
     this.#view = view;
+    this.#queueOf = queueOf;
     this.#target = target;
     this.#batcher = new AppendBatcher(target);
     this.#unread = new UnreadJobs(target);
@@ -165,6 +171,7 @@
       reason: backlogMs === undefined ? 'idle-jobs' : 'start-backlog',
       retryAfterMs: Math.round(waitMs),
       leaderAgeMs: Math.round(leaderAgeMs),
+      ...this.#unstartedTasks(queue.priority),
       tookMs: 0,
       ...sizeOf(spec),
     });
@@ -179,8 +186,7 @@
   startBacklogMs(spec: JobSpec): number | undefined {
     const startsPerSecond = this.#startsPerSecond;
     if (startsPerSecond === undefined || isAlwaysAccepted(spec)) return undefined;
-    const { table, nextJob = 0 } = this.#view;
-    const unstartedTasks = table.unstartedTasks + this.#unread.unstartedTasks(nextJob);
+    const { unstartedTasks } = this.#unstartedTasks(Infinity);
     return startBacklogMs(unstartedTasks, startsPerSecond);
   }
 
@@ -211,6 +217,24 @@
     return this.#isUpToDate() ? this.#view.table.pending(queue) : undefined;
   }
 
+  /**
+   * Counts the tasks of stored jobs that the leader has yet to start: all of them, and those of
+   * queues that are not less urgent than the given priority. Queues that are not configured count as
+   * urgent.
+   */
+  #unstartedTasks(priority: number): { unstartedTasks: number; aheadTasks: number } {
+    const { table, nextJob = 0 } = this.#view;
+    const counts = { unstartedTasks: 0, aheadTasks: 0 };
+    for (const jobs of [table.unstarted(), this.#unread.unstarted(nextJob)]) {
+      for (const { queue, unstartedTasks } of jobs) {
+        counts.unstartedTasks += unstartedTasks;
+        const isAhead = (this.#queueOf(queue)?.priority ?? priority) <= priority;
+        if (isAhead) counts.aheadTasks += unstartedTasks;
+      }
+    }
+    return counts;
+  }
+
   get #startsPerSecond(): number | undefined {
     return this.#view.table.leader?.startsPerSecond;
   }
--- a/packages/runtime/src/test/slow-leader-fleet.ts
+++ b/packages/runtime/src/test/slow-leader-fleet.ts
@@ -117,7 +117,7 @@
       isLost: false,
       lost$: new Subject<void>(),
     };
-    this.service = new JobService(view, jobLog, new NodeLog('n', 'silent'));
+    this.service = new JobService(view, jobLog, new NodeLog('n', 'silent'), () => QUEUE);
   }
 
   readWhenDue(elapsedMs: number): void {
--- a/packages/runtime/src/test/term-load_test.ts
+++ b/packages/runtime/src/test/term-load_test.ts
@@ -15,6 +15,7 @@
   idleJobs: 2,
   longestIdleMs: 4_200.3,
   reservedPercent: 45,
+  longRunningPercent: 40,
   bestEffortPercent: 30,
 };
 
