Test: urgent jobs beside less urgent ones that the leader cannot start

Fails on the present code, in virtual time, each time: of 40 jobs of the most urgent queue, which ask for a quarter of what the leader can start, 38 are refused or end later than their objective, as the unstarted tasks of a less urgent queue count against them. The bound is the callers' objective.

--- a/packages/runtime/src/test/slow-leader-fleet.ts
+++ b/packages/runtime/src/test/slow-leader-fleet.ts
@@ -51,15 +51,22 @@
 
 const JOB_TIMEOUT_MS = 2_500;
 
+const URGENT_TASKS_PER_JOB = 10;
+
 const QUEUE: QueuePolicy = {
   name: 'q',
   pool: 'pool',
-  priority: 0,
+  priority: 2,
   maxAttempts: 3,
   stretch: 2,
   targetLatencyMs: 100,
 };
 
+/** The leader starts the tasks of its jobs before all others. */
+export const URGENT_QUEUE: QueuePolicy = { ...QUEUE, name: 'urgent', priority: 0 };
+
+const QUEUES = [QUEUE, URGENT_QUEUE];
+
 const TIMING = {
   leaseMs: 6_000,
   inheritedLeaseMs: 6_000,
@@ -102,7 +109,12 @@
 
   readonly #readAtMs: number;
 
-  constructor(jobLog: SharedLog, workLog: SharedLog, readAtMs: number) {
+  constructor(
+    jobLog: SharedLog,
+    workLog: SharedLog,
+    queues: readonly QueuePolicy[],
+    readAtMs: number,
+  ) {
     this.#logs = [jobLog, workLog];
     this.#readAtMs = readAtMs;
     const next = this.#next;
@@ -117,7 +129,9 @@
       isLost: false,
       lost$: new Subject<void>(),
     };
-    this.service = new JobService(view, jobLog, new NodeLog('n', 'silent'), () => QUEUE);
+    this.service = new JobService(view, jobLog, new NodeLog('n', 'silent'), (name) =>
+      queues.find((queue) => queue.name === name),
+    );
   }
 
   readWhenDue(elapsedMs: number): void {
@@ -139,6 +153,7 @@
 
 interface Caller {
   readonly spec: JobSpec;
+  readonly queue: QueuePolicy;
   dueMs: number;
   retriesLeft: number;
 }
@@ -157,7 +172,9 @@
   readonly #workLog = new SharedLog();
 
   /** Reads everything at once. */
-  readonly #observer = new EntryNode(this.#jobLog, this.#workLog, 0);
+  readonly #observer: EntryNode;
+
+  readonly #queues: readonly QueuePolicy[];
 
   #nodes: EntryNode[] = [];
 
@@ -176,13 +193,18 @@
 
   #jobCount = 0;
 
+  readonly #submitted: JobSpec[] = [];
+
   readonly accepted: JobSpec[] = [];
 
   /** The largest number of tasks of accepted jobs that had yet to be started. */
   mostUnstarted = 0;
 
-  constructor(time: VirtualTime) {
+  /** Without urgent queues, there is only the one that is not. */
+  constructor(time: VirtualTime, { isUrgentConfigured = false } = {}) {
     this.#time = time;
+    this.#queues = isUrgentConfigured ? QUEUES : [QUEUE];
+    this.#observer = new EntryNode(this.#jobLog, this.#workLog, this.#queues, 0);
     this.#startedMs = time.nowMs;
     this.restartNodes();
     this.replaceLeader();
@@ -192,7 +214,8 @@
   restartNodes(): void {
     this.#nodes = Array.from(
       { length: NODES },
-      (_, i) => new EntryNode(this.#jobLog, this.#workLog, (i * READ_INTERVAL_MS) / NODES),
+      (_, i) =>
+        new EntryNode(this.#jobLog, this.#workLog, this.#queues, (i * READ_INTERVAL_MS) / NODES),
     );
     for (const node of this.#nodes) node.read();
   }
@@ -206,7 +229,7 @@
   replaceLeader(): void {
     const { nowMs } = this.#time;
     const scheduler = new Scheduler(TIMING, nowMs, () => {});
-    scheduler.setQueues([QUEUE]);
+    scheduler.setQueues(this.#queues);
     const { table } = this.#observer;
     this.#observer.read();
     for (let i = 0; i < WORKERS; i += 1) scheduler.listWorker(entryOf(i), nowMs);
@@ -225,16 +248,19 @@
     this.#scheduler = scheduler;
   }
 
-  /** Plays for some time, in which `jobsPerSecond` new jobs are submitted. */
-  async play(ms: number, jobsPerSecond: number): Promise<void> {
+  /** Plays for some time, in which so many new jobs and urgent jobs are submitted. */
+  async play(ms: number, jobsPerSecond: number, urgentPerSecond = 0): Promise<void> {
     const untilMs = this.#time.nowMs + ms;
     let dueJobs = 0;
+    let dueUrgent = 0;
     while (this.#time.nowMs < untilMs) {
       await this.#time.advance(STEP_MS);
       const elapsedMs = this.#time.nowMs - this.#startedMs;
       for (const node of this.#nodes) node.readWhenDue(elapsedMs);
       dueJobs += (jobsPerSecond * STEP_MS) / 1_000;
-      for (; dueJobs >= 1; dueJobs -= 1) this.#callers.push(this.#newCaller());
+      dueUrgent += (urgentPerSecond * STEP_MS) / 1_000;
+      for (; dueJobs >= 1; dueJobs -= 1) this.#addCaller(QUEUE, TASKS_PER_JOB);
+      for (; dueUrgent >= 1; dueUrgent -= 1) this.#addCaller(URGENT_QUEUE, URGENT_TASKS_PER_JOB);
       await this.#submitDue();
       this.#playRound(elapsedMs);
       this.#observer.read();
@@ -249,13 +275,29 @@
       .map(({ id }) => id);
   }
 
-  #newCaller(): Caller {
+  /**
+   * The jobs of a queue that did not end within their objective, counted from their first submission;
+   * a job that was never accepted counts as well.
+   */
+  late({ name, stretch, targetLatencyMs }: QueuePolicy): string[] {
+    const objectiveMs = stretch * TASK_MS + targetLatencyMs;
+    return this.#submitted
+      .filter(({ id, queue, acceptedMs }) => {
+        const job = this.#observer.table.jobs.get(id);
+        const isCompleted = job?.state === 'completed';
+        return queue === name && !(isCompleted && job.endedMs <= acceptedMs + objectiveMs);
+      })
+      .map(({ id }) => id);
+  }
+
+  #addCaller(queue: QueuePolicy, taskCount: number): void {
     this.#jobCount += 1;
     const id = this.#jobCount.toString(16).padStart(16, '0');
-    const steps = [{ ...PLAIN_STEP, taskCount: TASKS_PER_JOB, cpuMilli: 100, estimateMs: TASK_MS }];
+    const steps = [{ ...PLAIN_STEP, taskCount, cpuMilli: 100, estimateMs: TASK_MS }];
     const { nowMs } = this.#time;
-    const spec = { id, queue: QUEUE.name, payload: 'p', steps, acceptedMs: nowMs };
-    return { spec, dueMs: nowMs, retriesLeft: RETRIES };
+    const spec = { id, queue: queue.name, payload: 'p', steps, acceptedMs: nowMs };
+    this.#submitted.push(spec);
+    this.#callers.push({ spec, queue, dueMs: nowMs, retriesLeft: RETRIES });
   }
 
   /** Submits the jobs that are due, all at the same time: each to another node. */
@@ -266,8 +308,8 @@
   }
 
   async #submit(caller: Caller, { service }: EntryNode): Promise<void> {
-    const { spec } = caller;
-    let delayMs = service.retryDelayMs(spec, QUEUE);
+    const { spec, queue } = caller;
+    let delayMs = service.retryDelayMs(spec, queue);
     if (delayMs === undefined) {
       const outcome = await service.submit(spec, this.#time.nowMs + JOB_TIMEOUT_MS);
       if (outcome === 'accepted') {
--- a/packages/runtime/src/test/start-backlog_test.ts
+++ b/packages/runtime/src/test/start-backlog_test.ts
@@ -1,12 +1,20 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { MAX_BACKLOG_MS } from '@redwingcrank/jobs';
-import { STARTS_PER_SECOND, SlowLeaderFleet, TASKS_PER_JOB } from './slow-leader-fleet.js';
+import {
+  STARTS_PER_SECOND,
+  SlowLeaderFleet,
+  TASKS_PER_JOB,
+  URGENT_QUEUE,
+} from './slow-leader-fleet.js';
 import { VirtualTime } from './virtual-fleet.js';
 
 /** Ten times as many tasks as the leader can start. */
 const JOBS_PER_SECOND = 8;
 
+/** Urgent jobs, with a quarter of the tasks that the leader can start. */
+const URGENT_PER_SECOND = 1;
+
 const SUBMITTING_MS = 40_000;
 
 /** How long after the last submission all accepted jobs must have ended, in milliseconds. */
@@ -66,3 +74,12 @@
   const accepted = fleet.accepted.length * TASKS_PER_JOB;
   assert.ok(accepted >= 0.9 * wanted, `${accepted} tasks accepted of ${wanted}`);
 });
+
+test('urgent jobs end in time while the leader cannot start all that is less urgent', async (t) => {
+  // Guards against refusing jobs for the sake of less urgent tasks: the leader would start theirs first.
+  const fleet = new SlowLeaderFleet(new VirtualTime(t), { isUrgentConfigured: true });
+  await fleet.play(SUBMITTING_MS, JOBS_PER_SECOND, URGENT_PER_SECOND);
+  await fleet.play(FINISH_MS, 0);
+  assert.deepEqual(fleet.late(URGENT_QUEUE), []);
+  assert.deepEqual(fleet.unfinished(), []);
+});
