Admission: only work that comes before a job counts against it

Callers of the most urgent queue were refused, with the Retry-After of all others, while a leader short of processor time had too many tasks to start, although it starts theirs first: the bound of the nodes counted the unstarted tasks of all queues, and the leader's own estimates (waiting tasks, idle jobs) named a capacity class for all priorities. Class of fault: a limit shared by all priorities, which the least urgent work uses up.

A job is now accepted while the tasks of queues that are not less urgent take at most half of the 3 s, and, if no configured queue is more urgent, also while all tasks take at most 3 s. So less urgent jobs leave half of the backlog to the most urgent ones and the sum stays as it was.

--- a/packages/jobs/src/internal/admission-control.ts
+++ b/packages/jobs/src/internal/admission-control.ts
@@ -1,6 +1,7 @@
 import type { RetryAfter } from '../admission.js';
-import { capacityClassOf } from '../admission.js';
+import { capacityClassOf, refusalKeyOf } from '../admission.js';
 import type { ClusterState } from './cluster-state.js';
+import type { CountByPriority } from './count-by-priority.js';
 import type { IdleJobs } from './idle-jobs.js';
 import { AMPLE_CAPACITY_BELOW } from './idle-jobs.js';
 import { StartBacklog } from './start-backlog.js';
@@ -11,12 +12,16 @@
 
   readonly #idle: IdleJobs;
 
-  readonly #idleByClass: ReadonlyMap<string, number>;
+  readonly #idleByClass: ReadonlyMap<string, CountByPriority>;
 
   readonly #startBacklog: StartBacklog;
 
   /** `idleByClass`: the number of idle jobs by capacity class, as of the latest round. */
-  constructor(state: ClusterState, idle: IdleJobs, idleByClass: ReadonlyMap<string, number>) {
+  constructor(
+    state: ClusterState,
+    idle: IdleJobs,
+    idleByClass: ReadonlyMap<string, CountByPriority>,
+  ) {
     this.#state = state;
     this.#idle = idle;
     this.#idleByClass = idleByClass;
@@ -28,8 +33,8 @@
     this.#startBacklog.completed(starts, nowMs);
   }
 
-  /** Records a round that was cut short before it had tried to place this many tasks. */
-  cutShort(starts: number, waitingTasks: number, nowMs: number, isNodeBusy = false): void {
+  /** Records a round that was cut short before it had tried to place these tasks. */
+  cutShort(starts: number, waitingTasks: CountByPriority, nowMs: number, isNodeBusy = false): void {
     const hasAmpleCapacity = this.#state.reservedShare() < AMPLE_CAPACITY_BELOW;
     const busyLimit = hasAmpleCapacity ? 'leader' : 'workers';
     const limit = isNodeBusy ? busyLimit : 'other';
@@ -37,25 +42,27 @@
   }
 
   /**
-   * Returns, for each capacity class with too many idle jobs, after how many milliseconds callers
-   * may retry; as of the latest round. A leader that is overloaded itself names all classes.
+   * Returns, for each capacity class and queue priority that would wait too long, after how many
+   * milliseconds callers may retry; as of the latest round. Only what comes before a job counts: less
+   * urgent work does not delay it.
    */
   retryAfter(nowMs: number): RetryAfter {
-    const byIdleJobs = this.#state.idleWaits.retryAfter(
-      this.#idleByClass,
-      this.#idle.allowance,
-      nowMs,
-    );
-    const overloadMs = this.#startBacklog.retryAfterMs(nowMs);
-    if (overloadMs === undefined) return byIdleJobs;
-    const byClass: Record<string, number> = { ...byIdleJobs };
-    for (const { pool } of this.#state.queues.values()) {
+    const retryAfterMs: Record<string, number> = {};
+    for (const { pool, priority } of this.#state.queues.values()) {
+      const overloadMs = this.#startBacklog.retryAfterMs(priority, nowMs) ?? 0;
       for (const isBestEffort of [true, false]) {
         const capacityClass = capacityClassOf(pool, isBestEffort);
-        byClass[capacityClass] = Math.max(byClass[capacityClass] ?? 0, overloadMs);
+        const waitMs = Math.max(overloadMs, this.#idleWaitMs(capacityClass, priority, nowMs));
+        if (waitMs > 0) retryAfterMs[refusalKeyOf(capacityClass, priority)] = waitMs;
       }
     }
-    return byClass;
+    return retryAfterMs;
+  }
+
+  #idleWaitMs(capacityClass: string, priority: number, nowMs: number): number {
+    const idleJobs = this.#idleByClass.get(capacityClass)?.upTo(priority) ?? 0;
+    const { allowance } = this.#idle;
+    return this.#state.idleWaits.retryAfterMs(capacityClass, idleJobs, allowance, nowMs) ?? 0;
   }
 
   /** Restores the rate of starts that an earlier leader stated. */
--- a/packages/jobs/src/internal/idle-wait-estimator.ts
+++ b/packages/jobs/src/internal/idle-wait-estimator.ts
@@ -1,4 +1,3 @@
-import type { RetryAfter } from '../admission.js';
 import type { IdleAllowance } from './idle-jobs.js';
 
 /** The time over which ended tasks are counted, in milliseconds. */
@@ -47,25 +46,21 @@
   }
 
   /**
-   * Returns, for each capacity class whose idle jobs wait too long, after how many milliseconds
-   * they no longer do if no job is added. A capacity class in which no task ends is left out,
-   * because nothing is known about its waits.
+   * Returns after how many milliseconds so many idle jobs of a capacity class no longer wait too
+   * long if no job is added; undefined if they do not now, or if no task of the class ends, because
+   * nothing is known about its waits then.
    */
-  retryAfter(
-    idleJobs: ReadonlyMap<string, number>,
+  retryAfterMs(
+    capacityClass: string,
+    idleJobs: number,
     allowance: IdleAllowance,
     nowMs: number,
-  ): RetryAfter {
-    const excess: Record<string, number> = {};
+  ): number | undefined {
     const observedMs = Math.min(WINDOW_MS, nowMs - this.#sinceMs);
-    if (observedMs < MIN_OBSERVED_MS) return excess;
-    for (const [capacityClass, count] of idleJobs) {
-      const priorityStarts = this.#count(capacityClass, nowMs) * allowance.share;
-      const excessMs = (count * observedMs) / priorityStarts - allowance.idleMs;
-      if (count >= MIN_IDLE_JOBS && priorityStarts > 0 && excessMs > 0)
-        excess[capacityClass] = Math.ceil(excessMs);
-    }
-    return excess;
+    if (observedMs < MIN_OBSERVED_MS || idleJobs < MIN_IDLE_JOBS) return undefined;
+    const priorityStarts = this.#count(capacityClass, nowMs) * allowance.share;
+    const excessMs = (idleJobs * observedMs) / priorityStarts - allowance.idleMs;
+    return priorityStarts > 0 && excessMs > 0 ? Math.ceil(excessMs) : undefined;
   }
 
   #count(capacityClass: string, nowMs: number): number {
--- a/packages/jobs/src/internal/start-backlog.ts
+++ b/packages/jobs/src/internal/start-backlog.ts
@@ -1,4 +1,5 @@
 import { clampedStartRate } from '../admission.js';
+import { CountByPriority } from './count-by-priority.js';
 
 /** The time over which starts are counted, in milliseconds. */
 const WINDOW_MS = 4_000;
@@ -70,7 +71,7 @@
   /** When a round was last cut short while the leader did not limit the starts. */
   #notLimitingMs = -Infinity;
 
-  #waitingTasks = 0;
+  #waitingTasks = new CountByPriority();
 
   /** The starts a second when the leader was last overloaded. */
   #rate: number | undefined;
@@ -95,8 +96,8 @@
     this.#started(starts, nowMs);
   }
 
-  /** Records a round that was cut short before it had tried to place this many tasks. */
-  cutShort(starts: number, waitingTasks: number, nowMs: number, limit: StartLimit): void {
+  /** Records a round that was cut short before it had tried to place these tasks. */
+  cutShort(starts: number, waitingTasks: CountByPriority, nowMs: number, limit: StartLimit): void {
     this.#waitingTasks = waitingTasks;
     this.#started(starts, nowMs);
     if (limit === 'workers') this.#relax(nowMs);
@@ -127,13 +128,14 @@
   }
 
   /**
-   * Returns after how many milliseconds the waiting tasks will be started soon enough again if no
-   * job is added; undefined while the leader starts what fits on the workers.
+   * Returns after how many milliseconds the waiting tasks that come before a job of this priority
+   * will be started soon enough again if no job is added; undefined while the leader starts what fits
+   * on the workers.
    */
-  retryAfterMs(nowMs: number): number | undefined {
+  retryAfterMs(priority: number, nowMs: number): number | undefined {
     if (nowMs - this.#completeMs < MIN_OVERLOADED_MS) return undefined;
     const { count, overMs } = this.#startsSince(this.#completeMs, nowMs);
-    const waitMs = (this.#waitingTasks * overMs) / Math.max(1, count);
+    const waitMs = (this.#waitingTasks.upTo(priority) * overMs) / Math.max(1, count);
     return waitMs > MAX_START_WAIT_MS ? Math.ceil(waitMs - MAX_START_WAIT_MS) : undefined;
   }
 
--- a/packages/jobs/src/internal/task-placer.ts
+++ b/packages/jobs/src/internal/task-placer.ts
@@ -10,6 +10,7 @@
 import type { HaltedRun } from './halted-runs.js';
 import { haltedRuns } from './halted-runs.js';
 import { CapacityHold } from './capacity-hold.js';
+import { CountByPriority } from './count-by-priority.js';
 import { IdleJobs, STARVED_RANK, CATCH_UP_RANK } from './idle-jobs.js';
 import type { PlacementPolicy } from './placement.js';
 import { StepRotation } from './step-rotation.js';
@@ -60,7 +61,7 @@
   #halted: ReadonlyMap<string, HaltedRun[]> = new Map();
 
   /** The number of idle jobs by the capacity class of their first step, as of this round. */
-  readonly #idleByClass = new Map<string, number>();
+  readonly #idleByClass = new Map<string, CountByPriority>();
 
   /** Determines which jobs can be accepted, as of the latest round. */
   readonly admission: AdmissionControl;
@@ -88,7 +89,7 @@
     this.#startCount = 0;
     const isCutShort = this.#placeWaiting(nowMs, limits);
     if (isCutShort)
-      this.admission.cutShort(this.#startCount, this.#waitingCount(), nowMs, limits.isNodeBusy);
+      this.admission.cutShort(this.#startCount, this.#waitingTasks(), nowMs, limits.isNodeBusy);
     else this.admission.completed(this.#startCount, nowMs);
     this.#starvedUnplaced.length = 0;
     this.#holdCapacity(nowMs);
@@ -118,15 +119,14 @@
   }
 
   /** Returns how many tasks of the steps of the latest round still wait for a worker. */
-  #waitingCount(): number {
-    let count = 0;
-    for (const { tasks, maxTasks } of this.#waiting) {
+  #waitingTasks(): CountByPriority {
+    const waiting = new CountByPriority();
+    for (const { tasks, maxTasks, queue } of this.#waiting) {
       // Steps with a limit are listed again without one.
-      if (maxTasks === Infinity) {
-        for (const { phase } of tasks) if (phase === 'waiting') count += 1;
-      }
+      if (maxTasks === Infinity)
+        waiting.add(queue.priority, tasks.filter(({ phase }) => phase === 'waiting').length);
     }
-    return count;
+    return waiting;
   }
 
   #placeWaiting(nowMs: number, limits: RoundLimits): boolean {
@@ -302,7 +302,9 @@
     if (!first) return;
     const { job, queue, spec, rank } = first;
     const capacityClass = capacityClassOf(queue.pool, spec.fills);
-    this.#idleByClass.set(capacityClass, (this.#idleByClass.get(capacityClass) ?? 0) + 1);
+    const idleJobs = this.#idleByClass.get(capacityClass) ?? new CountByPriority();
+    this.#idleByClass.set(capacityClass, idleJobs);
+    idleJobs.add(queue.priority, 1);
     if (!spec.fills || rank <= CATCH_UP_RANK) return;
     yield { ...first, rank: CATCH_UP_RANK, sortMs: this.#idle.queuedSinceMs(job), maxTasks: 1 };
   }
--- a/packages/runtime/src/job-service.ts
+++ b/packages/runtime/src/job-service.ts
@@ -1,6 +1,6 @@
 import type { Observable } from 'rxjs';
 import { firstValueFrom, from, map, merge, race, timer } from 'rxjs';
-import type { JobSpec, JobState, QueuePolicy } from '@redwingcrank/jobs';
+import type { JobSpec, JobState, QueuePolicy, StartBacklog } from '@redwingcrank/jobs';
 import { isAlwaysAccepted, retryDelayMs, startBacklogMs } from '@redwingcrank/jobs';
 import type { KeyedLog, KeyedWrite } from './keyed-log.js';
 import { RecordsExpiredError, StoreUnavailableError } from './keyed-log.js';
@@ -63,7 +63,7 @@
  * - `deadline`: the deadline passed before the store answered.
  * - `no-answer`: the connection ended without an answer, and the store is lost.
  * - `refused-after-loss`: the store refused the last append, but an earlier one has no answer.
- * - `start-backlog`: the leader would take too long to start the tasks of the jobs that are stored.
+ * - `start-backlog`: the leader would take too long to start the stored tasks that come before it.
  */
 type StoreReason =
   | 'confirmed'
@@ -89,8 +89,8 @@
   readonly lost$: Observable<void>;
 }
 
-/** Returns the operators' settings of a queue; undefined if it is not configured. */
-export type QueueLookup = (name: string) => QueuePolicy | undefined;
+/** Returns the operators' settings of all queues. */
+export type QueueList = () => readonly QueuePolicy[];
 
 /** Submits, cancels and shows jobs; every node offers this service to its callers. */
 export class JobService {
@@ -104,14 +104,14 @@
 
   readonly #log: NodeLog;
 
-  readonly #queueOf: QueueLookup;
+  readonly #queues: QueueList;
 
   /** Jobs that were stored through this node and not yet read back. */
   readonly #justAccepted = new Map<string, JobSpec>();
 
-  constructor(view: WorkView, target: KeyedLog, log: NodeLog, queueOf: QueueLookup) {
+  constructor(view: WorkView, target: KeyedLog, log: NodeLog, queues: QueueList) {
     this.#view = view;
-    this.#queueOf = queueOf;
+    this.#queues = queues;
     this.#target = target;
     this.#batcher = new AppendBatcher(target);
     this.#unread = new UnreadJobs(target);
@@ -164,6 +164,7 @@
     const backlogMs = this.startBacklogMs(spec);
     if (idleMs === undefined && backlogMs === undefined) return undefined;
     const waitMs = Math.max(idleMs ?? 0, backlogMs ?? 0);
+    const { unstartedTasks, aheadTasks } = this.#startBacklog(spec.queue);
     this.#log.emit('info', 'submit', {
       job: spec.id,
       queue: spec.queue,
@@ -171,7 +172,8 @@
       reason: backlogMs === undefined ? 'idle-jobs' : 'start-backlog',
       retryAfterMs: Math.round(waitMs),
       leaderAgeMs: Math.round(leaderAgeMs),
-      ...this.#unstartedTasks(queue.priority),
+      unstartedTasks,
+      aheadTasks,
       tookMs: 0,
       ...sizeOf(spec),
     });
@@ -180,14 +182,13 @@
 
   /**
    * Returns in how many milliseconds a caller should retry a job because the leader, short of
-   * processor time, has too many tasks to start; undefined if it has not. This counts stored facts
+   * processor time, has too many tasks to start before it; undefined if it has not. This counts stored facts
    * alone, and so holds while the leader is silent or has just been replaced.
    */
   startBacklogMs(spec: JobSpec): number | undefined {
     const startsPerSecond = this.#startsPerSecond;
     if (startsPerSecond === undefined || isAlwaysAccepted(spec)) return undefined;
-    const { unstartedTasks } = this.#unstartedTasks(Infinity);
-    return startBacklogMs(unstartedTasks, startsPerSecond);
+    return startBacklogMs(this.#startBacklog(spec.queue), startsPerSecond);
   }
 
   async cancel(id: string, queue: string, deadlineMs: number): Promise<CancelOutcome> {
@@ -217,22 +218,21 @@
     return this.#isUpToDate() ? this.#view.table.pending(queue) : undefined;
   }
 
-  /**
-   * Counts the tasks of stored jobs that the leader has yet to start: all of them, and those of
-   * queues that are not less urgent than the given priority. Queues that are not configured count as
-   * urgent.
-   */
-  #unstartedTasks(priority: number): { unstartedTasks: number; aheadTasks: number } {
+  /** Counts the tasks of stored jobs that the leader has yet to start. */
+  #startBacklog(queueName: string): StartBacklog {
+    const priorities = new Map(this.#queues().map(({ name, priority }) => [name, priority]));
+    // Without its settings, a job counts as less urgent than any other.
+    const own = priorities.get(queueName) ?? Infinity;
     const { table, nextJob = 0 } = this.#view;
-    const counts = { unstartedTasks: 0, aheadTasks: 0 };
+    let [unstartedTasks, aheadTasks] = [0, 0];
     for (const jobs of [table.unstarted(), this.#unread.unstarted(nextJob)]) {
-      for (const { queue, unstartedTasks } of jobs) {
-        counts.unstartedTasks += unstartedTasks;
-        const isAhead = (this.#queueOf(queue)?.priority ?? priority) <= priority;
-        if (isAhead) counts.aheadTasks += unstartedTasks;
+      for (const job of jobs) {
+        unstartedTasks += job.unstartedTasks;
+        if ((priorities.get(job.queue) ?? own) <= own) aheadTasks += job.unstartedTasks;
       }
     }
-    return counts;
+    const isMostUrgent = Math.min(...priorities.values()) >= own;
+    return { unstartedTasks, aheadTasks, isMostUrgent };
   }
 
   get #startsPerSecond(): number | undefined {
--- a/packages/runtime/src/node.ts
+++ b/packages/runtime/src/node.ts
@@ -75,7 +75,7 @@
       },
       lost$: work.lost$,
     };
-    this.jobs = new JobService(view, port.jobLog, log, (name) => this.queue(name));
+    this.jobs = new JobService(view, port.jobLog, log, () => this.#config.current?.queues ?? []);
   }
 
   start(): void {
--- a/packages/runtime/src/test/job-service_test.ts
+++ b/packages/runtime/src/test/job-service_test.ts
@@ -91,7 +91,7 @@
 
   readonly nodeLog = new NodeLog('n1', 'silent');
 
-  readonly #service = new JobService(this.view, this.log, this.nodeLog, () => QUEUE);
+  readonly #service = new JobService(this.view, this.log, this.nodeLog, () => [QUEUE]);
 
   refusalMs(spec: JobSpec, pool: string): number | undefined {
     return this.#service.retryDelayMs(spec, { ...QUEUE, pool });
--- a/packages/runtime/src/test/slow-leader-fleet.ts
+++ b/packages/runtime/src/test/slow-leader-fleet.ts
@@ -129,9 +129,7 @@
       isLost: false,
       lost$: new Subject<void>(),
     };
-    this.service = new JobService(view, jobLog, new NodeLog('n', 'silent'), (name) =>
-      queues.find((queue) => queue.name === name),
-    );
+    this.service = new JobService(view, jobLog, new NodeLog('n', 'silent'), () => queues);
   }
 
   readWhenDue(elapsedMs: number): void {
