Logs: how many rounds of a leader are cut short

A step that did not fit is tried again only after all others, so the time that an urgent step waits for room depends on how many rounds are cut short. The load line did not state that. No decision changes.

--- a/packages/runtime/src/internal/leader-term.ts
+++ b/packages/runtime/src/internal/leader-term.ts
@@ -270,7 +270,7 @@
     const limits =
       this.views.windowMs(startedMs) > 0 ? { ...this.#pacing.limits, isNodeBusy } : NO_STARTS;
     const decisions = this.#scheduler.decide(startedMs, Date.now(), limits);
-    this.#load.decided(steadyMs() - startedMs);
+    this.#load.decided(steadyMs() - startedMs, decisions.isCutShort);
     const writes: KeyedWrite[] = decisions.changed.map((job) => ({
       key: progressKey(job.spec.id),
       value: job.encode(),
--- a/packages/runtime/src/internal/term-load.ts
+++ b/packages/runtime/src/internal/term-load.ts
@@ -47,6 +47,8 @@
 
   #rounds = 0;
 
+  #roundsCutShort = 0;
+
   #decideMs = 0;
 
   #longestDecideMs = 0;
@@ -79,8 +81,9 @@
   }
 
   /** Records that a round of decisions took this long without its append. */
-  decided(tookMs: number): void {
+  decided(tookMs: number, isCutShort = false): void {
     this.#rounds += 1;
+    if (isCutShort) this.#roundsCutShort += 1;
     this.#decideMs += tookMs;
     this.#longestDecideMs = Math.max(this.#longestDecideMs, tookMs);
   }
@@ -132,6 +135,7 @@
       cpuMs: Math.round((user + system) / 1_000),
       busyPercent: Math.round(100 * this.#busyShare),
       rounds: this.#rounds,
+      roundsCutShort: this.#roundsCutShort,
       decideMs: Math.round(this.#decideMs),
       longestDecideMs: Math.round(this.#longestDecideMs),
       appendMs: Math.round(this.#longestAppendMs(nowMs)),
@@ -153,6 +157,7 @@
       droppedLines: this.#log.dropped,
     });
     this.#rounds = 0;
+    this.#roundsCutShort = 0;
     this.#decideMs = 0;
     this.#longestDecideMs = 0;
     this.#appendMs = 0;
