Starts of urgent queues are sent before less urgent ones

Bound starts went out in the order of their binding. A start now yields to more urgent ones that are queued up to 0.5 s after it for each priority between them, 1 s at most. So no bound task holds its capacity without end.

--- a/packages/jobs/src/internal/task-placer.ts
+++ b/packages/jobs/src/internal/task-placer.ts
@@ -396,7 +396,7 @@
   }
 
   #bind(
-    { job, spec, tasks, rank }: WaitingStep,
+    { job, queue, spec, tasks, rank }: WaitingStep,
     ref: TaskRef,
     task: TaskProgress,
     worker: WorkerState,
@@ -413,6 +413,7 @@
       worker: worker.entry.id,
       task: ref,
       run,
+      priority: queue.priority,
       payload: job.spec.payload,
       checkpoint: task.checkpoint,
     });
--- a/packages/jobs/src/order.ts
+++ b/packages/jobs/src/order.ts
@@ -7,6 +7,8 @@
       readonly worker: string;
       readonly task: TaskRef;
       readonly run: number;
+      /** The priority of its queue; 0 is the most urgent. */
+      readonly priority: number;
       readonly payload: string;
       readonly checkpoint: string;
     }
--- a/packages/runtime/src/internal/order-sender.ts
+++ b/packages/runtime/src/internal/order-sender.ts
@@ -14,11 +14,26 @@
 /** Assumed cost of an order before one was sent, in milliseconds, including the pause after it. */
 const INITIAL_COST_MS = 4;
 
+/**
+ * How long a start lets starts of more urgent queues pass, in milliseconds for each priority between
+ * them. A task that is bound holds capacity, so no start waits for urgent ones without end.
+ */
+const YIELD_MS_PER_PRIORITY = 500;
+
+/** The longest time for which a start lets others pass, in milliseconds. */
+const MAX_YIELD_MS = 1_000;
+
 /** Weight of the newest batch in the moving average of the cost of an order. */
 const NEWEST_WEIGHT = 0.2;
 
+interface QueuedOrder {
+  readonly order: Order;
+  /** The orders are sent in the order of this time, on the steady clock. */
+  readonly sortMs: number;
+}
+
 /**
- * Sends orders in small batches. Sending all orders of a round at once would keep a slow node from
+ * Sends orders in small batches, starts of urgent queues first. Sending all orders of a round at once would keep a slow node from
  * its renewals and its own record for the whole time, so that it is considered dead; starts without
  * an answer are sent again, which makes three times the work. The pause between batches is
  * sufficient, as due renewals and answers are processed first during it.
@@ -30,7 +45,7 @@
 
   readonly #restFactor: number;
 
-  #waiting: Order[] = [];
+  readonly #waiting: QueuedOrder[] = [];
 
   #isBusy = false;
 
@@ -55,7 +70,9 @@
   }
 
   send(orders: readonly Order[]): void {
-    this.#waiting.push(...orders);
+    const nowMs = steadyMs();
+    for (const order of orders) this.#waiting.push({ order, sortMs: nowMs + yieldMsOf(order) });
+    this.#waiting.sort((a, b) => a.sortMs - b.sortMs);
     if (!this.#isBusy) this.#drain();
   }
 
@@ -73,7 +90,7 @@
     while (this.#waiting.length > 0 && !this.#signal.aborted) {
       const startedMs = steadyMs();
       const orders = this.#waiting.splice(0, ORDERS_PER_BATCH);
-      for (const order of orders) this.#send(order);
+      for (const { order } of orders) this.#send(order);
       const tookMs = steadyMs() - startedMs;
       if (this.#waiting.length > 0) await delay(this.#restFactor * tookMs, this.#signal);
       // On a busy node the delay takes longer than requested.
@@ -87,3 +104,8 @@
     onEmpty();
   }
 }
+
+function yieldMsOf(order: Order): number {
+  if (order.kind !== 'start') return 0;
+  return Math.min(MAX_YIELD_MS, order.priority * YIELD_MS_PER_PRIORITY);
+}
--- a/packages/runtime/src/test/order-overload_test.ts
+++ b/packages/runtime/src/test/order-overload_test.ts
@@ -90,7 +90,15 @@
   const log = new NodeLog('n1', 'silent');
   const link = new WorkerLink(WORKER_ENTRY, workers, listener, log, 6_000, new RetryBudget());
   const task = { jobId: '00000000000000aa', occurrence: 0, step: 0, index: 0 };
-  const order: Order = { kind: 'start', worker: 'w1', task, run: 1, payload: '', checkpoint: '' };
+  const order: Order = {
+    kind: 'start',
+    worker: 'w1',
+    task,
+    run: 1,
+    priority: 0,
+    payload: '',
+    checkpoint: '',
+  };
   const sent: Promise<void>[] = [];
   for (let atMs = 0; atMs < END_MS; atMs += ORDER_INTERVAL_MS) {
     const sentMs = time.nowMs - startedMs;
--- a/packages/runtime/src/test/order-sender_test.ts
+++ b/packages/runtime/src/test/order-sender_test.ts
@@ -22,7 +22,7 @@
 function orders(count: number): Order[] {
   return Array.from({ length: count }, (_, index) => {
     const task = { jobId: '00000000000000aa', occurrence: 0, step: 0, index };
-    return { kind: 'start', worker: 'w1', task, run: 1, payload: '', checkpoint: '' };
+    return { kind: 'start', worker: 'w1', task, run: 1, priority: 0, payload: '', checkpoint: '' };
   });
 }
 
--- a/packages/runtime/src/test/saturated-link_test.ts
+++ b/packages/runtime/src/test/saturated-link_test.ts
@@ -52,7 +52,7 @@
 function orders(): Order[] {
   return Array.from({ length: STARTS }, (_, index) => {
     const task = { jobId: '00000000000000aa', occurrence: 0, step: 0, index };
-    return { kind: 'start', worker: 'w1', task, run: 1, payload: '', checkpoint: '' };
+    return { kind: 'start', worker: 'w1', task, run: 1, priority: 0, payload: '', checkpoint: '' };
   });
 }
 
