New long-running tasks leave their room to jobs in time that lack it

Jobs of the most urgent queue missed their objective beside free processors: a task of up to 19 of the 32 cores of a worker finds no worker with room while 3 to 9 % of all processors are free in pieces. Class: what holds capacity for long takes what is free for a moment.

For a second after a job in time found no worker of its pool with room, no new long-running task is placed there, for at most the 10 s that a job may be idle. Jobs that fit on no worker at all do not count.

--- a/packages/jobs/src/internal/obstacle.ts
+++ b/packages/jobs/src/internal/obstacle.ts
@@ -17,8 +17,11 @@
   return score === 'room' || score === 'memory';
 }
 
-/** Why the tasks of a step wait: an obstacle, the `limits` of the rounds, or no known cause. */
-export type WaitCause = Obstacle | 'limits' | 'none';
+/**
+ * Why the tasks of a step wait: an obstacle, the `limits` of the rounds, no known cause, or, for new
+ * long-running tasks, jobs in time that lack room (`yields`).
+ */
+export type WaitCause = Obstacle | 'limits' | 'yields' | 'none';
 
 /** Returns the most frequent obstacle; `closed` if there are no obstacles. */
 export function mostFrequent(obstacles: Iterable<Obstacle>): Obstacle {
--- a/packages/jobs/src/internal/round-candidates.ts
+++ b/packages/jobs/src/internal/round-candidates.ts
@@ -1,7 +1,7 @@
 import type { StepSpec } from '../job.js';
 import type { TaskRef } from '../task-ref.js';
 import type { PlacementPolicy } from './placement.js';
-import { mostFrequent } from './obstacle.js';
+import { isCapacityLack, mostFrequent } from './obstacle.js';
 import type { Obstacle } from './obstacle.js';
 import { kindOf } from './placement.js';
 import type { WorkerState } from './worker-state.js';
@@ -86,6 +86,15 @@
     return this.#obstacle;
   }
 
+  /** Whether a worker that is large enough would take the task if less of it were reserved. */
+  lackRoomFor({ cpuMilli, memMb, gpus }: StepSpec): boolean {
+    return this.#candidates.some(({ score, worker: { entry } }) => {
+      if (typeof score === 'number' || !isCapacityLack(score)) return false;
+      const { capacity } = entry;
+      return cpuMilli <= capacity.cpuMilli && memMb <= capacity.memMb && gpus <= capacity.gpus;
+    });
+  }
+
   /** Returns the number of workers by obstacle; those that would take a task count as `open`. */
   counts(): Record<string, number> {
     const counts: Record<string, number> = {};
--- a/packages/jobs/src/internal/step-waits.ts
+++ b/packages/jobs/src/internal/step-waits.ts
@@ -35,6 +35,12 @@
     wait.checkedMs = nowMs;
   }
 
+  /** Records that the step leaves its room to jobs in time. */
+  yielded(tasks: readonly TaskProgress[]): void {
+    const wait = this.#waits.get(tasks);
+    if (wait) wait.cause = 'yields';
+  }
+
   /** Records that all tasks of the step have been placed. */
   placed(tasks: readonly TaskProgress[]): void {
     this.#waits.delete(tasks);
--- a/packages/jobs/src/internal/task-placer.ts
+++ b/packages/jobs/src/internal/task-placer.ts
@@ -20,17 +20,19 @@
 import { RoundBudget } from './round-limits.js';
 import { newRun } from './runs.js';
 import { isCapacityLack } from './obstacle.js';
+import { RoomShortage } from './room-shortage.js';
 import { StepWaits } from './step-waits.js';
 import type { WaitingStep } from './waiting-steps.js';
-import { IN_TIME_RANK, byUrgency, waitingStepsOf } from './waiting-steps.js';
+import { IN_TIME_RANK, NEW_LONG_RUNNING_RANK, byUrgency, waitingStepsOf } from './waiting-steps.js';
 import type { WorkerState } from './worker-state.js';
 
 /**
  * - `placed`: every task that can be started now has been placed.
  * - `placeless`: a task fits on no worker.
+ * - `yielded`: its new long-running tasks leave the room to jobs in time.
  * - `cut-short`: the limits of the round ended placement.
  */
-type StepOutcome = 'placed' | 'placeless' | 'cut-short';
+type StepOutcome = 'placed' | 'placeless' | 'yielded' | 'cut-short';
 
 /** Below this reserved share of the processors, tasks that run slowly do not delay others. */
 const SLOW_PLACEMENT_BELOW = 0.5;
@@ -54,6 +56,8 @@
 
   readonly #hold = new CapacityHold();
 
+  readonly #shortage = new RoomShortage();
+
   /** Steps of starved jobs that did not fit on any worker in this round, since the last start. */
   readonly #starvedUnplaced: WaitingStep[] = [];
 
@@ -152,11 +156,16 @@
       }
       const mayRunSlowly = this.#mayRunSlowly(step, hasAmpleCapacity, nowMs);
       const candidates = roundCandidates.of(step.spec, step.queue.pool, mayRunSlowly);
-      const outcome = this.#placeStep(step, candidates, budget, nowMs);
+      const outcome = this.#mustYield(step, nowMs)
+        ? 'yielded'
+        : this.#placeStep(step, candidates, budget, nowMs);
+      if (outcome === 'yielded') this.#waits.yielded(step.tasks);
       if (outcome === 'placed' && step.maxTasks === Infinity) this.#waits.placed(step.tasks);
       if (outcome === 'placeless') {
         unplaced.push(step);
         this.#isCapacityShort ||= step.rank === IN_TIME_RANK;
+        if (step.rank === IN_TIME_RANK && candidates.lackRoomFor(step.spec))
+          this.#shortage.found(step.queue.pool, nowMs);
         if (step.rank === STARVED_RANK) this.#starvedUnplaced.push(step);
         this.#waits.unplaced(step.tasks, () => candidates.obstacle, nowMs);
         this.#logIdle(step.job, step.spec, candidates, nowMs);
@@ -324,6 +333,12 @@
     return rank === STARVED_RANK && this.#idle.isLongStarved(job, nowMs);
   }
 
+  /** Returns whether new long-running tasks leave their room to jobs in time that lack it. */
+  #mustYield({ rank, queue, tasks }: WaitingStep, nowMs: number): boolean {
+    if (rank !== NEW_LONG_RUNNING_RANK) return false;
+    return this.#shortage.mustYield(queue.pool, this.#waits.of(tasks, nowMs).waitMs, nowMs);
+  }
+
   #placeStep(
     step: WaitingStep,
     candidates: Candidates,
--- a/packages/jobs/src/internal/waiting-steps.ts
+++ b/packages/jobs/src/internal/waiting-steps.ts
@@ -11,7 +11,8 @@
  * - 1: one task of each starved job that has a priority start, in the order of these starts.
  * - 2: steps of jobs that can still end in time.
  * - 3: long-running tasks that have never run. They hold their capacity for minutes, so a short
- *   job that they displace earns four times as much with the same processor time.
+ *   job that they displace earns four times as much with the same processor time. None of them is
+ *   placed while a job that can still end in time lacks room.
  * - 4: the first best-effort task of each idle job that can no longer end in time.
  * - 5: steps of jobs that can only end late.
  * - 6: steps of jobs that end too late to be of use.
@@ -21,6 +22,9 @@
 /** The rank of steps of jobs that can still end in time. */
 export const IN_TIME_RANK: Rank = 2;
 
+/** The rank of long-running tasks that have never run. */
+export const NEW_LONG_RUNNING_RANK: Rank = 3;
+
 /** The rank of a step that is not long-running, by feasibility. */
 const RANK_BY_FEASIBILITY: readonly Rank[] = [IN_TIME_RANK, 5, 6];
 
@@ -66,7 +70,7 @@
 }
 
 function longRunningRank(tasks: readonly TaskProgress[]): Rank {
-  return tasks.some(({ phase, run }) => phase === 'waiting' && run > 0) ? 0 : 3;
+  return tasks.some(({ phase, run }) => phase === 'waiting' && run > 0) ? 0 : NEW_LONG_RUNNING_RANK;
 }
 
 /**
