Long-running tasks do not yield to jobs of less urgent queues

Found by reading the diff. The shortage is kept by pool and priority. Test: the third case of room-shortage_test, fails without the check.

--- a/packages/jobs/src/internal/task-placer.ts
+++ b/packages/jobs/src/internal/task-placer.ts
@@ -165,7 +165,7 @@
         unplaced.push(step);
         this.#isCapacityShort ||= step.rank === IN_TIME_RANK;
         if (step.rank === IN_TIME_RANK && candidates.lackRoomFor(step.spec))
-          this.#shortage.found(step.queue.pool, nowMs);
+          this.#shortage.found(step.queue, nowMs);
         if (step.rank === STARVED_RANK) this.#starvedUnplaced.push(step);
         this.#waits.unplaced(step.tasks, () => candidates.obstacle, nowMs);
         this.#logIdle(step.job, step.spec, candidates, nowMs);
@@ -336,7 +336,7 @@
   /** Returns whether new long-running tasks leave their room to jobs in time that lack it. */
   #mustYield({ rank, queue, tasks }: WaitingStep, nowMs: number): boolean {
     if (rank !== NEW_LONG_RUNNING_RANK) return false;
-    return this.#shortage.mustYield(queue.pool, this.#waits.of(tasks, nowMs).waitMs, nowMs);
+    return this.#shortage.mustYield(queue, this.#waits.of(tasks, nowMs).waitMs, nowMs);
   }
 
   #placeStep(
--- a/packages/jobs/src/test/room-shortage_test.ts
+++ b/packages/jobs/src/test/room-shortage_test.ts
@@ -97,3 +97,16 @@
   const startedMs = cluster.startedMs.get('watch') ?? Infinity;
   assert.ok(startedMs <= acceptedMs + MAX_IDLE_MS, `started at ${startedMs}`);
 });
+
+test('new long-running tasks of an urgent queue do not wait for less urgent jobs that lack room', () => {
+  // Guards against the reverse: long-running tasks that wait for work that comes after them.
+  const cluster = new NearlyFullCluster();
+  const { harness } = cluster;
+  harness.scheduler.setQueues([{ ...QUEUE, name: 'less-urgent', priority: 2 }]);
+  const acceptedMs = harness.nowMs;
+  harness.submit(jobSpec([LARGE], { id: 'large', queue: 'less-urgent', acceptedMs }));
+  cluster.round();
+  harness.submit(jobSpec([NEW_LONG_RUNNING], { id: 'watch', acceptedMs }));
+  cluster.round();
+  assert.ok(cluster.startedMs.has('watch'));
+});
--- a/packages/runtime/src/internal/order-sender.ts
+++ b/packages/runtime/src/internal/order-sender.ts
@@ -33,10 +33,10 @@
 }
 
 /**
- * Sends orders in small batches, starts of urgent queues first. Sending all orders of a round at once would keep a slow node from
- * its renewals and its own record for the whole time, so that it is considered dead; starts without
- * an answer are sent again, which makes three times the work. The pause between batches is
- * sufficient, as due renewals and answers are processed first during it.
+ * Sends orders in small batches, starts of urgent queues first. Sending all orders of a round at once
+ * would keep a slow node from its renewals and its own record for the whole time, so that it is
+ * considered dead; starts without an answer are sent again, which makes three times the work. The
+ * pause between batches is sufficient, as due renewals and answers are processed first during it.
  */
 export class OrderSender {
   readonly #signal: AbortSignal;
