--- a/packages/runtime/src/test/start-backlog_test.ts
+++ b/packages/runtime/src/test/start-backlog_test.ts
@@ -79,7 +79,16 @@
 });
 
 test('urgent jobs end in time while the leader cannot start all that is less urgent', async (t) => {
-  // Guards against refusing jobs for the sake of less urgent tasks that the leader would start later.
+  // Guards against refusing jobs for the sake of less urgent tasks: the leader would start theirs first.
+  const fleet = new SlowLeaderFleet(new VirtualTime(t), { isUrgentConfigured: true });
+  await fleet.play(SUBMITTING_MS, JOBS_PER_SECOND, URGENT_PER_SECOND);
+  await fleet.play(FINISH_MS, 0);
+  assert.deepEqual(fleet.late(URGENT_QUEUE), []);
+  assert.deepEqual(fleet.unfinished(), []);
+});
+
+test('urgent jobs end in time beside less urgent ones once the rate of the leader is known', async (t) => {
+  // Guards against the same refusals after the less urgent jobs of the first seconds have been started.
   const fleet = new SlowLeaderFleet(new VirtualTime(t), { isUrgentConfigured: true });
   await fleet.play(RATE_KNOWN_MS, JOBS_PER_SECOND);
   await fleet.play(SUBMITTING_MS, JOBS_PER_SECOND, URGENT_PER_SECOND);
