Evacuated data centres: nothing is started there

Cause: operators have a data centre evacuated by a record of their log that nothing decoded.

Change: the adapter decodes the record; every node follows it beside the configuration; a worker of an evacuated data centre takes no task of any kind, a start that is queued is not sent, and a start takes effect no later than the bound of the platform after the view of the operators' log was complete, as with leaving workers and cancels. The processors there count as gone. Jobs that only evacuated data centres could run are refused at once (code 609); accepted ones wait. After the end the workers open one after another over 2 s. What runs there continues.

--- a/packages/cli/src/internal/run-cli.ts
+++ b/packages/cli/src/internal/run-cli.ts
@@ -8,6 +8,7 @@
 import { Codes } from './commands/codes.js';
 import { Hosts, Jobs, Tasks, Teams } from './commands/lists.js';
 import { Cancel, Depth, State, Submit } from './commands/queue-jobs.js';
+import { Evacuations } from './commands/evacuations.js';
 import { Publish } from './commands/publish.js';
 import { Status } from './commands/status.js';
 import { Timeline } from './commands/timeline.js';
@@ -40,6 +41,7 @@
   new State(),
   new Cancel(),
   new Depth(),
+  new Evacuations(),
   new Trace(),
   new Why(),
   new Timeline(),
--- a/packages/fuzz/src/jobs/jobs-oracle.ts
+++ b/packages/fuzz/src/jobs/jobs-oracle.ts
@@ -7,6 +7,9 @@
 /** How long after a worker's announcement to leave a task may still start there, in milliseconds. */
 export const DRAIN_MS = 1_500;
 
+/** How long after the evacuation of a data centre a task may still start there, in milliseconds. */
+export const EVACUATE_MS = 2_000;
+
 /** The number of workers that must have crashed under a task before its job may be given up. */
 const MIN_CRASHES_TO_GIVE_UP = 2;
 
@@ -57,6 +60,9 @@
   /** When each leaving worker announced that it leaves. */
   readonly #leavingSinceMs = new Map<string, number>();
 
+  /** Since when each evacuated data centre is so. */
+  readonly #evacuatedSinceMs = new Map<string, number>();
+
   nowMs = 0;
 
   /** Requires the tasks of this job to run from now on. */
@@ -125,6 +131,12 @@
     this.#leavingSinceMs.set(worker, this.nowMs);
   }
 
+  /** Records that the store has confirmed the evacuation of a data centre, or its end. */
+  evacuated(dataCentre: string, isEvacuated: boolean): void {
+    if (isEvacuated) this.#evacuatedSinceMs.set(dataCentre, this.nowMs);
+    else this.#evacuatedSinceMs.delete(dataCentre);
+  }
+
   started(worker: WorkerEntry, { task, run }: Order): void {
     const name = taskName(task);
     const announcedMs = this.#leavingSinceMs.get(worker.id) ?? Infinity;
@@ -132,6 +144,11 @@
       this.nowMs <= announcedMs + DRAIN_MS,
       `${name} starts on ${worker.id} too long after the worker announced that it leaves`,
     );
+    const evacuatedMs = this.#evacuatedSinceMs.get(worker.dataCentre) ?? Infinity;
+    expect(
+      this.nowMs <= evacuatedMs + EVACUATE_MS,
+      `${name} starts on ${worker.id} too long after ${worker.dataCentre} was evacuated`,
+    );
     const facts = this.#facts(name);
     expect(facts.runningOn.size === 0, `${name} run ${run} starts while another run is running`);
     expect(
--- a/packages/fuzz/src/jobs/jobs-script.ts
+++ b/packages/fuzz/src/jobs/jobs-script.ts
@@ -68,6 +68,12 @@
       case 'list':
         world.list(leader);
         break;
+      case 'evacuate':
+        world.toggleEvacuation(a, b % 2 === 0);
+        break;
+      case 'read-operators':
+        world.readOperators(leader);
+        break;
       case 'vanish':
         world.vanish(worker);
         break;
--- a/packages/fuzz/src/jobs/jobs-world.ts
+++ b/packages/fuzz/src/jobs/jobs-world.ts
@@ -27,6 +27,9 @@
 
 const NODE_NAMES = ['n1', 'n2', 'n3'];
 
+/** The data centres, to which workers are assigned in turn. */
+const DATA_CENTRES = ['a', 'b'];
+
 /** The maximum number of long-running tasks; one worker has the capacity for all of them. */
 const MAX_LONG_RUNNING_TASKS = 3;
 
@@ -76,6 +79,8 @@
 
   readonly #cancelled = new Set<string>();
 
+  readonly #evacuated = new Set<string>();
+
   /** Appends that the store holds already; repeating one changes nothing. */
   readonly #stored = new WeakSet<Append>();
 
@@ -209,6 +214,35 @@
     Object.assign(leader, { listAsOfMs: undefined });
   }
 
+  /**
+   * Has a data centre evacuated, or ends its evacuation. If that is not read at once, the leaders lack
+   * it until they read the operators' requests.
+   */
+  toggleEvacuation(index: number, isRead: boolean): void {
+    const dataCentre = DATA_CENTRES[index % DATA_CENTRES.length]!;
+    const isEvacuated = !this.#evacuated.delete(dataCentre);
+    if (isEvacuated) this.#evacuated.add(dataCentre);
+    this.coverage.hit(isRead ? 'evacuate' : 'evacuate-unread');
+    this.oracle.evacuated(dataCentre, isEvacuated);
+    for (const leader of this.leaders) {
+      if (isRead) this.readOperators(leader);
+      else leader.operatorsAsOfMs ??= this.#nowMs;
+    }
+  }
+
+  /** Ends all evacuations, which the leaders read at once. */
+  endEvacuations(): void {
+    for (const dataCentre of this.#evacuated) this.oracle.evacuated(dataCentre, false);
+    this.#evacuated.clear();
+    for (const leader of this.leaders) this.readOperators(leader);
+  }
+
+  /** Makes the leader read which data centres are evacuated. */
+  readOperators(leader: ModelLeader): void {
+    leader.scheduler.setEvacuated(this.#evacuated, this.#nowMs);
+    Object.assign(leader, { operatorsAsOfMs: undefined });
+  }
+
   /** Runs a round (decides, stores and sends), or repeats the append that got no answer. */
   round(leader: ModelLeader, outcome: AppendOutcome, followUps = MAX_FOLLOW_UP_ROUNDS): void {
     if (!this.#takesAppends(leader)) return;
@@ -364,6 +398,7 @@
     }
     leader.scheduler.inheritLeases(node.former.namedEndMs);
     this.list(leader);
+    this.readOperators(leader);
     if (this.leaders.length > 1) this.leaders.shift();
     this.leaders.push(leader);
   }
@@ -424,7 +459,7 @@
       id: `life${this.#incarnationCount}`,
       address,
       pool: 'p',
-      dataCentre: 'a',
+      dataCentre: DATA_CENTRES[this.#incarnationCount % DATA_CENTRES.length]!,
       draining: false,
       remainingMs: 0,
       capacity: { cpuMilli: 4_000, memMb: 100_000, gpus: 0 },
--- a/packages/fuzz/src/jobs/model-leader.ts
+++ b/packages/fuzz/src/jobs/model-leader.ts
@@ -10,7 +10,7 @@
   TermLeases,
   withClockDrift,
 } from '@redwingcrank/runtime/leases';
-import { DRAIN_MS, MAX_ATTEMPTS } from './jobs-oracle.js';
+import { DRAIN_MS, EVACUATE_MS, MAX_ATTEMPTS } from './jobs-oracle.js';
 import type { ModelNode } from './model-node.js';
 import type { ModelWorker } from './model-worker.js';
 
@@ -93,6 +93,9 @@
   /** Since when the leader's list of workers is incomplete; undefined if it is complete. */
   listAsOfMs: number | undefined;
 
+  /** Since when the leader lacks requests of the operators; undefined if it has read them all. */
+  operatorsAsOfMs: number | undefined;
+
   nowMs: number;
 
   readonly #views: StartViews;
@@ -116,19 +119,27 @@
     this.#startedMs = nowMs;
     this.nowMs = nowMs;
     const workersAsOfMs = (): number => this.listAsOfMs ?? this.nowMs;
+    const operatorsAsOfMs = (): number => this.operatorsAsOfMs ?? this.nowMs;
     const jobsAsOfMs = (): number => this.nowMs;
     this.#views = new StartViews(
       {
-        get completeAsOfMs() {
-          return workersAsOfMs();
+        workers: {
+          get completeAsOfMs() {
+            return workersAsOfMs();
+          },
         },
-      },
-      {
-        get jobsCompleteAsOfMs() {
-          return jobsAsOfMs();
+        work: {
+          get jobsCompleteAsOfMs() {
+            return jobsAsOfMs();
+          },
+        },
+        operators: {
+          get completeAsOfMs() {
+            return operatorsAsOfMs();
+          },
         },
       },
-      { drainMs: DRAIN_MS, cancelMs: Infinity },
+      { drainMs: DRAIN_MS, cancelMs: Infinity, evacuateMs: EVACUATE_MS },
       new AbortController().signal,
     );
     this.#leases = new TermLeases(claim, this, former);
--- a/packages/fuzz/src/jobs/recovery-phase.ts
+++ b/packages/fuzz/src/jobs/recovery-phase.ts
@@ -62,6 +62,7 @@
     const world = this.#world;
     Object.assign(world, { isStoreUp: true });
     world.wakeNodes();
+    world.endEvacuations();
     for (const [index, worker] of world.workers.entries()) {
       if (index !== cutIndex) {
         worker.isCut = false;
--- a/packages/fuzz/src/targets/index.ts
+++ b/packages/fuzz/src/targets/index.ts
@@ -1,4 +1,5 @@
 import type { FuzzTarget } from '../fuzz-target.js';
+import { Evacuations } from './evacuations.js';
 import { ForeignRecords } from './foreign-records.js';
 import { Jobs } from './jobs.js';
 import { ManifestGossip } from './manifest-gossip.js';
@@ -21,5 +22,6 @@
   new ManifestMutation(),
   new ForeignRecords(),
   new Jobs(),
+  new Evacuations(),
   new StoreRecords(),
 ];
--- a/packages/fuzz/src/targets/jobs.ts
+++ b/packages/fuzz/src/targets/jobs.ts
@@ -8,37 +8,33 @@
 
 const small = fc.integer({ min: 0, max: 7 });
 
-const command = fc.record({
-  kind: fc.constantFrom(
-    ...Array<string>(2).fill('submit'),
-    'submit-lasting',
-    'submit-crashing',
-    ...Array<string>(8).fill('round'),
-    ...Array<string>(16).fill('renew'),
-    ...Array<string>(16).fill('deliver'),
-    ...Array<string>(4).fill('deliver-unanswered'),
-    ...Array<string>(5).fill('end'),
-    ...Array<string>(2).fill('fail'),
-    ...Array<string>(2).fill('time-passes'),
-    'renew-late',
-    'deliver-late',
-    'cancel',
-    'crash',
-    'leave',
-    'list',
-    'vanish',
-    'cut',
-    'cut-off',
-    'store',
-    'elect',
-    'resign',
-    'restart',
-    'freeze',
-    'round-unanswered',
-  ),
-  a: small,
-  b: small,
-});
+const KINDS = [
+  ...Array<string>(2).fill('submit'),
+  'submit-lasting',
+  'submit-crashing',
+  ...Array<string>(8).fill('round'),
+  ...Array<string>(16).fill('renew'),
+  ...Array<string>(16).fill('deliver'),
+  ...Array<string>(4).fill('deliver-unanswered'),
+  ...Array<string>(5).fill('end'),
+  ...Array<string>(2).fill('fail'),
+  ...Array<string>(2).fill('time-passes'),
+  'renew-late',
+  'deliver-late',
+  'cancel',
+  'crash',
+  'leave',
+  'list',
+  'vanish',
+  'cut',
+  'cut-off',
+  'store',
+  'elect',
+  'resign',
+  'restart',
+  'freeze',
+  'round-unanswered',
+];
 
 const ending = fc.record({ loss: fc.constantFrom(...LOSSES), cut: small, workerIndex: small });
 
@@ -49,8 +45,8 @@
  * Fuzzes jobs with two leaders at once, disconnected, crashing and leaving workers, lost and late
  * orders and renewals, and store outages. In every case, no task runs in two places. No task starts
  * after its successful end was acknowledged, before the step it depends on has ended, after its
- * last attempt, or on a worker that announced long before that it leaves, even if the leader's list
- * lacks that. No worker exceeds its capacity, and no unfinished job is shown as completed. A job is
+ * last attempt, on a worker that announced long before that it leaves, or in a data centre that was
+ * evacuated long before, even if the leader's views lack that. No worker exceeds its capacity, and no unfinished job is shown as completed. A job is
  * shown as failed only if a task of it has used up its attempts, or two workers have crashed under
  * one. A task that crashes each worker that starts it gets fewer than three starts after three
  * crashed workers.
@@ -60,9 +56,9 @@
  * their job was given up. A task that crashes its workers is given up.
  */
 export class Jobs extends FuzzTarget {
-  readonly name = 'jobs';
+  readonly name: string = 'jobs';
 
-  readonly coveragePoints = [
+  readonly coveragePoints: readonly string[] = [
     'cancel',
     'cut',
     'store-away',
@@ -90,7 +86,13 @@
     ...LOSSES.map((loss) => `lost: ${loss}`),
   ];
 
+  /** The kinds of commands; a kind that is listed more than once is drawn more often. */
+  protected get kinds(): readonly string[] {
+    return KINDS;
+  }
+
   property(coverage: Coverage): fc.IRawProperty<unknown> {
+    const command = fc.record({ kind: fc.constantFrom(...this.kinds), a: small, b: small });
     return fc.property(
       fc.array(command, COMMANDS),
       ending,
--- a/packages/jobs/src/admission.ts
+++ b/packages/jobs/src/admission.ts
@@ -22,6 +22,15 @@
   return `${capacityClass} ${priority}`;
 }
 
+/**
+ * Returns the key in `RetryAfter` of a pool whose workers are all in evacuated data centres, or of a
+ * label in it that only such workers have. It applies to every job that would have to start there
+ * now.
+ */
+export function closedKeyOf(pool: string, label = ''): string {
+  return label === '' ? `${pool} closed` : `${pool} closed ${label}`;
+}
+
 /**
  * How long the leader may take to start the unstarted tasks of all accepted jobs, in milliseconds. An
  * accepted job ends within 14 s: a change of leader takes five of these, and three steps of two
@@ -68,19 +77,31 @@
 
 /**
  * Returns how long a caller should wait before it submits the job again, in milliseconds; undefined
- * if the job can be accepted now. Long-running and scheduled jobs have no priority starts and are
- * always accepted.
+ * if the job can be accepted now. Long-running and scheduled jobs have no priority starts: a
+ * long-running job is accepted unless no worker may run it, a scheduled one always, as it is due
+ * later.
  */
 export function retryDelayMs(
   spec: JobSpec,
   { pool, priority }: QueuePolicy,
   retryAfterMs: RetryAfter,
 ): number | undefined {
-  if (isAlwaysAccepted(spec)) return undefined;
-  const delaysMs = spec.steps.flatMap(({ fills }) => {
-    const capacityClass = capacityClassOf(pool, fills);
-    const keys = [capacityClass, refusalKeyOf(capacityClass, priority)];
-    return keys.map((key) => retryAfterMs[key] ?? 0);
-  });
-  return Math.max(0, ...delaysMs) || undefined;
+  const keys = closedKeysOf(spec, pool);
+  if (!isAlwaysAccepted(spec)) {
+    for (const { fills } of spec.steps) {
+      const capacityClass = capacityClassOf(pool, fills);
+      keys.push(capacityClass, refusalKeyOf(capacityClass, priority));
+    }
+  }
+  return Math.max(0, ...keys.map((key) => retryAfterMs[key] ?? 0)) || undefined;
+}
+
+/** Returns whether the job is refused because only evacuated data centres could run it. */
+export function isClosed(spec: JobSpec, { pool }: QueuePolicy, retryAfterMs: RetryAfter): boolean {
+  return closedKeysOf(spec, pool).some((key) => retryAfterMs[key] !== undefined);
+}
+
+function closedKeysOf({ schedule, steps }: JobSpec, pool: string): string[] {
+  if (schedule) return [];
+  return [closedKeyOf(pool), ...steps.map(({ requiredLabel }) => closedKeyOf(pool, requiredLabel))];
 }
--- a/packages/jobs/src/internal/capacity-hold.ts
+++ b/packages/jobs/src/internal/capacity-hold.ts
@@ -82,7 +82,8 @@
 
 function isHoldValid({ step, worker, sinceMs }: ActiveHold, nowMs: number): boolean {
   if (nowMs - sinceMs > HOLD_TIMEOUT_MS) return false;
-  return worker.listed && !worker.entry.draining && isIdle(step);
+  const isUsable = worker.listed && !worker.entry.draining && !worker.isEvacuated;
+  return isUsable && isIdle(step);
 }
 
 function workerWithMostFreeCpu(
--- a/packages/jobs/src/internal/cluster-state.ts
+++ b/packages/jobs/src/internal/cluster-state.ts
@@ -5,6 +5,7 @@
 import type { TaskRef } from '../task-ref.js';
 import { taskName } from '../task-ref.js';
 import type { WorkerEntry } from '../worker.js';
+import { EvacuatedDataCentres } from './evacuated-data-centres.js';
 import { findTask } from './runs.js';
 import type { StopReason } from './stop-reason.js';
 import { lostCpuMs } from './stop-reason.js';
@@ -54,6 +55,8 @@
 
   orders: Order[] = [];
 
+  readonly evacuated = new EvacuatedDataCentres();
+
   readonly idleWaits: IdleWaitEstimator;
 
   /** False while jobs that were started earlier may not have been loaded yet. */
@@ -78,14 +81,14 @@
   }
 
   /**
-   * Returns the share of the listed workers' processors that tasks have reserved, from 0 to 1; 1 if
-   * no worker is listed.
+   * Returns the share of the processors that tasks have reserved, from 0 to 1, on listed workers
+   * outside evacuated data centres; 1 if there is no such worker.
    */
   reservedShare(): number {
     return this.#shareOf(({ cpuMilli }) => cpuMilli);
   }
 
-  /** Returns the use of the listed workers' processors. */
+  /** Returns the use of the processors of listed workers outside evacuated data centres. */
   usage(): Usage {
     return {
       reservedPercent: Math.round(100 * this.reservedShare()),
@@ -100,7 +103,7 @@
     let taken = 0;
     let total = 0;
     for (const worker of this.workers.values()) {
-      if (worker.listed) {
+      if (worker.listed && !worker.isEvacuated) {
         taken += milliOf(worker);
         total += worker.entry.capacity.cpuMilli;
       }
--- a/packages/jobs/src/internal/obstacle.ts
+++ b/packages/jobs/src/internal/obstacle.ts
@@ -3,6 +3,7 @@
  *
  * - `closed`: the worker takes no tasks now: it is leaving, does not answer, is suspected, or has
  *   just rejected a start for lack of capacity.
+ * - `evacuated`: its data centre is evacuated, or was until a moment ago.
  * - `label`: it lacks a label that the task requires.
  * - `room`: its unreserved processors are too few.
  * - `memory`: its unreserved memory or GPUs are too few.
@@ -10,7 +11,8 @@
  * - `processors`: the best-effort tasks there use all processors that other tasks leave.
  * - `slack`: the serving tasks there have no latency headroom for one more best-effort task.
  */
-export type Obstacle = 'closed' | 'label' | 'room' | 'memory' | 'harmed' | 'processors' | 'slack';
+export type Obstacle =
+  'closed' | 'evacuated' | 'label' | 'room' | 'memory' | 'harmed' | 'processors' | 'slack';
 
 /** Whether a score of a worker is an obstacle that its ended tasks may remove. */
 export function isCapacityLack(score: number | Obstacle): boolean {
--- a/packages/jobs/src/internal/placement.ts
+++ b/packages/jobs/src/internal/placement.ts
@@ -32,6 +32,7 @@
     nowMs: number,
     isStarved = false,
   ): number | Obstacle {
+    if (nowMs < worker.opensMs) return 'evacuated';
     if (!isOpen(worker, nowMs)) return 'closed';
     if (!hasLabel(spec, worker)) return 'label';
     if (!worker.hasProcessorsFor(spec)) return 'room';
--- a/packages/jobs/src/internal/worker-state.ts
+++ b/packages/jobs/src/internal/worker-state.ts
@@ -77,6 +77,9 @@
   /** No task is started here before this time, because the last start lacked capacity. */
   fullUntilMs = 0;
 
+  /** No task is started here before this time; Infinity while the data centre is evacuated. */
+  opensMs = -Infinity;
+
   /** When the pace of any run here was last changed. */
   paceChangedMs = 0;
 
@@ -113,6 +116,11 @@
     return this.#version;
   }
 
+  /** Whether the operators have the data centre of the worker evacuated. */
+  get isEvacuated(): boolean {
+    return this.opensMs === Infinity;
+  }
+
   /** Records that the runs here have been measured again. */
   markMeasured(): void {
     this.#version += 1;
--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -125,6 +125,19 @@
     this.#state.isFullyLoaded = isFullyLoaded;
   }
 
+  /** Sets the data centres in which nothing may be started; what runs there continues. */
+  setEvacuated(dataCentres: ReadonlySet<string>, nowMs: number): void {
+    this.#state.evacuated.set(dataCentres, this.#state.workers.values(), nowMs);
+  }
+
+  /** Returns how many runs are left on workers in evacuated data centres. */
+  evacuatedRuns(): number {
+    let runs = 0;
+    for (const worker of this.#state.workers.values())
+      if (worker.isEvacuated) runs += worker.runs.size;
+    return runs;
+  }
+
   setQueues(queues: Iterable<QueuePolicy>): void {
     for (const queue of queues) this.#state.queues.set(queue.name, queue);
   }
@@ -172,6 +185,7 @@
     }
     worker.entry = entry;
     worker.listed = true;
+    this.#state.evacuated.workerListed(worker);
     if (entry.draining) worker.leavesMs = Math.min(worker.leavesMs, writtenMs + entry.remainingMs);
   }
 
@@ -229,9 +243,9 @@
 
   /**
    * Returns whether an order must still be sent. A start waits until its binding is stored and it
-   * is next to be sent, which may take seconds. By then its job may have been cancelled, or its
-   * worker may have announced that it is leaving; if the worker is no longer listed, its
-   * announcement may never have been read. An order that was never sent can be answered with
+   * is next to be sent, which may take seconds. By then its job may have been cancelled, the data
+   * centre evacuated, or its worker may have announced that it is leaving; if the worker is no longer
+   * listed, its announcement may never have been read. An order that was never sent can be answered with
    * `too-late`.
    */
   shouldSend(order: Order): boolean {
@@ -239,7 +253,8 @@
     const worker = this.#state.workers.get(order.worker);
     const run = worker?.runs.get(taskName(order.task));
     if (!worker || run?.run !== order.run) return false;
-    return worker.listed && !worker.entry.draining && !this.#stopRules.unwantedReason(worker, run);
+    const isUsable = worker.listed && !worker.entry.draining && !worker.isEvacuated;
+    return isUsable && !this.#stopRules.unwantedReason(worker, run);
   }
 
   /** Returns how long ago the task of a start was bound, in milliseconds; 0 if it no longer is. */
--- a/packages/protocol/src/result-codes.ts
+++ b/packages/protocol/src/result-codes.ts
@@ -277,6 +277,13 @@
     'Too many jobs wait for their turn; nothing was stored.',
     'Retry after the time in Retry-After.',
   ),
+  evacuated: row(
+    609,
+    'evacuated',
+    503,
+    'Only evacuated data centres could run the job; nothing was stored.',
+    'Retry after the time in Retry-After, or ask the operators who had them evacuated.',
+  ),
 } as const satisfies Record<string, ResultCode>;
 
 /** The key of a result code in {@link RESULT_CODES}. */
--- a/packages/runtime/src/internal/config-watch.ts
+++ b/packages/runtime/src/internal/config-watch.ts
@@ -3,6 +3,7 @@
 import type { KeyedRecord } from '../keyed-log.js';
 import type { NodeLog } from '../node-log.js';
 import type { PlatformPort } from '../platform-port.js';
+import { EvacuationWatch } from './evacuation-watch.js';
 import { FaultLog } from './fault-log.js';
 import { KeyedFollower } from './keyed-follower.js';
 
@@ -22,6 +23,8 @@
 
   readonly follower: KeyedFollower;
 
+  readonly evacuations: EvacuationWatch;
+
   #current: ClusterConfig | undefined;
 
   readonly changes$ = new Subject<ClusterConfig>();
@@ -35,6 +38,7 @@
       waitMs: 1_000,
       gapMs: POLL_GAP_MS,
     });
+    this.evacuations = new EvacuationWatch(port, log, faults, this.follower.messages$);
     this.follower.messages$.subscribe((message) => {
       if (message.kind !== 'record') return;
       const { rec } = message;
--- a/packages/runtime/src/internal/leader-term.ts
+++ b/packages/runtime/src/internal/leader-term.ts
@@ -138,13 +138,19 @@
       if (worker) this.#links.open(worker);
     };
     this.#workerList = new WorkerList(port, log, config, this.#scheduler, link, faults);
-    this.views = new StartViews(this.#workerList, work, settings, this.#stopping.signal);
+    const sources = { workers: this.#workerList, work, operators: config.follower };
+    this.views = new StartViews(sources, settings, this.#stopping.signal);
   }
 
   get token(): number {
     return this.#record.epoch;
   }
 
+  /** How many runs are left in evacuated data centres. */
+  get evacuatedRuns(): number {
+    return this.#scheduler.evacuatedRuns();
+  }
+
   /**
    * Schedules until another node has taken over or `stop` is called. `startedJobsLoaded` resolves
    * when the table holds all started jobs. The term does not wait for it: while callers' jobs
@@ -166,10 +172,12 @@
     if (startsPerSecond !== undefined) this.#scheduler.restoreStartRate(startsPerSecond);
     this.#scheduler.inheritLeases(this.#inheritedEndsMs);
     this.#applyQueues();
+    this.#applyEvacuations();
     this.#scheduler.restoreLearned(this.#table.learned);
     this.#subscriptions.push(
       this.#table.changes$.subscribe((change) => this.#workChanged(change)),
       this.#config.changes$.subscribe(() => this.#applyQueues()),
+      this.#config.evacuations.changes$.subscribe(() => this.#applyEvacuations()),
     );
     this.#workerList.run().catch((err) => this.#failed('worker-list', err));
     this.#load
@@ -359,6 +367,7 @@
       jobs: this.#scheduler.jobs.size,
       leaseLeftMs: this.#leases.limitMs('', steadyMs()),
       unstartedTasks: this.#table.unstartedTasks,
+      evacuatedRuns: this.#scheduler.evacuatedRuns(),
       startsPerSecond: this.#scheduler.startsPerSecond() ?? 0,
       ...reachabilityOf(this.#scheduler.workers.values(), steadyMs()),
       ...this.#scheduler.backlog(steadyMs()),
@@ -431,6 +440,11 @@
     this.#pacing.wake();
   }
 
+  #applyEvacuations(): void {
+    this.#scheduler.setEvacuated(this.#config.evacuations.current, steadyMs());
+    this.#pacing.wake();
+  }
+
   #failed(part: string, err: unknown): void {
     const reason = err instanceof Error ? (err.stack ?? err.message) : String(err);
     this.#log.emit('error', 'part-failed', { part, reason });
--- a/packages/runtime/src/internal/leadership.ts
+++ b/packages/runtime/src/internal/leadership.ts
@@ -191,6 +191,11 @@
     return this.#term !== undefined;
   }
 
+  /** How many runs are left in evacuated data centres; undefined unless this node schedules. */
+  get evacuatedRuns(): number | undefined {
+    return this.#term?.evacuatedRuns;
+  }
+
   async run(): Promise<void> {
     while (!this.#stopping.signal.aborted) {
       await this.#checkPause.wait(CHECK_INTERVAL_MS);
--- a/packages/runtime/src/internal/node-metrics.ts
+++ b/packages/runtime/src/internal/node-metrics.ts
@@ -61,6 +61,15 @@
     name: 'redwingcrank_scheduler_oldest_jobs_view_seconds',
     help: 'The oldest view of jobs and cancels by which a start was sent in the last second or so.',
   },
+  operatorsAgeMs: {
+    name: 'redwingcrank_scheduler_oldest_operators_view_seconds',
+    help: "The oldest view of the operators' requests by which a start was sent in the last second or so.",
+  },
+  evacuatedRuns: {
+    name: 'redwingcrank_scheduler_evacuated_runs',
+    help: 'Runs that are left in evacuated data centres.',
+    divisor: 1,
+  },
   idleJobs: {
     name: 'redwingcrank_scheduler_idle_jobs',
     help: 'Jobs with tasks to start and none at a worker.',
@@ -96,6 +105,10 @@
   readonly jobs: ReadonlyMap<string, number>;
   /** Unusable records of the store since the start, by log and reason. */
   readonly faults: Iterable<FaultCount>;
+  /** The evacuated data centres, with how long the node has known of each, in milliseconds. */
+  readonly evacuationAgesMs: ReadonlyMap<string, number>;
+  /** How many runs are left in evacuated data centres; undefined unless this node schedules. */
+  readonly evacuatedRuns: number | undefined;
 }
 
 /**
@@ -233,6 +246,18 @@
     },
   });
 
+  new Gauge({
+    name: 'redwingcrank_evacuation_age_seconds',
+    help: 'For how long the node has known that a data centre is evacuated.',
+    labelNames: ['data_centre'],
+    registers,
+    collect() {
+      this.reset();
+      for (const [name, ageMs] of state().evacuationAgesMs)
+        this.set({ data_centre: name }, ageMs / 1_000);
+    },
+  });
+
   new Counter({
     name: 'redwingcrank_unusable_records_total',
     help: 'Records of the store that could not be used, by log and reason.',
--- a/packages/runtime/src/internal/start-views.ts
+++ b/packages/runtime/src/internal/start-views.ts
@@ -7,6 +7,7 @@
   MIN_START_WINDOW_MS,
   START_WINDOW_MS,
 } from './timing.js';
+import type { KeyedFollower } from './keyed-follower.js';
 import type { WorkFollower } from './work-follower.js';
 import type { WorkerList } from './worker-list.js';
 
@@ -14,7 +15,15 @@
 const POLL_INTERVAL_MS = 20;
 
 /** The latest times of a start, counted from the record that forbids it. */
-type StartBounds = Pick<NodeSettings, 'drainMs' | 'cancelMs'>;
+type StartBounds = Pick<NodeSettings, 'drainMs' | 'cancelMs' | 'evacuateMs'>;
+
+/** What starts are based on. */
+interface StartSources {
+  readonly workers: Pick<WorkerList, 'completeAsOfMs'>;
+  readonly work: Pick<WorkFollower, 'jobsCompleteAsOfMs'>;
+  /** The log of the operators, who have data centres evacuated. */
+  readonly operators: Pick<KeyedFollower, 'completeAsOfMs'>;
+}
 
 /**
  * The views that starts are based on, and the window in which a start may take effect given the
@@ -22,15 +31,13 @@
  *
  * A view that is read late, or not at all, looks like a view to which nothing was added. Based on
  * such a view, a task could start on a worker that announced seconds ago that it is leaving, and be
- * lost with it; or a task of a cancelled job could start. A record that forbids the start was
+ * lost with it; or a task of a cancelled job could start, or one in an evacuated data centre. A record that forbids the start was
  * stored after the view was last complete, and the worker refuses a start whose window has ended by
  * its own clock. Therefore a window that ends within the bound after that moment is sufficient,
  * however long the start is queued or in transit.
  */
 export class StartViews {
-  readonly #workers: Pick<WorkerList, 'completeAsOfMs'>;
-
-  readonly #work: Pick<WorkFollower, 'jobsCompleteAsOfMs'>;
+  readonly #sources: StartSources;
 
   readonly #bounds: StartBounds;
 
@@ -39,14 +46,8 @@
   #isWaiting = false;
 
   /** `signal`: aborted when nothing is started any more. */
-  constructor(
-    workers: Pick<WorkerList, 'completeAsOfMs'>,
-    work: Pick<WorkFollower, 'jobsCompleteAsOfMs'>,
-    bounds: StartBounds,
-    signal: AbortSignal,
-  ) {
-    this.#workers = workers;
-    this.#work = work;
+  constructor(sources: StartSources, bounds: StartBounds, signal: AbortSignal) {
+    this.#sources = sources;
     this.#bounds = bounds;
     this.#signal = signal;
   }
@@ -56,9 +57,14 @@
    * may be sent.
    */
   windowMs(nowMs: number): number {
-    const workersEndMs = this.#workers.completeAsOfMs + this.#bounds.drainMs;
-    const jobsEndMs = this.#work.jobsCompleteAsOfMs + this.#bounds.cancelMs;
-    const leftMs = Math.min(workersEndMs, jobsEndMs) - nowMs - CLOCK_MARGIN_MS;
+    const { workers, work, operators } = this.#sources;
+    const { drainMs, cancelMs, evacuateMs } = this.#bounds;
+    const endMs = Math.min(
+      workers.completeAsOfMs + drainMs,
+      work.jobsCompleteAsOfMs + cancelMs,
+      operators.completeAsOfMs + evacuateMs,
+    );
+    const leftMs = endMs - nowMs - CLOCK_MARGIN_MS;
     const windowMs = Math.floor(Math.min(START_WINDOW_MS, leftMs / CLOCK_DRIFT_FACTOR));
     return windowMs < MIN_START_WINDOW_MS ? 0 : windowMs;
   }
@@ -77,8 +83,9 @@
   /** Returns the ages of the views as log fields. */
   ages(nowMs: number): LogFields {
     return {
-      workersAgeMs: Math.round(nowMs - this.#workers.completeAsOfMs),
-      jobsAgeMs: Math.round(nowMs - this.#work.jobsCompleteAsOfMs),
+      workersAgeMs: Math.round(nowMs - this.#sources.workers.completeAsOfMs),
+      jobsAgeMs: Math.round(nowMs - this.#sources.work.jobsCompleteAsOfMs),
+      operatorsAgeMs: Math.round(nowMs - this.#sources.operators.completeAsOfMs),
     };
   }
 }
--- a/packages/runtime/src/internal/term-load.ts
+++ b/packages/runtime/src/internal/term-load.ts
@@ -11,7 +11,7 @@
  */
 const MIN_IDLE_SHARE = 0.1;
 
-const NO_STARTS_SENT = { workersAgeMs: 0, jobsAgeMs: 0, startWaitMs: 0 };
+const NO_STARTS_SENT = { workersAgeMs: 0, jobsAgeMs: 0, operatorsAgeMs: 0, startWaitMs: 0 };
 
 /** Which workers with running tasks, or tasks that may run, this node is in contact with. */
 export interface Reachability {
@@ -31,6 +31,8 @@
   readonly leaseLeftMs: number;
   /** How many tasks of all jobs have yet to be started. */
   readonly unstartedTasks: number;
+  /** How many runs are left in evacuated data centres. */
+  readonly evacuatedRuns: number;
   /** How many tasks a second the leader can start; 0 if it was not overloaded recently. */
   readonly startsPerSecond: number;
 }
@@ -100,11 +102,12 @@
   /**
    * Records that a start was sent this long after its task was bound, based on views of these ages.
    */
-  startSent({ workersAgeMs, jobsAgeMs }: LogFields, waitedMs: number): void {
+  startSent({ workersAgeMs, jobsAgeMs, operatorsAgeMs }: LogFields, waitedMs: number): void {
     this.#starts += 1;
     this.#oldest = {
       workersAgeMs: Math.max(this.#oldest.workersAgeMs, Number(workersAgeMs)),
       jobsAgeMs: Math.max(this.#oldest.jobsAgeMs, Number(jobsAgeMs)),
+      operatorsAgeMs: Math.max(this.#oldest.operatorsAgeMs, Number(operatorsAgeMs)),
       startWaitMs: Math.max(this.#oldest.startWaitMs, Math.round(waitedMs)),
     };
   }
@@ -147,6 +150,7 @@
       quietMs: Math.round(view.quietMs),
       unstartedTasks: view.unstartedTasks,
       startsPerSecond: Math.round(view.startsPerSecond),
+      evacuatedRuns: view.evacuatedRuns,
       idleJobs: view.idleJobs,
       longestIdleMs: Math.round(view.longestIdleMs),
       reservedPercent: view.reservedPercent,
--- a/packages/runtime/src/job-api.ts
+++ b/packages/runtime/src/job-api.ts
@@ -48,6 +48,8 @@
  *
  * - `POST|GET|DELETE /queues/QUEUE/jobs/ID` submits, shows and cancels a job.
  * - `GET /queues/QUEUE` returns the number of jobs that have not started.
+ * - `GET /evacuations` returns the evacuated data centres, as far as this node knows, and how many runs
+ *   are left there if this node schedules.
  * - `GET /metrics` returns the metrics in the text format of Prometheus.
  *
  * The schema and the metrics library are loaded after the node serves its callers: they would
@@ -97,6 +99,7 @@
 
   async #answer(req: http.IncomingMessage, path: readonly string[]): Promise<Answer> {
     const [root, name = '', jobs, id = ''] = path;
+    if (root === 'evacuations' && path.length === 1) return this.#evacuations();
     if (root !== 'queues' || path.length > 4) return { result: RESULT_CODES.badCall };
     const queue = this.#node.queue(name);
     if (!queue) return { result: RESULT_CODES.noSuchQueue };
@@ -117,6 +120,15 @@
     }
   }
 
+  #evacuations(): Answer {
+    const { evacuationAgesMs, evacuatedRuns } = this.#node.state;
+    const dataCentres = [...evacuationAgesMs].map(([name, ageMs]) => ({
+      name,
+      knownForS: Math.round(ageMs / 1_000),
+    }));
+    return { result: RESULT_CODES.jobAccepted, fields: { dataCentres, runsLeft: evacuatedRuns } };
+  }
+
   #depth(queue: string): Answer {
     const pending = this.#node.jobs.pending(queue);
     if (pending === undefined) return { result: RESULT_CODES.storeUnavailable };
@@ -142,7 +154,13 @@
     try {
       const spec = readJob(id, queue.name, text, Date.now());
       const retryDelayMs = this.#node.jobs.retryDelayMs(spec, queue);
-      if (retryDelayMs !== undefined) return { result: RESULT_CODES.longWait, retryDelayMs };
+      if (retryDelayMs !== undefined) {
+        const isEvacuated = this.#node.jobs.isEvacuated(spec, queue);
+        return {
+          result: isEvacuated ? RESULT_CODES.evacuated : RESULT_CODES.longWait,
+          retryDelayMs,
+        };
+      }
       const outcome = await this.#node.jobs.submit(spec, steadyMs() + CALL_TIMEOUT_MS);
       const backlogMs = outcome === 'not-run' ? this.#node.jobs.startBacklogMs(spec) : undefined;
       if (backlogMs !== undefined)
--- a/packages/runtime/src/job-service.ts
+++ b/packages/runtime/src/job-service.ts
@@ -1,7 +1,7 @@
 import type { Observable } from 'rxjs';
 import { firstValueFrom, from, map, merge, race, timer } from 'rxjs';
-import type { JobSpec, JobState, QueuePolicy } from '@redwingcrank/jobs';
-import { isAlwaysAccepted, retryDelayMs, startBacklogMs } from '@redwingcrank/jobs';
+import type { JobSpec, JobState, QueuePolicy, RetryAfter } from '@redwingcrank/jobs';
+import { isAlwaysAccepted, isClosed, retryDelayMs, startBacklogMs } from '@redwingcrank/jobs';
 import type { KeyedLog, KeyedWrite } from './keyed-log.js';
 import { RecordsExpiredError, StoreUnavailableError } from './keyed-log.js';
 import type { NodeLog } from './node-log.js';
@@ -164,20 +164,19 @@
    * accepted now or is stored already.
    */
   retryDelayMs(spec: JobSpec, queue: QueuePolicy): number | undefined {
-    const { leader, leaderSeenMs } = this.#view.table;
-    const leaderAgeMs = steadyMs() - leaderSeenMs;
+    const leaderAgeMs = steadyMs() - this.#view.table.leaderSeenMs;
     if (this.#find(spec.id)) return undefined;
-    const isRecent = leaderAgeMs < MAX_REFUSAL_AGE_MS;
-    const idleMs = isRecent ? retryDelayMs(spec, queue, leader?.retryAfterMs ?? {}) : undefined;
+    const idleMs = retryDelayMs(spec, queue, this.#refusals);
     const backlogMs = this.startBacklogMs(spec);
     if (idleMs === undefined && backlogMs === undefined) return undefined;
     const waitMs = Math.max(idleMs ?? 0, backlogMs ?? 0);
+    const waitReason = backlogMs === undefined ? 'idle-jobs' : 'start-backlog';
     const { unstartedTasks, aheadTasks } = this.#startBacklog(spec.queue);
     this.#log.emit('info', 'submit', {
       job: spec.id,
       queue: spec.queue,
       outcome: 'not-run',
-      reason: backlogMs === undefined ? 'idle-jobs' : 'start-backlog',
+      reason: this.isEvacuated(spec, queue) ? 'evacuated' : waitReason,
       retryAfterMs: Math.round(waitMs),
       leaderAgeMs: Math.round(leaderAgeMs),
       unstartedTasks,
@@ -188,6 +187,18 @@
     return waitMs;
   }
 
+  /** Returns whether a job is refused because only evacuated data centres could run it. */
+  isEvacuated(spec: JobSpec, queue: QueuePolicy): boolean {
+    return isClosed(spec, queue, this.#refusals);
+  }
+
+  /** When callers may retry, by what the leader refuses; empty if its record is old. */
+  get #refusals(): RetryAfter {
+    const { leader, leaderSeenMs } = this.#view.table;
+    const isRecent = steadyMs() - leaderSeenMs < MAX_REFUSAL_AGE_MS;
+    return (isRecent && leader?.retryAfterMs) || {};
+  }
+
   /**
    * Returns in how many milliseconds a caller should retry a job because the leader, short of
    * processor time, has too many tasks to start; undefined if it has not. This counts stored facts
--- a/packages/runtime/src/node-settings.ts
+++ b/packages/runtime/src/node-settings.ts
@@ -17,6 +17,11 @@
    * How long after a job's cancel is confirmed one of its tasks may still start, in milliseconds.
    */
   readonly cancelMs: number;
+  /**
+   * How long after operators had a data centre evacuated a task may still start there, in
+   * milliseconds.
+   */
+  readonly evacuateMs: number;
   /** How long after a change of the configuration every node must apply it, in milliseconds. */
   readonly configApplyMs: number;
   /** How long the final state of a job must be kept, in milliseconds. */
--- a/packages/runtime/src/node.ts
+++ b/packages/runtime/src/node.ts
@@ -143,6 +143,8 @@
       viewAgeMs,
       jobs,
       faults: this.#faults.counts,
+      evacuationAgesMs: this.#config.evacuations.ages,
+      evacuatedRuns: this.#leadership.evacuatedRuns,
     };
   }
 
--- a/packages/runtime/src/platform-port.ts
+++ b/packages/runtime/src/platform-port.ts
@@ -1,5 +1,5 @@
 import type { WorkerEntry } from '@redwingcrank/jobs';
-import type { ClusterConfig } from './cluster-config.js';
+import type { ClusterConfig, EvacuationRecord } from './cluster-config.js';
 import type { KeyedLog, KeyedRecord } from './keyed-log.js';
 import type { PeerPort } from './peer-port.js';
 import type { Decoded } from './record-fault.js';
@@ -33,4 +33,7 @@
 
   /** Decodes the configuration; returns undefined for other records. */
   decodeConfig(rec: KeyedRecord): Decoded<ClusterConfig> | undefined;
+
+  /** Decodes the record that has a data centre evacuated; returns undefined for other records. */
+  decodeEvacuation(rec: KeyedRecord): EvacuationRecord | undefined;
 }
--- a/packages/runtime/src/test/fixtures.ts
+++ b/packages/runtime/src/test/fixtures.ts
@@ -1,6 +1,7 @@
 import type { WorkerEntry } from '@redwingcrank/jobs';
 import type { NodeSettings } from '../node-settings.js';
 import { steadyMs } from '../internal/delay.js';
+import type { NodeState } from '../internal/node-metrics.js';
 
 /** The entry of a worker with capacity for a few tasks. */
 export const WORKER_ENTRY: WorkerEntry = {
@@ -21,6 +22,23 @@
   },
 };
 
+/** A view of the operators' requests that is always up to date. */
+export const UP_TO_DATE_OPERATORS = {
+  get completeAsOfMs(): number {
+    return steadyMs();
+  },
+};
+
+/** The state of a leader without jobs. */
+export const NODE_STATE: NodeState = {
+  isLeading: true,
+  viewAgeMs: 0,
+  jobs: new Map(),
+  faults: [],
+  evacuationAgesMs: new Map(),
+  evacuatedRuns: 0,
+};
+
 /** Returns the settings of a node with this name. */
 export function nodeSettings(node: string): NodeSettings {
   return {
@@ -31,6 +49,7 @@
     stopTimeoutMs: 500,
     drainMs: 2_000,
     cancelMs: 3_000,
+    evacuateMs: 5_000,
     configApplyMs: 2_000,
     keepStateMs: 120_000,
     graceMs: 6_000,
--- a/packages/runtime/src/test/job-service_test.ts
+++ b/packages/runtime/src/test/job-service_test.ts
@@ -13,6 +13,7 @@
 import type { AppendResult, KeyedRecord, KeyedWrite, ReadResult } from '../keyed-log.js';
 import { NodeLog } from '../node-log.js';
 import { StaticLog } from './static-log.js';
+import { NODE_STATE } from './fixtures.js';
 import { LONG_RUNNING_JOB } from './job-fixtures.js';
 import { leaderRecord } from './leader-record.js';
 
@@ -175,8 +176,7 @@
   // Guards against a log event that the metrics cannot count: the caller would get an error instead
   // of a refusal.
   const service = new ControlledService();
-  const state = { isLeading: false, viewAgeMs: 0, jobs: new Map(), faults: [] };
-  const metrics = new NodeMetrics(service.nodeLog, () => state);
+  const metrics = new NodeMetrics(service.nodeLog, () => NODE_STATE);
   service.view.readRefusals({ [capacityClassOf('full', false)]: 2_500 });
   service.refusalMs({ ...LONG_RUNNING_JOB, steps: [PLAIN_STEP] }, 'full');
   assert.match(await metrics.text(), /submit_duration_seconds_count\{outcome="not-run"\} 1/);
--- a/packages/runtime/src/test/port-fixtures.ts
+++ b/packages/runtime/src/test/port-fixtures.ts
@@ -14,6 +14,7 @@
     workerIdOf: ({ key }) => key,
     decodeWorker: () => ({ value: WORKER_ENTRY }),
     decodeConfig: () => undefined,
+    decodeEvacuation: () => undefined,
     ...parts,
   };
 }
--- a/packages/runtime/src/test/scheduling-metrics_test.ts
+++ b/packages/runtime/src/test/scheduling-metrics_test.ts
@@ -1,10 +1,9 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { NodeMetrics } from '../internal/node-metrics.js';
+import { NODE_STATE } from './fixtures.js';
 import { NodeLog } from '../node-log.js';
 
-const NODE_STATE = { isLeading: true, viewAgeMs: 0, jobs: new Map<string, number>(), faults: [] };
-
 test('waits are counted by what delayed the tasks, stops and lost work by reason', async () => {
   const log = new NodeLog('n1', 'silent');
   const metrics = new NodeMetrics(log, () => NODE_STATE);
--- a/packages/runtime/src/test/slow-list_test.ts
+++ b/packages/runtime/src/test/slow-list_test.ts
@@ -8,7 +8,7 @@
 import { FaultLog } from '../internal/fault-log.js';
 import { StartViews } from '../internal/start-views.js';
 import { WorkerList } from '../internal/worker-list.js';
-import { UP_TO_DATE_JOBS, nodeSettings } from './fixtures.js';
+import { UP_TO_DATE_JOBS, UP_TO_DATE_OPERATORS, nodeSettings } from './fixtures.js';
 import { platformPort } from './port-fixtures.js';
 import { StaticLog } from './static-log.js';
 import { VirtualTime } from './virtual-fleet.js';
@@ -49,7 +49,11 @@
   const config = new ConfigWatch(port, log);
   const list = new WorkerList(port, log, config, scheduler, () => {}, new FaultLog(log));
   const { signal } = new AbortController();
-  const views = new StartViews(list, UP_TO_DATE_JOBS, nodeSettings('n1'), signal);
+  const views = new StartViews(
+    { workers: list, work: UP_TO_DATE_JOBS, operators: UP_TO_DATE_OPERATORS },
+    nodeSettings('n1'),
+    signal,
+  );
   const running = list.run();
   assert.ok(await time.advanceUntil(() => views.windowMs(steadyMs()) > 0, 6_000));
   let withoutStartsMs = 0;
--- a/packages/runtime/src/test/term-load_test.ts
+++ b/packages/runtime/src/test/term-load_test.ts
@@ -4,6 +4,7 @@
 import { NodeLog } from '../node-log.js';
 import { NodeMetrics } from '../internal/node-metrics.js';
 import { TermLoad } from '../internal/term-load.js';
+import { NODE_STATE } from './fixtures.js';
 
 const VIEW = {
   jobs: 7,
@@ -12,6 +13,7 @@
   leaseLeftMs: -20,
   unstartedTasks: 0,
   startsPerSecond: 0,
+  evacuatedRuns: 4,
   idleJobs: 2,
   longestIdleMs: 4_200.3,
   reservedPercent: 45,
@@ -19,8 +21,6 @@
   bestEffortPercent: 30,
 };
 
-const STATE = { isLeading: true, viewAgeMs: 0, jobs: new Map(), faults: [] };
-
 /** Returns the fields of the next `term-load` event, once the observer of the log has received it. */
 function nextLoad(log: NodeLog): Promise<LogFields> {
   return new Promise((resolve) => {
@@ -58,7 +58,7 @@
   // Leases expire on hundreds of workers because the leader spent over a second on one round, and its
   // store was slow as well. Guards against a log in which an operator cannot see both causes.
   const log = new NodeLog('n1', 'silent');
-  const metrics = new NodeMetrics(log, () => STATE);
+  const metrics = new NodeMetrics(log, () => NODE_STATE);
   const stopping = new AbortController();
   const load = new TermLoad(log, 4);
   const loggedFields = nextLoad(log);
@@ -95,19 +95,19 @@
   // A task started on a worker that had announced its departure long before. Guards against a log in
   // which an operator cannot tell whether the start had waited or the list of workers was outdated.
   const log = new NodeLog('n1', 'silent');
-  const metrics = new NodeMetrics(log, () => STATE);
+  const metrics = new NodeMetrics(log, () => NODE_STATE);
   const stopping = new AbortController();
   const load = new TermLoad(log, 4);
   const loggedFields = nextLoad(log);
   const running = load.run(() => VIEW, stopping.signal);
-  load.startSent({ workersAgeMs: 1_400, jobsAgeMs: 20 }, 30);
-  load.startSent({ workersAgeMs: 200, jobsAgeMs: 600 }, 2_800.4);
-  const { starts, workersAgeMs, jobsAgeMs, startWaitMs } = await loggedFields;
+  load.startSent({ workersAgeMs: 1_400, jobsAgeMs: 20, operatorsAgeMs: 50 }, 30);
+  load.startSent({ workersAgeMs: 200, jobsAgeMs: 600, operatorsAgeMs: 900 }, 2_800.4);
+  const { starts, workersAgeMs, jobsAgeMs, operatorsAgeMs, startWaitMs } = await loggedFields;
   stopping.abort();
   await running;
   assert.deepEqual(
-    { starts, workersAgeMs, jobsAgeMs, startWaitMs },
-    { starts: 2, workersAgeMs: 1_400, jobsAgeMs: 600, startWaitMs: 2_800 },
+    { starts, workersAgeMs, jobsAgeMs, operatorsAgeMs, startWaitMs },
+    { starts: 2, workersAgeMs: 1_400, jobsAgeMs: 600, operatorsAgeMs: 900, startWaitMs: 2_800 },
   );
   const text = await metrics.text();
   assert.match(text, /redwingcrank_scheduler_oldest_workers_view_seconds 1\.4\n/);
--- a/packages/runtime/src/test/worker-list_test.ts
+++ b/packages/runtime/src/test/worker-list_test.ts
@@ -105,6 +105,7 @@
     decodeConfig: ({ value }) => ({
       value: { version: Number(value), queues: [], pools: new Set([`p${value}`]), maxBodyBytes: 0 },
     }),
+    decodeEvacuation: () => undefined,
   };
 }
 
