--- a/packages/jobs/src/internal/cluster-state.ts
+++ b/packages/jobs/src/internal/cluster-state.ts
@@ -8,10 +8,10 @@
 import { EvacuatedDataCentres } from './evacuated-data-centres.js';
 import { findTask } from './runs.js';
 import type { StopReason } from './stop-reason.js';
-import { lostCpuMs } from './stop-reason.js';
 import { IdleWaitEstimator } from './idle-wait-estimator.js';
 import { objectiveMs } from './urgency.js';
-import type { WorkerRun } from './worker-state.js';
+import type { WorkerRun } from './worker-run.js';
+import { lostCpuMs } from './worker-run.js';
 import { WorkerState } from './worker-state.js';
 
 /** Times that govern scheduling decisions, in milliseconds of the node's monotonic clock. */
--- a/packages/jobs/src/internal/crash-suspects.ts
+++ b/packages/jobs/src/internal/crash-suspects.ts
@@ -4,7 +4,8 @@
 import { taskName } from '../task-ref.js';
 import type { ClusterState } from './cluster-state.js';
 import { findTask } from './runs.js';
-import type { WorkerRun, WorkerState } from './worker-state.js';
+import type { WorkerRun } from './worker-run.js';
+import type { WorkerState } from './worker-state.js';
 
 /** What the known end of a worker's process adds to the weight of a task that had begun there. */
 const CONFIRMED_CRASH_WEIGHT = 2;
--- a/packages/jobs/src/internal/evacuation.ts
+++ b/packages/jobs/src/internal/evacuation.ts
@@ -1,4 +1,5 @@
-import type { WorkerRun, WorkerState } from './worker-state.js';
+import type { WorkerRun } from './worker-run.js';
+import type { WorkerState } from './worker-state.js';
 
 /**
  * How long before its worker leaves a task that saves checkpoints is stopped, in milliseconds: a
--- a/packages/jobs/src/internal/halted-runs.ts
+++ b/packages/jobs/src/internal/halted-runs.ts
@@ -1,4 +1,5 @@
-import type { WorkerRun, WorkerState } from './worker-state.js';
+import type { WorkerRun } from './worker-run.js';
+import type { WorkerState } from './worker-state.js';
 
 /** A run that must not work on its worker: its task stays bound there and makes no progress. */
 export interface HaltedRun {
--- a/packages/jobs/src/internal/pacing.ts
+++ b/packages/jobs/src/internal/pacing.ts
@@ -1,7 +1,8 @@
 import { claimedParts } from './best-effort-parts.js';
 import type { TailLatencyModel } from './tail-latency-model.js';
 import { hasTailLatency } from './tail-latency-model.js';
-import type { WorkerRun, WorkerState } from './worker-state.js';
+import type { WorkerRun } from './worker-run.js';
+import type { WorkerState } from './worker-state.js';
 
 /**
  * Best-effort tasks run as fast as they can while serving tasks keep this slack; at 1 the tail
--- a/packages/jobs/src/internal/report-reader.ts
+++ b/packages/jobs/src/internal/report-reader.ts
@@ -10,7 +10,8 @@
 import { choosePaces } from './pacing.js';
 import type { TailLatencyModel } from './tail-latency-model.js';
 import { findTask, newRun } from './runs.js';
-import type { WorkerRun, WorkerState } from './worker-state.js';
+import type { WorkerRun } from './worker-run.js';
+import type { WorkerState } from './worker-state.js';
 
 /** The maximum number of attempts of a task whose queue is no longer known. */
 const DEFAULT_ATTEMPTS = 3;
--- a/packages/jobs/src/internal/runs.ts
+++ b/packages/jobs/src/internal/runs.ts
@@ -2,7 +2,7 @@
 import type { JobProgress, TaskProgress } from '../job-progress.js';
 import type { TaskRef } from '../task-ref.js';
 import type { WorkerEntry } from '../worker.js';
-import type { WorkerRun } from './worker-state.js';
+import type { WorkerRun } from './worker-run.js';
 
 /** Yields every task of a job that runs on a worker or may run there. */
 export function* boundTasks(job: JobProgress): Generator<[TaskRef, TaskProgress]> {
--- a/packages/jobs/src/internal/stop-reason.ts
+++ b/packages/jobs/src/internal/stop-reason.ts
@@ -1,5 +1,3 @@
-import type { WorkerRun } from './worker-state.js';
-
 /**
  * Why a run is stopped.
  *
@@ -22,12 +20,3 @@
   | 'worker-leaves'
   | 'stands-still'
   | 'halted';
-
-/**
- * Returns the processor time of a run that is not covered by a checkpoint, in milliseconds; the
- * next start has to repeat it.
- */
-export function lostCpuMs({ spec, confirmed, checkpointedMs }: WorkerRun, nowMs: number): number {
-  if (!confirmed || spec.lasting) return 0;
-  return Math.round((spec.cpuMilli / 1_000) * (nowMs - checkpointedMs));
-}
--- a/packages/jobs/src/internal/stop-rules.ts
+++ b/packages/jobs/src/internal/stop-rules.ts
@@ -4,7 +4,8 @@
 import { mustEvacuate } from './evacuation.js';
 import { findTask } from './runs.js';
 import type { StopReason } from './stop-reason.js';
-import type { WorkerRun, WorkerState } from './worker-state.js';
+import type { WorkerRun } from './worker-run.js';
+import type { WorkerState } from './worker-state.js';
 
 /** Decides which runs must be stopped. */
 export class StopRules {
--- a/packages/jobs/src/internal/tail-latency-model.ts
+++ b/packages/jobs/src/internal/tail-latency-model.ts
@@ -1,7 +1,8 @@
 import { usedParts } from './best-effort-parts.js';
 import { InterferenceModel, slackOf } from './interference-model.js';
 import { ServingLoads } from './serving-loads.js';
-import type { WorkerRun, WorkerState } from './worker-state.js';
+import type { WorkerRun } from './worker-run.js';
+import type { WorkerState } from './worker-state.js';
 
 /** The slack that is assumed for a serving task without measurements. */
 const UNMEASURED_SLACK = 1.7;
--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -20,7 +20,8 @@
 import { StopRules } from './internal/stop-rules.js';
 import { TailLatencyModel } from './internal/tail-latency-model.js';
 import { TaskPlacer } from './internal/task-placer.js';
-import type { WorkerRun, WorkerState } from './internal/worker-state.js';
+import type { WorkerRun } from './internal/worker-run.js';
+import type { WorkerState } from './internal/worker-state.js';
 
 export type { EventLogger, SchedulerTiming } from './internal/cluster-state.js';
 export type { RoundLimits } from './internal/round-limits.js';
