After an outage of the store a large node leads before a small one claims

Cause: a node counts the leader's silence for 1.1 s, or for 1.7 s if the records that it has seen were over 0.6 s apart. Each node knows gaps of its own, and small nodes wait only 0.45 s longer than large ones. Where the leader is lost while the store is away, a small node that has read the records regularly claims before a large one that has once read them late.

Change: for 5 s after its view was too old, a node ignores the gaps from before: 1.1 s for large nodes, 1.7 s for nodes that leave the claim to them. Reads before an outage no longer count as recent ones.

The other cases of the test are unchanged.

--- a/packages/runtime/src/internal/keyed-follower.ts
+++ b/packages/runtime/src/internal/keyed-follower.ts
@@ -255,6 +255,8 @@
   #markRegained(beforeMs: number): void {
     if (!this.#isLost) return;
     this.#isLost = false;
+    // How long reads took before the outage tells nothing about the store now.
+    this.#recentReadsMs.splice(0, this.#recentReadsMs.length - 1);
     this.#log.emit('info', 'log-regained', {
       log: this.#settings.name,
       next: this.#next,
--- a/packages/runtime/src/internal/leadership.ts
+++ b/packages/runtime/src/internal/leadership.ts
@@ -57,6 +57,9 @@
  */
 const REGULAR_GAP_MS = 600;
 
+/** How long after an outage of the store nodes count the leader's silence alike, in milliseconds. */
+const RETURNED_STORE_MS = 5_000;
+
 /**
  * Upper bound of the random sequence numbers of claims; they are random so that two claims of one
  * epoch differ.
@@ -248,6 +251,9 @@
 
   #silentLimitMs(): number {
     const { leader, leaderGapMs } = this.#table;
+    if (this.#hasStoreReturned) {
+      return this.#claimOrder.yieldsToLarger ? SLOW_LEADER_SILENT_MS : LEADER_SILENT_MS;
+    }
     // The first record of a leader is queued behind the claims that were sent at the same time. If
     // the leader were considered dead for that, the first record of its replacement would wait in
     // the same way.
@@ -255,6 +261,17 @@
     return (leaderGapMs <= REGULAR_GAP_MS ? LEADER_SILENT_MS : SLOW_LEADER_SILENT_MS) + queueMs;
   }
 
+  /**
+   * Whether the view was too old until recently and the store is fast again. The gaps between the
+   * leader's records that a node has seen before an outage then tell nothing: they differ by more from
+   * node to node than small nodes wait for large ones.
+   */
+  get #hasStoreReturned(): boolean {
+    const { recentReadMs, isLost } = this.#follower;
+    const sinceMs = steadyMs() - this.#staleViewMs;
+    return sinceMs < RETURNED_STORE_MS && recentReadMs <= FAST_READ_MS && !isLost;
+  }
+
   /**
    * Whether this node may claim without waiting: the leader has named it as its successor, or as
    * its standby and its process has ended, or the leader on record is an earlier incarnation of
--- a/packages/runtime/src/test/sized-takeover_test.ts
+++ b/packages/runtime/src/test/sized-takeover_test.ts
@@ -33,6 +33,12 @@
  */
 const VERY_SLOW_STORE_TAKEOVER_MS = 4_000;
 
+/** The time by which the answer to a read is late once, in milliseconds. */
+const LATE_READ_MS = 700;
+
+/** Upper bound of the time from the return of the store until a node leads, in milliseconds. */
+const RETURNED_STORE_TAKEOVER_MS = 2_000;
+
 /** Upper bound of the time until a node leads after all nodes lost power at once, in milliseconds. */
 const POWER_RESTORED_MS = 4_000;
 
@@ -122,6 +128,35 @@
   assert.ok(tally.maxTookMs <= TAKEOVER_MS, `${tally.maxTookMs}`);
 });
 
+test('a large node replaces a leader that is lost while the store is away', async (t) => {
+  // Each node has read the records before the outage at times of its own. Guards against a small node
+  // that claims first because the large ones read them late, and take the leader for a slow one.
+  const tally = await takeovers(t, async (fleet, outcomes) => {
+    const { time, store } = fleet;
+    fleet.add('first', LARGE);
+    await time.advanceUntil(() => fleet.leader !== undefined, 5_000);
+    await fleet.addMany(sizes(3, 9));
+    await time.advance(2_000 + time.randomInt(500));
+    for (const node of fleet.nodes) if (node.cores === LARGE) node.readDelayMs = LATE_READ_MS;
+    await time.advance(LATE_READ_MS + 500);
+    for (const node of fleet.nodes) node.readDelayMs = 0;
+    await time.advance(300 + time.randomInt(300));
+    store.isDown = true;
+    await time.advance(2_500);
+    fleet.leader!.losePower();
+    await time.advance(2_500);
+    store.isDown = false;
+    store.claimCount = 0;
+    const sinceMs = time.nowMs;
+    await time.advanceUntil(() => fleet.leader !== undefined, 10_000);
+    const tookMs = time.nowMs - sinceMs;
+    await time.advance(500);
+    outcomes.add(fleet.leader, tookMs, store.claimCount);
+  });
+  assert.equal(tally.bySmallOrNone, 0);
+  assert.ok(tally.maxTookMs <= RETURNED_STORE_TAKEOVER_MS, `${tally.maxTookMs}`);
+});
+
 test('a dead leader is replaced while the store takes 0.3 s for each call', async (t) => {
   // With such a store each view is older than 0.9 s before the next answer arrives. Guards against
   // taking that for a silence of the store, which restarts the count of the leader's silence each time:
--- a/packages/runtime/src/test/slow-reads_test.ts
+++ b/packages/runtime/src/test/slow-reads_test.ts
@@ -66,6 +66,7 @@
     decodeConfig: () => ({
       value: { version: 1, queues: [], pools: new Set<string>(), maxBodyBytes: 1_000 },
     }),
+    decodeEvacuation: () => undefined,
   } as unknown as PlatformPort;
   const node = new Node(port, nodeSettings('n1'), new NodeLog('n1', 'silent'));
   node.start();
--- a/packages/runtime/src/test/virtual-fleet.ts
+++ b/packages/runtime/src/test/virtual-fleet.ts
@@ -143,7 +143,7 @@
  * writer's epoch and sequence number, so that each epoch has one writer.
  */
 export class VirtualStore extends KeyedLog {
-  readonly #time: VirtualTime;
+  readonly time: VirtualTime;
 
   readonly #records: KeyedRecord[] = [];
 
@@ -156,6 +156,9 @@
   /** Latency of a call to the store, and again of its answer, in milliseconds. */
   oneWayMs = 5;
 
+  /** Whether the store refuses every call. */
+  isDown = false;
+
   /** Number of claims of the leadership that were sent. */
   claimCount = 0;
 
@@ -164,7 +167,7 @@
 
   constructor(time: VirtualTime) {
     super();
-    this.#time = time;
+    this.time = time;
   }
 
   /** Stores a record that the test itself writes. */
@@ -181,32 +184,38 @@
       this.claimCount += 1;
       this.claimant = leaderOf(first.value)?.node;
     }
-    await this.#time.after(this.oneWayMs);
+    await this.time.after(this.oneWayMs);
+    if (this.isDown) {
+      await this.time.after(this.oneWayMs);
+      return { outcome: 'refused', reason: 'down' };
+    }
     const outcome = stamp ? this.#checkStamp(stamp.epoch, stamp.sequence) : 'appended';
     if (outcome === 'appended') this.#records.push(...records);
-    await this.#time.after(this.oneWayMs);
+    await this.time.after(this.oneWayMs);
     return { outcome, reason: '' };
   }
 
   override async read(from: number, waitMs: number): Promise<ReadResult> {
-    const calledMs = this.#time.nowMs;
-    await this.#time.after(this.oneWayMs);
+    const calledMs = this.time.nowMs;
+    await this.time.after(this.oneWayMs);
     for (
       let leftMs = waitMs;
-      leftMs > 0 && this.#records.length <= from;
+      leftMs > 0 && this.#records.length <= from && !this.isDown;
       leftMs -= POLL_INTERVAL_MS
     ) {
-      await this.#time.after(POLL_INTERVAL_MS);
+      await this.time.after(POLL_INTERVAL_MS);
     }
+    if (this.isDown) throw new StoreUnavailableError('down');
     const records = this.#records.slice(from);
     const end = from + records.length;
-    await this.#time.after(this.oneWayMs);
-    const asOfMs = records.length > 0 ? calledMs : this.#time.nowMs - this.oneWayMs;
+    await this.time.after(this.oneWayMs);
+    const asOfMs = records.length > 0 ? calledMs : this.time.nowMs - this.oneWayMs;
     return { records, next: end, end, asOfMs };
   }
 
   override async newest(): Promise<NewestPage> {
-    await this.#time.after(2 * this.oneWayMs);
+    await this.time.after(2 * this.oneWayMs);
+    if (this.isDown) throw new StoreUnavailableError('down');
     const newest = new Map(this.#records.map((rec) => [rec.key, rec]));
     return { records: [...newest.values()], hasMore: false, end: this.#records.length };
   }
@@ -273,6 +282,9 @@
 
   isDisconnected = false;
 
+  /** Additional time until the answer to a read arrives, in milliseconds. */
+  readDelayMs = 0;
+
   constructor(store: VirtualStore) {
     super();
     this.#store = store;
@@ -289,7 +301,9 @@
 
   override async read(from: number, waitMs: number): Promise<ReadResult> {
     if (this.isDisconnected) throw new StoreUnavailableError('cut');
-    return this.#store.read(from, waitMs);
+    const result = await this.#store.read(from, waitMs);
+    if (this.readDelayMs > 0) await this.#store.time.after(this.readDelayMs);
+    return result;
   }
 
   override async newest(): Promise<NewestPage> {
@@ -359,6 +373,11 @@
     this.#leadership.run().catch(() => {});
   }
 
+  /** Sets the additional time until the answer to a read of the work log arrives, in milliseconds. */
+  set readDelayMs(ms: number) {
+    this.#log.readDelayMs = ms;
+  }
+
   /** Asks the process to stop: a leader resigns, and the process goes on for a while. */
   retire(): void {
     this.#leadership.stop().catch(() => {});
