Best-effort tasks are slowed down only beside a target that is missed

Cause: best-effort tasks were paced and halted for a forecast, also where every target was met. On the shifted work most of what is owed is in a best-effort queue whose jobs wait for their last task, so one halt makes a job late; the last tasks of its late jobs lost more to halts and pace than they ran.

Change: nothing is slowed down while every target on the worker is met. Beside a missed one known causes run at half of their speed at least, and all are halted after 1.2 s, as before.

--- a/packages/jobs/src/internal/pacing.ts
+++ b/packages/jobs/src/internal/pacing.ts
@@ -5,28 +5,18 @@
 import type { WorkerState } from './worker-state.js';
 
 /**
- * Best-effort tasks run as fast as they can while serving tasks keep this slack; at 1 the tail
- * latency equals its target. It applies to the slack forecast for the next second. It is a little
- * less than the slack required for placement, so that a task that was just placed may run.
+ * The slack that best-effort tasks are slowed down to leave to a serving task that misses its target; at
+ * 1 the tail latency equals its target. It applies to the slack forecast for the next second.
  */
 const PACING_SLACK = 1.15;
 
 /** How far ahead slack is forecast, in milliseconds: the next report may come a second later. */
 const FORECAST_MS = 1_000;
 
-/**
- * Above this part of its target a tail latency is too long: tasks that interfere with it are slowed
- * down at once.
- */
-const NEAR_TARGET_RATIO = 0.9;
-
 /** Paces are multiples of this, in percent; a smaller change is not worth a call. */
 const PACE_STEP = 10;
 
-/**
- * A task below this pace, in percent, would occupy its memory with almost no progress; it is halted
- * instead.
- */
+/** The least share of its speed to which a task is slowed down before it is halted, in percent. */
 const MIN_PACE = 50;
 
 /**
@@ -35,12 +25,6 @@
  */
 const SETTLE_MS = 700;
 
-/**
- * How long images that interfere wait before they are sped up, in milliseconds. It is longer than
- * for others, because the load oscillates within seconds.
- */
-const SPEED_UP_DELAY_MS = 1_200;
-
 /**
  * A best-effort image that takes less slack than this is not considered as the cause of a long tail
  * latency.
@@ -56,8 +40,8 @@
 
 /**
  * How long a target may be missed before every best-effort task on the worker is halted, in
- * milliseconds. By then the known causes have been halted without enough effect, and users notice a
- * few seconds.
+ * milliseconds. By then the known causes have been slowed down without enough effect, and users notice
+ * a few seconds.
  */
 const HALT_AFTER_MS = 1_200;
 
@@ -69,11 +53,13 @@
 
 /**
  * Chooses which best-effort tasks must run slower or may run faster, from the tail latencies of the
- * serving tasks on the same worker. Images that are known to interfere run at the share of their
- * speed at which the tail latency is expected to stay within bounds. If no cause is known, or if
- * that does not help soon, every best-effort task is halted, because the users of the serving tasks
- * notice a target that is missed for seconds. Tasks that do not interfere continue as soon as no
- * target is missed.
+ * serving tasks on the same worker. Beside a target that is missed, images that are known to interfere
+ * run at the share of their speed at which it is expected to be met, and at half their speed at least.
+ * If no cause is known, or if that does not help soon, every best-effort task is halted, because the
+ * users of the serving tasks notice a target that is missed for seconds.
+ *
+ * Nothing is slowed down while every target is met, however near: a job waits for its last task, so a
+ * halted task makes a job late, while a target that is missed for a moment costs little.
  */
 export function choosePaces(
   worker: WorkerState,
@@ -81,23 +67,22 @@
   nowMs: number,
 ): PaceChange[] {
   const serving = [...worker.runs.values()].filter(hasTailLatency);
-  const worstRatio = Math.max(0, ...serving.map(targetRatioOf));
-  const limits = mustHalt(worker, nowMs) ? undefined : limitsOf(worker, serving, model, nowMs);
+  const missing = serving.filter(missesTarget);
+  const limits = mustHalt(worker, nowMs) ? undefined : limitsOf(worker, missing, model, nowMs);
   const sinceChangeMs = nowMs - worker.paceChangedMs;
   const changes: PaceChange[] = [];
   for (const run of worker.runs.values()) {
     if (run.spec.fills && run.confirmed) {
       const limit = limits ? limits.get(run.spec.image) : 0;
-      const percent = nextPace(run.pace, limit, worstRatio, sinceChangeMs);
+      const percent = nextPace(run.pace, limit, missing.length > 0, sinceChangeMs);
       if (percent !== run.pace) changes.push({ run, percent });
     }
   }
   return changes;
 }
 
-/** Returns the tail latency divided by its target. */
-function targetRatioOf({ measure, spec }: WorkerRun): number {
-  return measure / spec.targetMs;
+function missesTarget({ measure, spec }: WorkerRun): boolean {
+  return measure > spec.targetMs;
 }
 
 function mustHalt(worker: WorkerState, nowMs: number): boolean {
@@ -108,12 +93,12 @@
 }
 
 /**
- * Returns, for each best-effort image that interferes with a serving task here, the share of its
- * speed that the tail latency permits.
+ * Returns, for each best-effort image that is slowed down for a serving task that misses its target,
+ * the share of its speed that is left.
  */
 function limitsOf(
   worker: WorkerState,
-  serving: readonly WorkerRun[],
+  missing: readonly WorkerRun[],
   model: TailLatencyModel,
   nowMs: number,
 ): Map<string, number> {
@@ -121,12 +106,12 @@
   const limit = (image: string, share: number): void => {
     limits.set(image, Math.min(share, limits.get(image) ?? 1));
   };
-  for (const run of serving) {
+  for (const run of missing) {
     const interferences = interferenceOn(run.spec.image, worker, model);
     const full = interferences.reduce((sum, { lostSlack }) => sum + lostSlack, 0);
     const share = (model.baselineSlack(run, worker, nowMs, FORECAST_MS) - PACING_SLACK) / full;
-    for (const { image } of interferences) limit(image, Math.max(0, share));
-    if (interferences.length === 0 && targetRatioOf(run) > 1) {
+    for (const { image } of interferences) limit(image, Math.max(MIN_PACE / 100, share));
+    if (interferences.length === 0) {
       for (const image of worker.bestEffortClaims().keys()) limit(image, UNKNOWN_CAUSE_LIMIT);
     }
   }
@@ -155,20 +140,14 @@
 function nextPace(
   pace: number,
   limit: number | undefined,
-  worstRatio: number,
+  isTargetMissed: boolean,
   sinceChangeMs: number,
 ): number {
   const wanted = roundPace(limit);
-  if (wanted === 0) return 0;
-  if (wanted < pace) {
-    const isUrgent = worstRatio > NEAR_TARGET_RATIO;
-    return isUrgent || sinceChangeMs >= SETTLE_MS ? wanted : pace;
-  }
-  if (worstRatio > 1) return pace;
-  return sinceChangeMs >= (limit === undefined ? SETTLE_MS : SPEED_UP_DELAY_MS) ? wanted : pace;
+  if (wanted < pace) return wanted;
+  return isTargetMissed || sinceChangeMs < SETTLE_MS ? pace : wanted;
 }
 
 function roundPace(limit = 1): number {
-  const percent = Math.floor((limit * 100) / PACE_STEP) * PACE_STEP;
-  return percent < MIN_PACE ? 0 : Math.min(100, percent);
+  return Math.min(100, Math.floor((limit * 100) / PACE_STEP) * PACE_STEP);
 }
