--- a/packages/jobs/src/internal/report-reader.ts
+++ b/packages/jobs/src/internal/report-reader.ts
@@ -26,6 +26,9 @@
  */
 const MIN_STORED_RUN_MS = 5_000;
 
+/** A target that was missed for this long is logged, in milliseconds. */
+const LOGGED_MISS_MS = 2_000;
+
 /** A start that took this long from its binding to its answer is logged, in milliseconds. */
 const SLOW_START_MS = 250;
 
@@ -47,9 +50,11 @@
 
   /** Applies one report, which was requested at `askedMs`. */
   read(worker: WorkerState, report: WorkerReport, askedMs: number, nowMs: number): void {
+    const sinceReportMs = worker.fenced ? nowMs - worker.answeredMs : 0;
+    const besideMs = worker.hasWorkingBestEffort() ? sinceReportMs : 0;
     Object.assign(worker, { answeredMs: nowMs });
     if (!worker.fenced) this.#markFenced(worker, report, nowMs);
-    for (const row of report.running) this.#updateRun(worker, row, nowMs);
+    for (const row of report.running) this.#updateRun(worker, row, nowMs, besideMs);
     const areAllRead = this.#readEnds(worker, report.ended, nowMs);
     if (areAllRead && report.ended.length < MAX_REPORTED_ENDS)
       this.#releaseAbsent(worker, report, askedMs);
@@ -58,7 +63,8 @@
     this.#adjustPaces(worker, nowMs);
   }
 
-  #updateRun(worker: WorkerState, row: RunningRow, nowMs: number): void {
+  /** `besideMs`: for how long best-effort tasks have worked there since the report before. */
+  #updateRun(worker: WorkerState, row: RunningRow, nowMs: number, besideMs: number): void {
     const run = worker.runs.get(row.task);
     if (!run || run.run !== row.run) {
       this.#addOrphanedRun(worker, row, nowMs);
@@ -69,8 +75,7 @@
     if (row.checkpoint !== run.checkpoint) run.checkpointedMs = nowMs;
     run.checkpoint = row.checkpoint;
     run.measure = row.measure;
-    const isOverTarget = run.spec.targetMs > 0 && row.measure > run.spec.targetMs;
-    run.missedTargetSinceMs = isOverTarget ? run.missedTargetSinceMs || nowMs : 0;
+    this.#updateMissedTarget(worker, run, nowMs, besideMs);
     if (row.percent !== run.percent || row.percent === 100) run.progressedMs = nowMs;
     run.percent = row.percent;
     const job = this.#state.jobs.get(run.ref.jobId);
@@ -90,6 +95,25 @@
     }
   }
 
+  #updateMissedTarget(worker: WorkerState, run: WorkerRun, nowMs: number, besideMs: number): void {
+    const { spec, measure, missedTargetSinceMs: sinceMs } = run;
+    const isMissed = spec.targetMs > 0 && measure > spec.targetMs;
+    if (sinceMs > 0) run.missedBesideMs += besideMs;
+    if (isMissed) {
+      run.missedTargetSinceMs ||= nowMs;
+      return;
+    }
+    if (sinceMs > 0 && nowMs - sinceMs >= LOGGED_MISS_MS) {
+      this.#state.logEvent('target-missed', {
+        task: taskName(run.ref),
+        worker: worker.entry.id,
+        missedMs: Math.round(nowMs - sinceMs),
+        besideMs: Math.round(run.missedBesideMs),
+      });
+    }
+    Object.assign(run, { missedTargetSinceMs: 0, missedBesideMs: 0 });
+  }
+
   /** Adds a run that no job needs: from before a lease expired, or of a job that ended long ago. */
   #addOrphanedRun(worker: WorkerState, row: RunningRow, nowMs: number): void {
     const ref = parseTaskName(row.task);
--- a/packages/jobs/src/internal/runs.ts
+++ b/packages/jobs/src/internal/runs.ts
@@ -46,6 +46,7 @@
     progressedMs: nowMs,
     measure: 0,
     missedTargetSinceMs: 0,
+    missedBesideMs: 0,
     pace: 100,
   };
 }
--- a/packages/jobs/src/internal/worker-run.ts
+++ b/packages/jobs/src/internal/worker-run.ts
@@ -39,6 +39,8 @@
    * not.
    */
   missedTargetSinceMs: number;
+  /** For how much of that time best-effort tasks have worked on the worker, in milliseconds. */
+  missedBesideMs: number;
   /** The share of its speed at which the run was last ordered to work, in percent. */
   pace: number;
 }
--- a/packages/jobs/src/internal/worker-state.ts
+++ b/packages/jobs/src/internal/worker-state.ts
@@ -163,6 +163,13 @@
     return false;
   }
 
+  /** Returns whether a best-effort task works here, at whatever pace. */
+  hasWorkingBestEffort(): boolean {
+    for (const { spec, confirmed, pace } of this.runs.values())
+      if (spec.fills && confirmed && pace > 0) return true;
+    return false;
+  }
+
   /** Returns how many tasks of a step, of one occurrence, occupy capacity here. */
   countOf({ jobId, occurrence, step }: TaskRef): number {
     let count = 0;
--- a/packages/jobs/src/test/pacing_test.ts
+++ b/packages/jobs/src/test/pacing_test.ts
@@ -86,3 +86,21 @@
   const started = harness.starts().filter(({ task }) => task.jobId.endsWith('a3'));
   assert.deepEqual(started, []);
 });
+
+test('a target that was missed for long is logged, with how long best-effort tasks worked beside it', () => {
+  // Guards against a log from which nobody can tell whether a promise to the users of a serving task
+  // was broken by the tasks beside it.
+  const { harness, web, bestEffort } = coLocatedTasks();
+  const report = (measure: number): void => {
+    harness.nowMs += 500;
+    const beside = bestEffort.map((start) => runningRow(start, { percent: 10 }));
+    harness.report('w1', { running: [runningRow(web, { percent: 100, measure }), ...beside] });
+    harness.decide();
+  };
+  for (const measure of [10, 30, 30, 10]) report(measure);
+  assert.deepEqual(harness.fieldsOf('target-missed'), []);
+  for (const measure of [30, 30, 30, 30, 30, 30, 10]) report(measure);
+  const [{ missedMs, besideMs } = {}] = harness.fieldsOf('target-missed');
+  assert.equal(missedMs, 3_000);
+  assert.ok(Number(besideMs) > 0 && Number(besideMs) < 3_000);
+});
