--- a/packages/runtime/src/internal/leadership.ts
+++ b/packages/runtime/src/internal/leadership.ts
@@ -11,6 +11,7 @@
 import { FaultLog } from './fault-log.js';
 import { HandOver } from './hand-over.js';
 import type { KeyedFollower } from './keyed-follower.js';
+import { OfferSender } from './offer-sender.js';
 import type { WorkFollower } from './work-follower.js';
 import { LeaderWatch } from './leader-watch.js';
 import type { StoredClaim } from './leader-writer.js';
@@ -31,7 +32,7 @@
 import { UnreadJobsDelay } from './unread-jobs-delay.js';
 import { Watchers } from './watchers.js';
 import type { LeaderRecord, OfferRecord } from './work-records.js';
-import { encodeLeader, encodeOffer, isLeaderKey, leaderKey, offerKey } from './work-records.js';
+import { encodeLeader, isLeaderKey, leaderKey } from './work-records.js';
 import type { WorkTable } from './work-table.js';
 
 /** Interval of checks whether leadership is vacant, in milliseconds. */
@@ -119,6 +120,8 @@
 
   readonly #handOver: HandOver;
 
+  readonly #offers: OfferSender;
+
   readonly #watch: LeaderWatch | undefined;
 
   readonly #watchers: Watchers | undefined;
@@ -177,6 +180,8 @@
     this.#claimOrder = new ClaimOrder(settings.cores);
     this.#unreadJobsDelay = new UnreadJobsDelay(work, log);
     this.#handOver = new HandOver(settings.node, this.#claimOrder);
+    const { signal } = this.#stopping;
+    this.#offers = new OfferSender(port.workLog, log, work, this.#handOver, signal);
     if (port.peers) {
       this.#watch = new LeaderWatch(port.peers, log, {
         isReady: () => work.hasRecentJobs,
@@ -204,8 +209,9 @@
       await this.#checkPause.wait(CHECK_INTERVAL_MS);
       if (this.#stopping.signal.aborted) return;
       this.#handOverUnlessJobsAreRead();
-      if (!this.#isLeadershipVacant()) this.#offerWhenDue();
-      else if (!this.#unreadJobsDelay.putsOffClaim(this.#table)) await this.#claimLeadership();
+      if (!this.#isLeadershipVacant()) {
+        if (!this.#term) this.#offers.sendWhenDue(MAX_VIEW_AGE_MS);
+      } else if (!this.#unreadJobsDelay.putsOffClaim(this.#table)) await this.#claimLeadership();
     }
   }
 
@@ -293,35 +299,6 @@
     return this.#claimOrder.yieldsToLarger || !this.#work.hasRecentJobs;
   }
 
-  /**
-   * Offers to take over from a smaller leader if an offer is due, the store is fast, and this node
-   * has read the jobs.
-   */
-  #offerWhenDue(): void {
-    if (!this.#work.hasRecentJobs) return;
-    const nowMs = steadyMs();
-    const offer = this.#handOver.due(nowMs);
-    const { next, completeAsOfMs } = this.#follower;
-    if (!offer || next === undefined || nowMs - completeAsOfMs > MAX_VIEW_AGE_MS || this.#term)
-      return;
-    this.#handOver.offerSeen(offer, nowMs);
-    this.#offer(offer, next).catch((err) => this.#log.emit('info', 'offer-put-off', reasonOf(err)));
-  }
-
-  async #offer(offer: OfferRecord, next: number): Promise<void> {
-    const askedMs = steadyMs();
-    await this.#port.workLog.read(next, 0);
-    const tookMs = Math.round(steadyMs() - askedMs);
-    if (tookMs > FAST_READ_MS || this.#stopping.signal.aborted) {
-      this.#log.emit('info', 'offer-put-off', { reason: 'slow-store', tookMs });
-      return;
-    }
-    const { outcome } = await this.#port.workLog.append([
-      { key: offerKey(), value: encodeOffer(offer) },
-    ]);
-    this.#log.emit('info', 'offer', { epoch: offer.epoch, cores: offer.cores, outcome });
-  }
-
   #offerSeen(offer: OfferRecord): void {
     const nowMs = steadyMs();
     this.#handOver.offerSeen(offer, nowMs);
