--- a/packages/cli/src/internal/commands/trace.ts
+++ b/packages/cli/src/internal/commands/trace.ts
@@ -22,7 +22,7 @@
   });
 
 const WINDOW_COLUMNS = [
-  ...['from', 'queue', 'jobs', 'inTime', 'late', 'failed', 'cancelled', 'unfinished'],
+  ...['from', 'queue', 'jobs', 'inTime', 'late', 'missed', 'failed', 'cancelled', 'unfinished'],
   ...['waitP50Ms', 'waitP90Ms', 'waitP99Ms', 'runsPerTask'],
 ] as const;
 
--- a/packages/cli/src/internal/log-summary.ts
+++ b/packages/cli/src/internal/log-summary.ts
@@ -1,7 +1,10 @@
 import logfmt from 'logfmt';
 
-/** The outcome of a job; `inTime` and `late` say whether a completed job met its objective. */
-type JobOutcome = 'inTime' | 'late' | 'failed' | 'cancelled' | 'unfinished';
+/**
+ * The outcome of a job; `inTime`, `late` and `missed` say whether a completed job met its objective, or
+ * took more than three times as long.
+ */
+type JobOutcome = 'inTime' | 'late' | 'missed' | 'failed' | 'cancelled' | 'unfinished';
 
 /** Jobs of a queue accepted in one time window, and its tasks bound in that window. */
 export interface WindowRow {
@@ -11,6 +14,7 @@
   readonly jobs: number;
   readonly inTime: number;
   readonly late: number;
+  readonly missed: number;
   readonly failed: number;
   readonly cancelled: number;
   readonly unfinished: number;
@@ -148,11 +152,12 @@
     return true;
   }
 
-  #addJobEnd({ job, state, tookMs, objectiveMs }: Fields): boolean {
+  #addJobEnd({ job, state, tookMs, objectiveMs, objective }: Fields): boolean {
     if (!job || !state) return false;
     const record = this.#getOrAddJob(job);
     if (state === 'completed') {
-      record.outcome = Number(tookMs) <= Number(objectiveMs) ? 'inTime' : 'late';
+      const lateOutcome = objective === 'missed' ? 'missed' : 'late';
+      record.outcome = Number(tookMs) <= Number(objectiveMs) ? 'inTime' : lateOutcome;
     } else if (state === 'failed' || state === 'cancelled') record.outcome = state;
     return true;
   }
@@ -247,7 +252,7 @@
 }
 
 function countOutcomes(jobs: readonly JobRecord[]): Record<JobOutcome, number> & { jobs: number } {
-  const counts = { inTime: 0, late: 0, failed: 0, cancelled: 0, unfinished: 0 };
+  const counts = { inTime: 0, late: 0, missed: 0, failed: 0, cancelled: 0, unfinished: 0 };
   for (const { outcome } of jobs) counts[outcome] += 1;
   return { jobs: jobs.length, ...counts };
 }
--- a/packages/cli/src/test/log-summary_test.ts
+++ b/packages/cli/src/test/log-summary_test.ts
@@ -16,7 +16,7 @@
 }
 
 test('jobs count by outcome in the window in which they were accepted', () => {
-  const accepted = ['a', 'b', 'c', 'd'].map((job) =>
+  const accepted = ['a', 'b', 'c', 'd', 'f'].map((job) =>
     line(1, 'submit', `job=${job} queue=q outcome=stored`),
   );
   const { windows } = summaryOf([
@@ -25,10 +25,11 @@
     line(13, 'job-ended', 'job=b state=completed tookMs=1100 objectiveMs=1000'),
     line(14, 'job-ended', 'job=c state=failed tookMs=1 objectiveMs=1000'),
     line(15, 'submit', 'job=e queue=q outcome=not-run'),
+    line(16, 'job-ended', 'job=f state=completed tookMs=3100 objectiveMs=1000 objective=missed'),
   ]);
   assert.equal(windows.length, 1);
-  const { jobs, inTime, late, failed, unfinished } = windows[0]!;
-  assert.deepEqual([jobs, inTime, late, failed, unfinished], [4, 1, 1, 1, 1]);
+  const { jobs, inTime, late, missed, failed, unfinished } = windows[0]!;
+  assert.deepEqual([jobs, inTime, late, missed, failed, unfinished], [5, 1, 1, 1, 1, 1]);
 });
 
 test('waits and runs per task come from the bindings, and waits are grouped by cause', () => {
--- a/packages/jobs/src/internal/cluster-state.ts
+++ b/packages/jobs/src/internal/cluster-state.ts
@@ -9,7 +9,7 @@
 import { findTask } from './runs.js';
 import type { StopReason } from './stop-reason.js';
 import { IdleWaitEstimator } from './idle-wait-estimator.js';
-import { objectiveMs } from './urgency.js';
+import { objectiveMsOf, objectiveOutcomeOf } from './urgency.js';
 import type { WorkerRun } from './worker-run.js';
 import { lostCpuMs } from './worker-run.js';
 import { WorkerState } from './worker-state.js';
@@ -127,15 +127,18 @@
     this.endJob(job, 'failed', this.timeOfDayMs);
   }
 
-  /** Logs the end of a job, with the time that it took and its objective. */
+  /** Logs the end of a job, with the time that it took, its objective and whether it was met. */
   logJobEnd({ spec, state, endedMs }: JobProgress): void {
     const queue = this.queues.get(spec.queue);
+    const tookMs = Math.round(endedMs - spec.acceptedMs);
+    const objectiveMs = queue ? Math.round(objectiveMsOf(spec, queue)) : 0;
     this.logEvent('job-ended', {
       job: spec.id,
       queue: spec.queue,
       state,
-      tookMs: Math.round(endedMs - spec.acceptedMs),
-      objectiveMs: queue ? Math.round(objectiveMs(spec, queue)) : 0,
+      tookMs,
+      objectiveMs,
+      ...(state === 'completed' && { objective: objectiveOutcomeOf(tookMs, objectiveMs) }),
     });
   }
 
--- a/packages/jobs/src/internal/urgency.ts
+++ b/packages/jobs/src/internal/urgency.ts
@@ -3,6 +3,15 @@
 /** A job that ends later than this many times its objective is of no use to its caller. */
 const WORTHLESS_FACTOR = 3;
 
+/** Whether a completed job met its objective, was late, or took more than three times as long. */
+export type ObjectiveOutcome = 'met' | 'late' | 'missed';
+
+/** Returns how a job did that took the given time, in milliseconds. */
+export function objectiveOutcomeOf(tookMs: number, objectiveMs: number): ObjectiveOutcome {
+  if (tookMs <= objectiveMs) return 'met';
+  return tookMs <= WORTHLESS_FACTOR * objectiveMs ? 'late' : 'missed';
+}
+
 /**
  * How useful work on a job still is to its caller.
  *
@@ -33,7 +42,7 @@
 }
 
 /** Returns how long the job may take from its acceptance or due time, in milliseconds. */
-export function objectiveMs(spec: JobSpec, { stretch, targetLatencyMs }: QueuePolicy): number {
+export function objectiveMsOf(spec: JobSpec, { stretch, targetLatencyMs }: QueuePolicy): number {
   return stretch * Math.max(0, ...criticalPathsMs(spec)) + targetLatencyMs;
 }
 
@@ -47,7 +56,7 @@
 ): Feasibility {
   if (spec.steps[step]!.lasting) return 0;
   const endMs = timeOfDayMs + criticalPathsMs(spec)[step]!;
-  const objective = objectiveMs(spec, queue);
+  const objective = objectiveMsOf(spec, queue);
   if (endMs <= requestedMs + objective) return 0;
   return endMs <= requestedMs + WORTHLESS_FACTOR * objective ? 1 : 2;
 }
--- a/packages/jobs/src/internal/waiting-steps.ts
+++ b/packages/jobs/src/internal/waiting-steps.ts
@@ -1,7 +1,7 @@
 import type { QueuePolicy, StepSpec } from '../job.js';
 import type { JobProgress, Occurrence, TaskProgress } from '../job-progress.js';
 import type { TaskRef } from '../task-ref.js';
-import { feasibilityOf, objectiveMs } from './urgency.js';
+import { feasibilityOf, objectiveMsOf } from './urgency.js';
 
 /**
  * The order of the steps of one priority when there is not enough capacity for all; lower ranks
@@ -63,7 +63,7 @@
       const rank = spec.lasting
         ? longRunningRank(tasks)
         : RANK_BY_FEASIBILITY[feasibilityOf(job.spec, queue, step, requestedMs, timeOfDayMs)]!;
-      const sortMs = requestedMs + objectiveMs(job.spec, queue);
+      const sortMs = requestedMs + objectiveMsOf(job.spec, queue);
       yield { job, queue, spec, ref, tasks, rank, sortMs, maxTasks: Infinity };
     }
   }
--- a/packages/jobs/src/test/wait-and-stop-logs_test.ts
+++ b/packages/jobs/src/test/wait-and-stop-logs_test.ts
@@ -84,6 +84,13 @@
   harness.report('w1', { ended: [harness.end(start!, 'done')] });
   harness.decide();
   assert.deepEqual(harness.fieldsOf('job-ended'), [
-    { job: JOB_ID, queue: 'q', state: 'completed', tookMs: 2_000, objectiveMs: 2_100 },
+    {
+      job: JOB_ID,
+      queue: 'q',
+      state: 'completed',
+      tookMs: 2_000,
+      objectiveMs: 2_100,
+      objective: 'met',
+    },
   ]);
 });
--- a/packages/runtime/src/internal/node-metrics.ts
+++ b/packages/runtime/src/internal/node-metrics.ts
@@ -130,6 +130,8 @@
 
   readonly #lostCpu: Counter;
 
+  readonly #objectives: Counter;
+
   readonly #load = new Map<string, Gauge>();
 
   constructor(log: NodeLog, state: () => NodeState) {
@@ -173,6 +175,12 @@
       labelNames: ['reason'],
       registers,
     });
+    this.#objectives = new Counter({
+      name: 'redwingcrank_job_objectives_total',
+      help: 'Completed jobs by queue, and by whether their objective was met, or missed by over three times.',
+      labelNames: ['queue', 'objective'],
+      registers,
+    });
     for (const [field, { name, help }] of Object.entries(LOAD_GAUGES)) {
       this.#load.set(field, new Gauge({ name, help, registers }));
     }
@@ -192,6 +200,7 @@
     if (event === 'order') this.#orders.observe({ kind: String(fields.kind), outcome }, seconds);
     if (event === 'bound') this.#observeBound(fields);
     if (event === 'task-stop') this.#observeStop(fields);
+    if (event === 'job-ended') this.#observeJobEnd(fields);
     if (event === 'term-load') this.#setLoad(fields);
     if (event === 'term-end') this.#setLoad({});
     if (event === 'submit') this.#submits.observe({ outcome }, seconds);
@@ -201,6 +210,11 @@
     this.#waits.observe({ kept_by: String(keptBy) }, Number(waitMs) / 1_000);
   }
 
+  #observeJobEnd({ queue, objective }: LogFields): void {
+    if (objective === undefined) return;
+    this.#objectives.inc({ queue: String(queue), objective: String(objective) });
+  }
+
   #observeStop({ reason, lostCpuMs }: LogFields): void {
     this.#stops.inc({ reason: String(reason) });
     this.#lostCpu.inc({ reason: String(reason) }, Number(lostCpuMs) / 1_000);
--- a/packages/runtime/src/test/scheduling-metrics_test.ts
+++ b/packages/runtime/src/test/scheduling-metrics_test.ts
@@ -15,3 +15,13 @@
   assert.match(text, /redwingcrank_task_stops_total\{reason="halted"\} 2/);
   assert.match(text, /redwingcrank_lost_cpu_seconds_total\{reason="halted"\} 1\.5/);
 });
+
+test('completed jobs are counted by queue and by whether they met their objective', async () => {
+  const log = new NodeLog('n1', 'silent');
+  const metrics = new NodeMetrics(log, () => NODE_STATE);
+  log.emit('info', 'job-ended', { job: 'a', queue: 'q', state: 'completed', objective: 'late' });
+  log.emit('info', 'job-ended', { job: 'b', queue: 'q', state: 'cancelled' });
+  const text = await metrics.text();
+  assert.match(text, /redwingcrank_job_objectives_total\{queue="q",objective="late"\} 1\n/);
+  assert.doesNotMatch(text, /job_objectives_total\{queue="q",objective="undefined"/);
+});
