--- a/packages/runtime/src/test/start-views_test.ts
+++ b/packages/runtime/src/test/start-views_test.ts
@@ -8,8 +8,8 @@
 
 test('every start expires within the bounds that count from when the views were last complete', () => {
   // A worker leaves, a job is cancelled or a data centre is evacuated just after the leader last read
-  // the logs. A start that the leader sends after that must expire before the bound even on the slowest clock of a worker, and no
-  // start is sent that a worker would refuse because too little time is left.
+  // the logs. A start that it sends after that must expire before the bound even on the slowest clock
+  // of a worker, and no start is sent that a worker would refuse because too little time is left.
   fc.assert(
     fc.property(
       fc.record({
