--- a/packages/jobs/src/admission.ts
+++ b/packages/jobs/src/admission.ts
@@ -27,8 +27,8 @@
  * label in it that only such workers have. It applies to every job that would have to start there
  * now.
  */
-export function closedKeyOf(pool: string, label = ''): string {
-  return label === '' ? `${pool} closed` : `${pool} closed ${label}`;
+export function evacuatedKeyOf(pool: string, label = ''): string {
+  return label === '' ? `${pool} evacuated` : `${pool} evacuated ${label}`;
 }
 
 /**
@@ -86,7 +86,7 @@
   { pool, priority }: QueuePolicy,
   retryAfterMs: RetryAfter,
 ): number | undefined {
-  const keys = closedKeysOf(spec, pool);
+  const keys = evacuatedKeysOf(spec, pool);
   if (!isAlwaysAccepted(spec)) {
     for (const { fills } of spec.steps) {
       const capacityClass = capacityClassOf(pool, fills);
@@ -97,11 +97,18 @@
 }
 
 /** Returns whether the job is refused because only evacuated data centres could run it. */
-export function isClosed(spec: JobSpec, { pool }: QueuePolicy, retryAfterMs: RetryAfter): boolean {
-  return closedKeysOf(spec, pool).some((key) => retryAfterMs[key] !== undefined);
+export function needsEvacuated(
+  spec: JobSpec,
+  { pool }: QueuePolicy,
+  retryAfterMs: RetryAfter,
+): boolean {
+  return evacuatedKeysOf(spec, pool).some((key) => retryAfterMs[key] !== undefined);
 }
 
-function closedKeysOf({ schedule, steps }: JobSpec, pool: string): string[] {
+function evacuatedKeysOf({ schedule, steps }: JobSpec, pool: string): string[] {
   if (schedule) return [];
-  return [closedKeyOf(pool), ...steps.map(({ requiredLabel }) => closedKeyOf(pool, requiredLabel))];
+  return [
+    evacuatedKeyOf(pool),
+    ...steps.map(({ requiredLabel }) => evacuatedKeyOf(pool, requiredLabel)),
+  ];
 }
--- a/packages/jobs/src/internal/admission-control.ts
+++ b/packages/jobs/src/internal/admission-control.ts
@@ -1,6 +1,6 @@
 import type { RetryAfter } from '../admission.js';
-import { capacityClassOf, closedKeyOf, refusalKeyOf } from '../admission.js';
-import { closedCapacityOf } from './closed-capacity.js';
+import { capacityClassOf, evacuatedKeyOf, refusalKeyOf } from '../admission.js';
+import { evacuatedCapacityOf } from './evacuated-capacity.js';
 import type { ClusterState } from './cluster-state.js';
 import type { CountByPriority } from './count-by-priority.js';
 import type { IdleJobs } from './idle-jobs.js';
@@ -11,13 +11,13 @@
  * When callers may retry a job that only workers in evacuated data centres could run, in
  * milliseconds.
  */
-const CLOSED_RETRY_MS = 2_000;
+const EVACUATED_RETRY_MS = 2_000;
 
 /**
  * The maximum number of labels whose jobs are refused because of evacuations. Every node reads the
  * leader's record several times a second; jobs that need a further label wait.
  */
-const MAX_CLOSED_LABELS = 100;
+const MAX_EVACUATED_LABELS = 100;
 
 /** Determines from the rounds of a leader which jobs can be accepted, and how many it can start. */
 export class AdmissionControl {
@@ -69,20 +69,20 @@
         if (waitMs > 0) retryAfterMs[refusalKeyOf(capacityClass, priority)] = waitMs;
       }
     }
-    for (const key of this.#closedKeys()) retryAfterMs[key] = CLOSED_RETRY_MS;
+    for (const key of this.#evacuatedKeys()) retryAfterMs[key] = EVACUATED_RETRY_MS;
     return retryAfterMs;
   }
 
   /** Returns the keys of the pools and labels that only evacuated data centres have. */
-  #closedKeys(): string[] {
+  #evacuatedKeys(): string[] {
     if (this.#state.evacuated.names.size === 0) return [];
-    const { pools, labels } = closedCapacityOf(this.#state.workers.values());
+    const { pools, labels } = evacuatedCapacityOf(this.#state.workers.values());
     const labelKeys = [...labels].flatMap(([pool, names]) =>
-      [...names].map((name) => closedKeyOf(pool, name)),
+      [...names].map((name) => evacuatedKeyOf(pool, name)),
     );
     return [
-      ...[...pools].map((pool) => closedKeyOf(pool)),
-      ...labelKeys.slice(0, MAX_CLOSED_LABELS),
+      ...[...pools].map((pool) => evacuatedKeyOf(pool)),
+      ...labelKeys.slice(0, MAX_EVACUATED_LABELS),
     ];
   }
 
--- a/packages/jobs/src/internal/closed-capacity.ts
+++ b/packages/jobs/src/internal/evacuated-capacity.ts
@@ -1,7 +1,7 @@
 import type { WorkerState } from './worker-state.js';
 
 /** What only workers in evacuated data centres offer. */
-export interface ClosedCapacity {
+export interface EvacuatedCapacity {
   /** Pools of which no worker may be used. */
   readonly pools: ReadonlySet<string>;
   /** Labels of which no worker may be used, by pool. */
@@ -9,21 +9,21 @@
 }
 
 /** Returns the pools and labels that only workers in evacuated data centres offer. */
-export function closedCapacityOf(workers: Iterable<WorkerState>): ClosedCapacity {
-  const closed = new Map<string, Set<string>>();
+export function evacuatedCapacityOf(workers: Iterable<WorkerState>): EvacuatedCapacity {
+  const evacuated = new Map<string, Set<string>>();
   const open = new Map<string, Set<string>>();
   for (const { listed, entry, isEvacuated } of workers) {
     if (listed) {
-      const byPool = isEvacuated ? closed : open;
+      const byPool = isEvacuated ? evacuated : open;
       const labels = byPool.get(entry.pool) ?? new Set();
       byPool.set(entry.pool, labels);
       for (const label of entry.labels) labels.add(label);
     }
   }
-  const pools = new Set([...closed.keys()].filter((pool) => !open.has(pool)));
-  for (const [pool, labels] of closed) {
+  const pools = new Set([...evacuated.keys()].filter((pool) => !open.has(pool)));
+  for (const [pool, labels] of evacuated) {
     for (const label of open.get(pool) ?? []) labels.delete(label);
-    if (pools.has(pool) || labels.size === 0) closed.delete(pool);
+    if (pools.has(pool) || labels.size === 0) evacuated.delete(pool);
   }
-  return { pools, labels: closed };
+  return { pools, labels: evacuated };
 }
--- a/packages/jobs/src/test/evacuation_test.ts
+++ b/packages/jobs/src/test/evacuation_test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { closedKeyOf, retryDelayMs } from '../admission.js';
+import { evacuatedKeyOf, retryDelayMs } from '../admission.js';
 import type { StepSpec } from '../job.js';
 import {
   JOB_ID,
@@ -116,7 +116,7 @@
 test('a scheduled job is accepted while all data centres are evacuated', () => {
   const schedule = { firstDueMs: 60_000, intervalMs: 1_000, count: 2 };
   const spec = jobSpec([stepSpec()], { schedule });
-  assert.equal(retryDelayMs(spec, QUEUE, { [closedKeyOf(QUEUE.pool)]: 2_000 }), undefined);
+  assert.equal(retryDelayMs(spec, QUEUE, { [evacuatedKeyOf(QUEUE.pool)]: 2_000 }), undefined);
 });
 
 test('accepted jobs wait for the end of the evacuation and are done then', () => {
--- a/packages/runtime/src/job-service.ts
+++ b/packages/runtime/src/job-service.ts
@@ -1,7 +1,7 @@
 import type { Observable } from 'rxjs';
 import { firstValueFrom, from, map, merge, race, timer } from 'rxjs';
 import type { JobSpec, JobState, QueuePolicy, RetryAfter } from '@redwingcrank/jobs';
-import { isAlwaysAccepted, isClosed, retryDelayMs, startBacklogMs } from '@redwingcrank/jobs';
+import { isAlwaysAccepted, needsEvacuated, retryDelayMs, startBacklogMs } from '@redwingcrank/jobs';
 import type { KeyedLog, KeyedWrite } from './keyed-log.js';
 import { RecordsExpiredError, StoreUnavailableError } from './keyed-log.js';
 import type { NodeLog } from './node-log.js';
@@ -189,7 +189,7 @@
 
   /** Returns whether a job is refused because only evacuated data centres could run it. */
   isEvacuated(spec: JobSpec, queue: QueuePolicy): boolean {
-    return isClosed(spec, queue, this.#refusals);
+    return needsEvacuated(spec, queue, this.#refusals);
   }
 
   /** When callers may retry, by what the leader refuses; empty if its record is old. */
