Large pools are searched in blocks of 512 workers

Cause: each kind of task was evaluated on every worker of its pool. With 3,000 workers one kind takes longer than the 30 ms for which a round may place tasks on a node with a quarter of a core, so a round started one kind, however many tasks waited.

Change: a pool of more than 512 workers is searched block by block until a block has a suitable worker, each round beginning with another block, workers in the rack with the data first.

--- a/packages/jobs/src/internal/round-candidates.ts
+++ b/packages/jobs/src/internal/round-candidates.ts
@@ -12,6 +12,14 @@
 /** Larger than `AVOID_PENALTY`: suspects share a worker only where no other can take them. */
 const SHARED_SUSPECTS_PENALTY = 100_000_000;
 
+/**
+ * How many workers of a pool are evaluated at once. A pool of thousands is searched block by block
+ * until a block has a worker for the task: evaluating 3,000 workers for one kind of task takes longer
+ * than a round may place tasks for on a node with a quarter of a core, so that few tasks a second
+ * would be started.
+ */
+export const BLOCK_SIZE = 512;
+
 /** A task to be placed. */
 export interface PlacementRequest {
   readonly ref: TaskRef;
@@ -32,7 +40,10 @@
 
 /** The candidate workers for tasks of one kind. */
 export class Candidates {
-  readonly #candidates: readonly Candidate[];
+  readonly #workers: readonly WorkerState[];
+
+  /** The workers that have been evaluated, in the order of `#workers`. */
+  readonly #candidates: Candidate[] = [];
 
   readonly #evaluate: (worker: WorkerState) => number | Obstacle;
 
@@ -45,17 +56,44 @@
     workers: readonly WorkerState[],
     evaluate: (worker: WorkerState) => number | Obstacle,
   ) {
+    this.#workers = workers;
     this.#evaluate = evaluate;
-    this.#candidates = workers.map((worker) => ({
-      worker,
-      version: worker.version,
-      score: evaluate(worker),
-    }));
+    this.#evaluateBlock();
   }
 
-  /** Returns the best of the workers that can take the task now; undefined if there is none. */
-  choose({ ref, spec, avoid, isSuspect }: PlacementRequest): WorkerState | undefined {
+  /**
+   * Returns the best of the workers that can take the task now, in a large pool of those that have been
+   * evaluated; undefined if there is none.
+   */
+  choose(request: PlacementRequest): WorkerState | undefined {
     if (this.#isExhausted) return undefined;
+    for (;;) {
+      const { worker, isSuitable, isExhausted } = this.#bestEvaluated(request);
+      if (isSuitable || !this.#evaluateBlock()) {
+        this.#isExhausted = isExhausted;
+        return worker;
+      }
+    }
+  }
+
+  /** Evaluates the next block of workers; returns whether there was any. */
+  #evaluateBlock(): boolean {
+    const begin = this.#candidates.length;
+    for (const worker of this.#workers.slice(begin, begin + BLOCK_SIZE))
+      this.#candidates.push({ worker, version: worker.version, score: this.#evaluate(worker) });
+    this.#obstacle = undefined;
+    return this.#candidates.length > begin;
+  }
+
+  /**
+   * Returns the best evaluated worker, whether it is to be taken if there are others to evaluate, and
+   * whether no evaluated worker can take a task of this kind.
+   */
+  #bestEvaluated({ ref, spec, avoid, isSuspect }: PlacementRequest): {
+    readonly worker: WorkerState | undefined;
+    readonly isSuitable: boolean;
+    readonly isExhausted: boolean;
+  } {
     let best: WorkerState | undefined;
     let bestScore = -Infinity;
     let isExhausted = true;
@@ -73,8 +111,7 @@
         }
       }
     }
-    this.#isExhausted = isExhausted;
-    return best;
+    return { worker: best, isSuitable: bestScore > -AVOID_PENALTY / 2, isExhausted };
   }
 
   /** The obstacle that most workers have. */
@@ -140,9 +177,13 @@
 
   readonly #byKind = new Map<string, Candidates>();
 
-  constructor(workers: Iterable<WorkerState>, policy: PlacementPolicy, nowMs: number) {
+  readonly #round: number;
+
+  /** `round`: the number of the round, which determines where the search of a large pool begins. */
+  constructor(workers: Iterable<WorkerState>, policy: PlacementPolicy, nowMs: number, round = 0) {
     this.#policy = policy;
     this.#nowMs = nowMs;
+    this.#round = round;
     for (const worker of workers) {
       const pool = this.#workersByPool.get(worker.entry.pool);
       if (pool) pool.push(worker);
@@ -155,10 +196,25 @@
     const key = `${kindOf(spec)} ${pool} ${isStarved}`;
     const known = this.#byKind.get(key);
     if (known) return known;
-    const candidates = new Candidates(this.#workersByPool.get(pool) ?? [], (worker) =>
+    const candidates = new Candidates(this.#inSearchOrder(spec, pool), (worker) =>
       this.#policy.evaluate(spec, worker, this.#nowMs, isStarved),
     );
     this.#byKind.set(key, candidates);
     return candidates;
   }
+
+  /**
+   * Returns the workers of a pool in the order in which they are searched for tasks of the step. In a
+   * large pool each round begins with another block, so that all blocks are filled alike, and those in
+   * the rack with the step's data go first.
+   */
+  #inSearchOrder({ dataRack }: StepSpec, pool: string): readonly WorkerState[] {
+    const workers = this.#workersByPool.get(pool) ?? [];
+    if (workers.length <= BLOCK_SIZE) return workers;
+    const begin = (this.#round * BLOCK_SIZE) % workers.length;
+    const rotated = [...workers.slice(begin), ...workers.slice(0, begin)];
+    if (!dataRack) return rotated;
+    const isNear = ({ entry }: WorkerState): boolean => entry.labels.includes(dataRack);
+    return [...rotated.filter(isNear), ...rotated.filter((worker) => !isNear(worker))];
+  }
 }
--- a/packages/jobs/src/internal/task-placer.ts
+++ b/packages/jobs/src/internal/task-placer.ts
@@ -73,6 +73,8 @@
   /** The steps that the latest round had to place. */
   #waiting: readonly WaitingStep[] = [];
 
+  #roundCount = 0;
+
   /** The number of tasks that the latest round has bound. */
   #startCount = 0;
 
@@ -141,7 +143,13 @@
     // while.
     const budget = new RoundBudget(limits);
     this.#placeHeld(budget, nowMs);
-    const roundCandidates = new RoundCandidates(this.#availableWorkers(), this.#placement, nowMs);
+    this.#roundCount += 1;
+    const roundCandidates = new RoundCandidates(
+      this.#availableWorkers(),
+      this.#placement,
+      nowMs,
+      this.#roundCount,
+    );
     const unplaced: WaitingStep[] = [];
     const hasAmpleCapacity =
       !this.#isCapacityShort && this.#state.reservedShare() < SLOW_PLACEMENT_BELOW;
