Connections between nodes carry messages, and the hello names the data centre

The leader is to send lease grants to followers over the connection that they keep to it. After the hello, each side may send lines of text; a version without this change reads and drops them. Lines that arrive with the hello are kept until there is a receiver, as the first message names the workers of all later ones. isWritable tells a sender that an earlier line has not left the process, so that it neither waits nor queues behind a partition.

The first fails without the kept lines.

--- a/packages/runtime/src/peer-port.ts
+++ b/packages/runtime/src/peer-port.ts
@@ -7,6 +7,8 @@
   readonly cores: number;
   /** Distinguishes this process from earlier and later ones of the same node. */
   readonly processId: string;
+  /** The data centre of the node; absent if the process is of an earlier version. */
+  readonly dataCentre?: string;
 }
 
 /** A connection to another process of this system. */
@@ -16,6 +18,21 @@
   /** Resolves when the connection has ended for any reason. */
   abstract readonly closed: Promise<void>;
 
+  /**
+   * Whether everything sent so far has been handed to the operating system. A connection behind a
+   * network partition stops accepting data without any other sign.
+   */
+  abstract readonly isWritable: boolean;
+
+  /** Sends one line of text without line breaks; the line is lost if the connection ends. */
+  abstract send(line: string): void;
+
+  /**
+   * Sets the receiver of all lines from the peer, including a few that arrived before. Without a
+   * receiver, further lines are dropped.
+   */
+  abstract receive(listener: (line: string) => void): void;
+
   abstract close(): void;
 }
 
--- a/packages/runtime/src/tcp-peers.ts
+++ b/packages/runtime/src/tcp-peers.ts
@@ -1,6 +1,7 @@
 import { randomBytes } from 'node:crypto';
 import net from 'node:net';
 import { Subject } from 'rxjs';
+import { PeerLines } from './internal/peer-lines.js';
 import { parseObject } from './internal/parse-object.js';
 import type { PeerHello } from './peer-port.js';
 import { PeerGoneError, PeerLink, PeerPort, PeerUnreachedError } from './peer-port.js';
@@ -13,20 +14,20 @@
  */
 const KEEP_ALIVE_MS = 2_000;
 
-/** Maximum size of a hello line, in bytes. */
-const MAX_HELLO_BYTES = 1_024;
-
 /** An established connection. */
 class TcpLink extends PeerLink {
   readonly #socket: net.Socket;
 
+  readonly #lines: PeerLines;
+
   readonly peer: PeerHello;
 
   readonly closed: Promise<void>;
 
-  constructor(socket: net.Socket, peer: PeerHello) {
+  constructor(socket: net.Socket, peer: PeerHello, lines: PeerLines) {
     super();
     this.#socket = socket;
+    this.#lines = lines;
     this.peer = peer;
     this.closed = new Promise((resolve) => {
       if (socket.destroyed) resolve();
@@ -34,12 +35,27 @@
     });
   }
 
+  get isWritable(): boolean {
+    return this.#socket.writable && this.#socket.writableLength === 0;
+  }
+
+  send(line: string): void {
+    this.#socket.write(`${line}\n`);
+  }
+
+  receive(listener: (line: string) => void): void {
+    this.#lines.deliverTo(listener);
+  }
+
   close(): void {
     this.#socket.destroy();
   }
 }
 
-/** Connections over TCP. Each side sends one line of JSON that identifies it, and nothing else. */
+/**
+ * Connections over TCP. Each side sends a line of JSON that identifies it. Further lines may follow;
+ * earlier versions read and drop them.
+ */
 export class TcpPeers extends PeerPort {
   readonly self: PeerHello;
 
@@ -47,9 +63,10 @@
 
   #address: string | undefined;
 
-  constructor(node: string, cores: number) {
+  constructor(node: string, cores: number, dataCentre?: string) {
     super();
-    this.self = { node, cores, processId: randomBytes(8).toString('hex') };
+    const processId = randomBytes(8).toString('hex');
+    this.self = { node, cores, processId, ...(dataCentre !== undefined && { dataCentre }) };
   }
 
   get address(): string | undefined {
@@ -96,12 +113,11 @@
   async #handshake(socket: net.Socket): Promise<PeerLink> {
     socket.setKeepAlive(true, KEEP_ALIVE_MS);
     socket.write(`${JSON.stringify(this.self)}\n`);
-    const peer = decodeHello(await readLine(socket));
-    // Data after the line is read and dropped, to detect the end of the connection.
-    socket.resume();
+    const lines = new PeerLines();
+    const peer = decodeHello(await readHello(socket, lines));
     // `close` follows every error and reports the end.
     socket.on('error', () => {});
-    return new TcpLink(socket, peer);
+    return new TcpLink(socket, peer, lines);
   }
 }
 
@@ -110,21 +126,21 @@
   return { host: address.slice(0, split), port: Number(address.slice(split + 1)) };
 }
 
-function readLine(socket: net.Socket): Promise<string> {
+/** Reads the hello line. The lines after it stay in `lines`, and the socket keeps being read. */
+function readHello(socket: net.Socket, lines: PeerLines): Promise<string> {
   return new Promise((resolve, reject) => {
-    let text = '';
     const fail = (err: Error): void => reject(err);
     socket.setTimeout(HELLO_TIMEOUT_MS, () => fail(new Error('peer sent no hello line in time')));
     socket.on('error', fail);
     socket.on('close', () => fail(new Error('connection closed before the hello line')));
     socket.on('data', (data: Buffer) => {
-      text += data.toString('latin1');
-      const end = text.indexOf('\n');
-      if (end >= 0) {
-        socket.removeAllListeners('data');
+      const isRead = lines.hello !== undefined;
+      lines.add(data);
+      if (isRead) return;
+      if (lines.hello !== undefined) {
         socket.setTimeout(0);
-        resolve(text.slice(0, end));
-      } else if (text.length > MAX_HELLO_BYTES) {
+        resolve(lines.hello);
+      } else if (lines.isTooLong) {
         fail(new Error('hello line of the peer is too long'));
       }
     });
@@ -133,9 +149,9 @@
 
 /** @throws Error if the line is not the hello of a peer */
 function decodeHello(line: string): PeerHello {
-  const { node, cores, processId } = parseObject<PeerHello>(line) ?? {};
+  const { node, cores, processId, dataCentre } = parseObject<PeerHello>(line) ?? {};
   const isHello =
     typeof node === 'string' && typeof cores === 'number' && typeof processId === 'string';
   if (!isHello) throw new Error('hello line of the peer is invalid');
-  return { node, cores, processId };
+  return { node, cores, processId, ...(typeof dataCentre === 'string' && { dataCentre }) };
 }
--- a/packages/runtime/src/test/tcp-peers_test.ts
+++ b/packages/runtime/src/test/tcp-peers_test.ts
@@ -6,6 +6,7 @@
 import { firstValueFrom } from 'rxjs';
 import { PeerGoneError, PeerUnreachedError } from '../peer-port.js';
 import { TcpPeers } from '../tcp-peers.js';
+import { waitUntil } from './wait.js';
 
 const NEVER_ABORTED = new AbortController().signal;
 
@@ -37,7 +38,7 @@
 }
 
 test('both sides of a connection learn the identity of the other and that the connection has ended', async () => {
-  const [leader, follower] = [new TcpPeers('n1', 2), new TcpPeers('n2', 1)];
+  const [leader, follower] = [new TcpPeers('n1', 2, 'a'), new TcpPeers('n2', 1, 'b')];
   const address = await freeAddress();
   await leader.listen(address);
   const accepting = firstValueFrom(leader.accepted$);
@@ -49,6 +50,38 @@
   await opened.closed;
 });
 
+test('messages after the hello arrive whole and in order, also those before there is a receiver', async (t) => {
+  // Guards against a first message that is lost with the data after the hello line.
+  const hello = '{"node":"n1","cores":2,"processId":"p"}';
+  const text = Buffer.from(`${hello}\n{"kind":"other"}\nsecond \u00fc\nthird\n`);
+  const address = await serve(t, (socket) => {
+    socket.write(text.subarray(0, hello.length + 28));
+    setTimeout(() => socket.write(text.subarray(hello.length + 28)), 20);
+  });
+  const link = await new TcpPeers('n2', 1, 'a').open(address, NEVER_ABORTED);
+  // The hello of an earlier version names no data centre.
+  assert.deepEqual(link.peer, { node: 'n1', cores: 2, processId: 'p' });
+  const lines: string[] = [];
+  link.receive((line) => lines.push(line));
+  await waitUntil(() => lines.length === 3);
+  assert.deepEqual(lines, ['{"kind":"other"}', 'second \u00fc', 'third']);
+  link.close();
+});
+
+test('a connection whose peer reads nothing is no longer writable, and sending does not wait', async (t) => {
+  // Guards against messages that pile up behind a network partition.
+  const address = await serve(t, (socket) => {
+    socket.write('{"node":"n1","cores":2,"processId":"p"}\n');
+    socket.pause();
+  });
+  const link = await new TcpPeers('n2', 1).open(address, NEVER_ABORTED);
+  assert.ok(link.isWritable);
+  for (let i = 0; i < 1_000 && link.isWritable; i += 1) link.send('x'.repeat(100_000));
+  assert.ok(!link.isWritable);
+  link.close();
+  await link.closed;
+});
+
 test('a connection to a port without a listener fails with PeerGoneError', async () => {
   const address = await freeAddress();
   await assert.rejects(new TcpPeers('n2', 1).open(address, NEVER_ABORTED), PeerGoneError);
--- a/packages/runtime/src/test/virtual-peers.ts
+++ b/packages/runtime/src/test/virtual-peers.ts
@@ -20,9 +20,19 @@
   /** The other side of the connection. */
   remote: VirtualLink | undefined;
 
-  constructor(peer: PeerHello) {
+  readonly isWritable = true;
+
+  readonly #network: VirtualNetwork;
+
+  /** Lines that arrived before there was a receiver. */
+  readonly #kept: string[] = [];
+
+  #listener: (line: string) => void = (line) => this.#kept.push(line);
+
+  constructor(peer: PeerHello, network: VirtualNetwork) {
     super();
     this.peer = peer;
+    this.#network = network;
     this.closed = new Promise((resolve) => {
       this.#close = resolve;
     });
@@ -37,6 +47,17 @@
     this.markClosed();
     this.remote?.markClosed();
   }
+
+  send(line: string): void {
+    const { remote } = this;
+    this.#network.sentBytes += line.length + 1;
+    if (remote) this.#network.deliver(this.peer, remote.peer, () => remote.#listener(line));
+  }
+
+  receive(listener: (line: string) => void): void {
+    this.#listener = listener;
+    for (const line of this.#kept.splice(0)) listener(line);
+  }
 }
 
 /**
@@ -52,9 +73,35 @@
   /** The listening processes by address. */
   readonly processes = new Map<string, VirtualPeers>();
 
+  /** The size of all lines that were sent. */
+  sentBytes = 0;
+
+  /** The data centre that is partitioned from the others. */
+  #partitioned: string | undefined;
+
+  /** Deliveries that wait for the end of the partition, as TCP repeats what was lost. */
+  readonly #waiting: (() => void)[] = [];
+
   constructor(time: VirtualTime) {
     this.time = time;
   }
+
+  set partitioned(dataCentre: string | undefined) {
+    this.#partitioned = dataCentre;
+    if (dataCentre === undefined) for (const deliver of this.#waiting.splice(0)) deliver();
+  }
+
+  /** Whether the partition separates the two processes. */
+  separates(a: PeerHello, b: PeerHello): boolean {
+    const isInside = (peer: PeerHello): boolean => peer.dataCentre === this.#partitioned;
+    return this.#partitioned !== undefined && isInside(a) !== isInside(b);
+  }
+
+  /** Calls `deliver` now, or at the end of a partition that separates the two processes. */
+  deliver(a: PeerHello, b: PeerHello, deliver: () => void): void {
+    if (this.separates(a, b)) this.#waiting.push(deliver);
+    else deliver();
+  }
 }
 
 /** One process of a virtual network; its address is the name of its node. */
@@ -70,10 +117,10 @@
   /** The outcome of attempts of other processes to connect to this one. */
   reachability: PeerReachability = 'reachable';
 
-  constructor(network: VirtualNetwork, node: string, cores: number) {
+  constructor(network: VirtualNetwork, node: string, cores: number, dataCentre = 'a') {
     super();
     this.#network = network;
-    this.self = { node, cores, processId: `${node}@${network.time.nowMs}` };
+    this.self = { node, cores, processId: `${node}@${network.time.nowMs}`, dataCentre };
     network.processes.set(node, this);
   }
 
@@ -85,13 +132,13 @@
     await this.#network.time.after(CONNECT_MS);
     const target = this.#network.processes.get(address);
     if (!target || target.reachability === 'refused') throw new PeerGoneError('refused');
-    if (target.reachability === 'silent') {
+    if (target.reachability === 'silent' || this.#network.separates(this.self, target.self)) {
       await this.#network.time.after(CONNECT_TIMEOUT_MS);
       throw new PeerUnreachedError('timeout');
     }
     if (signal.aborted) throw new PeerUnreachedError('aborted');
-    const local = new VirtualLink(target.self);
-    const accepted = new VirtualLink(this.self);
+    const local = new VirtualLink(target.self, this.#network);
+    const accepted = new VirtualLink(this.self, this.#network);
     Object.assign(local, { remote: accepted });
     Object.assign(accepted, { remote: local });
     this.#links.add(local);
