Bounds on former leases include renewals by delegates

A granted time may be 7.6 s ahead, a lease of the leader itself 6 s. Two bounds assumed the latter: the last record of a leader that resigns, and the leases of an earlier process of the same node. The former now states the longest grant if it lasts longer than 6 s; the latter is 7.6 s where the leader's record has the new field delegates, and 6 s as before otherwise.

The model of lease-bounds_test grants, and delegates renew at any time under the token of their leader; it also checks the leader whose token the worker has seen.

--- a/packages/runtime/src/internal/former-leases.ts
+++ b/packages/runtime/src/internal/former-leases.ts
@@ -1,4 +1,4 @@
-import { LEASE_MS, withClockDrift } from './timing.js';
+import { CONFIRMED_LEASE_MS, LEASE_MS, withClockDrift } from './timing.js';
 import type { LeaderRecord } from './work-records.js';
 
 /**
@@ -127,11 +127,13 @@
     this.#namedEndMs = named;
   }
 
-  #currentEndMs({ node, nonce, leasesMs }: LeaderRecord): number {
+  #currentEndMs({ node, nonce, leasesMs, delegates }: LeaderRecord): number {
     const endMs = this.#lastReadMs + withClockDrift(leasesMs);
     if (node !== this.#node || this.#claims.has(nonce)) return endMs;
-    // An earlier incarnation of this node has renewed nothing since this one started.
-    return Math.min(endMs, this.#startedMs + withClockDrift(LEASE_MS));
+    // An earlier incarnation of this node has renewed nothing since this one started, but its
+    // delegates may have: until a time that it had granted before.
+    const longestMs = delegates ? CONFIRMED_LEASE_MS : LEASE_MS;
+    return Math.min(endMs, this.#startedMs + withClockDrift(longestMs));
   }
 }
 
--- a/packages/runtime/src/internal/term-leases.ts
+++ b/packages/runtime/src/internal/term-leases.ts
@@ -6,6 +6,7 @@
   COMPACT_RECORD_MAX_SILENT,
   LEASE_MS,
   MAX_SILENT_NAMED,
+  withoutClockDrift,
 } from './timing.js';
 import type { LeaderRecord } from './work-records.js';
 
@@ -44,6 +45,9 @@
   /** When the record was written with which this node resigns; Infinity before that. */
   #resigningMs = Infinity;
 
+  /** When all leases that other nodes may renew have expired. */
+  #grantsEndMs = -Infinity;
+
   /** When leases expire on the workers to be listed as silent in the next record, by worker. */
   #silent: ReadonlyMap<string, number> = new Map();
 
@@ -82,6 +86,11 @@
     return Math.min(endMs, this.#resigningMs + LEASE_MS) - nowMs;
   }
 
+  /** Called before a grant is sent: other nodes may renew a lease until `leaseEndMs`. */
+  grantSent(leaseEndMs: number): void {
+    this.#grantsEndMs = Math.max(this.#grantsEndMs, leaseEndMs);
+  }
+
   /**
    * Sets which workers are silent now; `isComplete` states that no other worker may be. Returns
    * true if a new record should be written: when the set of silent workers has changed, or for the
@@ -109,9 +118,11 @@
     this.#number += 1;
     if (this.#isComplete) this.#writtenMs = CONFIRMED_LEASE_MS;
     if (isResigning) {
-      // No earlier lease ends later than one that starts now, and none is renewed beyond that.
+      // No earlier lease ends later than one that starts now, and none is renewed beyond that, except
+      // where other nodes renew it until a time that was granted before.
       this.#resigningMs = Math.min(this.#resigningMs, nowMs);
-      this.#writtenMs = Math.min(this.#writtenMs, LEASE_MS);
+      const grantsMs = withoutClockDrift(this.#grantsEndMs - nowMs);
+      this.#writtenMs = Math.min(this.#writtenMs, Math.max(LEASE_MS, Math.ceil(grantsMs)));
     }
     return {
       ...this.#claimRecord,
--- a/packages/runtime/src/internal/timing.ts
+++ b/packages/runtime/src/internal/timing.ts
@@ -39,6 +39,11 @@
   return leaseMs * CLOCK_DRIFT_FACTOR + CLOCK_MARGIN_MS;
 }
 
+/** Returns the longest lease that has surely expired after this time: inverts `withClockDrift`. */
+export function withoutClockDrift(elapsedMs: number): number {
+  return (elapsedMs - CLOCK_MARGIN_MS) / CLOCK_DRIFT_FACTOR;
+}
+
 /** A live worker answers its first renewal within this time. */
 export const FIRST_ANSWER_MS = 300;
 
--- a/packages/runtime/src/internal/work-records.ts
+++ b/packages/runtime/src/internal/work-records.ts
@@ -72,6 +72,8 @@
    * if none was recently. With a silent or a new leader, this is still the best estimate.
    */
   readonly startsPerSecond?: number;
+  /** Other nodes may renew leases of this term, also after the leader's process has ended. */
+  readonly delegates?: boolean;
 }
 
 /** A node's offer to take over from a smaller leader. */
@@ -142,6 +144,7 @@
   if (!isRecordOf(silent, isNonNegative)) return wrongType('silent');
   if (!isNonNegative(number)) return wrongType('number');
   const { cores, largestCores, successor, process, standby, retryAfterMs, startsPerSecond } = rec;
+  const { delegates } = rec;
   if (cores !== undefined && !isNonNegative(cores)) return wrongType('cores');
   if (largestCores !== undefined && !isNonNegative(largestCores)) return wrongType('largestCores');
   if (successor !== undefined && typeof successor !== 'string') return wrongType('successor');
@@ -151,6 +154,7 @@
     return wrongType('retryAfterMs');
   if (startsPerSecond !== undefined && !isPositive(startsPerSecond))
     return wrongType('startsPerSecond');
+  if (delegates !== undefined && typeof delegates !== 'boolean') return wrongType('delegates');
   const required = { epoch, node, nonce, resigned, leasesMs, formerMs, silent, number };
   const sizes = cores === undefined || largestCores === undefined ? {} : { cores, largestCores };
   return {
@@ -162,6 +166,7 @@
       ...(standby === undefined ? {} : { standby }),
       ...(retryAfterMs === undefined ? {} : { retryAfterMs }),
       ...(startsPerSecond === undefined ? {} : { startsPerSecond }),
+      ...(delegates === undefined ? {} : { delegates }),
     },
   };
 }
--- a/packages/runtime/src/test/lease-bounds_test.ts
+++ b/packages/runtime/src/test/lease-bounds_test.ts
@@ -24,6 +24,14 @@
   leaseEndMs: number;
 }
 
+/** A time until which any node may renew the lease of a worker under the token of a leader. */
+interface Grant {
+  readonly id: string;
+  readonly token: number;
+  /** The end of the grant on the worker's slow clock, in true time. */
+  readonly endMs: number;
+}
+
 /** One term of a leader, with the knowledge that a real leader has of the workers. */
 class Term {
   readonly leases: TermLeases;
@@ -32,6 +40,9 @@
 
   readonly epoch: number;
 
+  /** Whether the leader lets other nodes renew leases. */
+  readonly hasDelegates: boolean;
+
   /** By worker: when this leader takes all leases there to have expired, its own and earlier ones. */
   readonly endsMs = new Map<string, number>();
 
@@ -60,6 +71,7 @@
     this.usesDetector = usesDetector;
     this.detector = new SilenceDetector(former.namedEndMs);
     this.epoch = claim.epoch;
+    this.hasDelegates = claim.delegates ?? false;
     this.former = former;
     this.confirmedMs = sentMs;
     const writer = { confirmedMs: sentMs };
@@ -116,6 +128,8 @@
 
   readonly #terms: Term[] = [];
 
+  readonly #grants: Grant[] = [];
+
   /** Everything stored: leader records, and `undefined` for any other record of a leader. */
   readonly #log: (LeaderRecord | undefined)[] = [];
 
@@ -134,9 +148,11 @@
     else if (kind === 'claim') this.#claim(a % this.#readers.length, b * 200, b % 2 === 0);
     else if (kind === 'restart') this.#restart(a % this.#readers.length);
     else if (kind === 'reload') this.#reload(a % this.#readers.length);
+    else if (kind === 'delegate') this.#renewGranted(this.#grants.at(-1 - b));
     else if (!term || term.isOver) return;
     else if (kind === 'write') this.#write(term, b);
     else if (kind === 'renew') this.#renew(term, worker);
+    else if (kind === 'grant') this.#grant(term, worker);
     else if (kind === 'read-back') readBack(term, b % 2 === 0);
     else term.silent.add(worker);
   }
@@ -185,6 +201,7 @@
       formerMs: Math.max(withClockDrift(CONFIRMED_LEASE_MS), former.allEndMs - sentMs),
       silent: {},
       number: 0,
+      ...(lateMs > 0 && { delegates: true }),
     };
     former.claiming(claim.nonce);
     this.#nowMs += lateMs;
@@ -240,10 +257,38 @@
     this.#check(id, worker);
   }
 
-  /** No later leader that has not reached the worker may take its lease to expire too early. */
+  /** The leader grants other nodes renewals, counted from the worker's newest answer. */
+  #grant(term: Term, id: string): void {
+    const limitMs = term.leases.limitMs(id, this.#nowMs);
+    const answeredMs = term.answeredMs.get(id) ?? -Infinity;
+    if (!term.hasDelegates || limitMs <= 0 || this.#nowMs - answeredMs > 2_000) return;
+    const leaseMs = Math.min(CONFIRMED_LEASE_MS, this.#nowMs + limitMs - answeredMs);
+    const boundMs = answeredMs + withClockDrift(leaseMs);
+    term.leases.grantSent(boundMs);
+    term.detector.contacted(id);
+    term.endsMs.set(id, Math.max(term.endsMs.get(id)!, boundMs));
+    const endMs = answeredMs + leaseMs * CLOCK_DRIFT_FACTOR;
+    this.#grants.push({ id, token: term.epoch, endMs });
+  }
+
+  /** A delegate renews a lease, whatever has happened to its leader. */
+  #renewGranted(grant: Grant | undefined): void {
+    if (!grant) return;
+    const worker = this.#workers.get(grant.id)!;
+    if (worker.token > grant.token) return;
+    const longestMs = this.#nowMs + LEASE_MS * CLOCK_DRIFT_FACTOR;
+    worker.leaseEndMs = Math.max(worker.leaseEndMs, Math.min(grant.endMs, longestMs));
+    this.#check(grant.id, worker);
+  }
+
+  /**
+   * Neither the leader whose token the worker has seen nor a later one that has not reached it may
+   * take its lease to expire too early.
+   */
   #check(id: string, { token, leaseEndMs }: Worker): void {
     for (const later of this.#terms) {
-      if (!later.isOver && later.epoch > token && !later.reached.has(id)) {
+      const isUnreached = later.epoch > token && !later.reached.has(id);
+      if (!later.isOver && (isUnreached || later.epoch === token)) {
         const assumedEndMs = later.endsMs.get(id)!;
         assert.ok(assumedEndMs >= leaseEndMs, `${id}: ${assumedEndMs} before ${leaseEndMs}`);
       }
@@ -255,12 +300,12 @@
 const MAX_STEPS = 60;
 
 /** Number of generated cases, which take about a second. */
-const CASES = 5_000;
+const CASES = 10_000;
 
 /** The kinds of steps; a kind that is listed several times is drawn more often. */
 const KINDS = [
   ...['wait', 'wait', 'read', 'read', 'claim', 'restart', 'reload', 'read-back', 'silent'],
-  ...['write', 'write', 'write', 'renew', 'renew', 'renew'],
+  ...['write', 'write', 'write', 'renew', 'renew', 'renew', 'grant', 'grant', 'delegate'],
 ];
 
 const STEP = fc.tuple(fc.constantFrom(...KINDS), fc.nat(9), fc.nat(9));
