Nodes renew leases in a data centre that is partitioned from the leader

When a data centre is cut off for 5 to 6.5 s, its leases expire 5 to 6 s after the cut and everything there ends. The leader now grants the two largest connected nodes of each other data centre, by an absolute time on each busy worker's clock, the renewal of leases there; a node that gets no message for 2.5 s renews up to that time. The granted time is at most 7.6 s after the worker's newest answer and within the bound of the leader's own leases, and it is counted as a lease before it is sent. Enabled by the platform's setting for tolerated data centres; without it nothing is sent and nothing changes.

--- a/packages/runtime/src/internal/leader-term.ts
+++ b/packages/runtime/src/internal/leader-term.ts
@@ -7,6 +7,7 @@
 import { steadyMs } from './delay.js';
 import { FaultLog } from './fault-log.js';
 import { Housekeeping } from './housekeeping.js';
+import { LeaseGrants } from './lease-grants.js';
 import type { StoredClaim } from './leader-writer.js';
 import { LeaderWriter } from './leader-writer.js';
 import { NO_STARTS, RoundPacing } from './round-pacing.js';
@@ -71,6 +72,8 @@
 
   readonly #links: WorkerLinks;
 
+  readonly #grants: LeaseGrants;
+
   readonly views: StartViews;
 
   readonly #subscriptions: Subscription[] = [];
@@ -127,6 +130,16 @@
       leaseMs: this.#leaseMs,
       signal: this.#stopping.signal,
     });
+    this.#grants = new LeaseGrants(settings, watchers, {
+      token: record.epoch,
+      workers: () => this.#scheduler.workers,
+      links: this.#links.byWorker,
+      leaseLimitMs: (worker) => this.leaseLimitMs(worker),
+      grantSent: (worker, leaseEndMs) => {
+        this.#leases.grantSent(leaseEndMs);
+        this.leaseSent(worker, leaseEndMs);
+      },
+    });
     this.#load = new TermLoad(log, record.epoch);
     this.#leases = new TermLeases(record, this.#writer, table.formerLeases);
     this.#inheritedEndsMs = table.formerLeases.namedEndMs;
@@ -180,6 +193,7 @@
       this.#config.evacuations.changes$.subscribe(() => this.#applyEvacuations()),
     );
     this.#workerList.run().catch((err) => this.#failed('worker-list', err));
+    this.#grants.run(this.#stopping.signal).catch((err) => this.#failed('lease-grants', err));
     this.#load
       .run(() => this.#loadView(), this.#stopping.signal)
       .catch((err) => this.#failed('term-load', err));
@@ -368,6 +382,7 @@
       leaseLeftMs: this.#leases.limitMs('', steadyMs()),
       unstartedTasks: this.#table.unstartedTasks,
       evacuatedRuns: this.#scheduler.evacuatedRuns(),
+      leaseGrants: this.#grants.count,
       startsPerSecond: this.#scheduler.startsPerSecond() ?? 0,
       ...reachabilityOf(this.#scheduler.workers.values(), steadyMs()),
       ...this.#scheduler.backlog(steadyMs()),
--- a/packages/runtime/src/internal/leader-watch.ts
+++ b/packages/runtime/src/internal/leader-watch.ts
@@ -35,6 +35,8 @@
   readonly isReady: () => boolean;
   /** Called when the leader's process has ended. */
   readonly onProcessEnd: () => void;
+  /** Called when a connection to the leader is open. */
+  readonly onLinked?: (link: PeerLink) => void;
 }
 
 /**
@@ -141,7 +143,10 @@
     signal.addEventListener('abort', close);
     // Another process answers at the address, so the leader's process has ended.
     if (link.peer.processId !== id) close();
-    else await link.closed;
+    else {
+      this.#node.onLinked?.(link);
+      await link.closed;
+    }
     signal.removeEventListener('abort', close);
     return link.peer.processId === id ? 'closed' : 'replaced';
   }
--- a/packages/runtime/src/internal/leadership.ts
+++ b/packages/runtime/src/internal/leadership.ts
@@ -17,6 +17,8 @@
 import type { StoredClaim } from './leader-writer.js';
 import { LEADER_WRITER, LeaderWriter } from './leader-writer.js';
 import { LeaderTerm } from './leader-term.js';
+import { LeaseDelegate } from './lease-delegate.js';
+import { hasDelegates } from './lease-grants.js';
 import { PrefetchedLog } from './prefetched-log.js';
 import {
   CLAIM_LEASE_MS,
@@ -126,6 +128,8 @@
 
   readonly #watchers: Watchers | undefined;
 
+  readonly #delegate: LeaseDelegate;
+
   /** The pause between two checks whether leadership is vacant. */
   readonly #checkPause = new Pause();
 
@@ -182,10 +186,12 @@
     this.#handOver = new HandOver(settings.node, this.#claimOrder);
     const { signal } = this.#stopping;
     this.#offers = new OfferSender(port.workLog, log, work, this.#handOver, signal);
+    this.#delegate = new LeaseDelegate(port.workers, settings, log);
     if (port.peers) {
       this.#watch = new LeaderWatch(port.peers, log, {
         isReady: () => work.hasRecentJobs,
         onProcessEnd: () => this.#checkPause.end(),
+        onLinked: (link) => this.#delegate.linked(link),
       });
       this.#watchers = new Watchers(port.peers);
     }
@@ -219,6 +225,7 @@
     this.#stopping.abort();
     this.#checkPause.end();
     this.#watch?.stop();
+    this.#delegate.stop();
     await this.#term?.resign();
   }
 
@@ -386,6 +393,7 @@
       largestCores: this.#claimOrder.largestCores,
       ...this.#ownProcess(),
       ...this.#formerStartRate(before),
+      ...(this.#port.peers && hasDelegates(this.#settings) && { delegates: true }),
     };
   }
 
@@ -475,6 +483,7 @@
     this.#isUnanswered = false;
     this.#claimOrder.leaderSeen(leader);
     this.#watch?.leaderSeen(leader);
+    this.#delegate.leaderSeen(leader);
     if (this.#handOver.leaderSeen(leader, steadyMs())) {
       this.#log.emit('warn', 'hand-over-missed', { epoch: leader.epoch, leader: leader.node });
     }
--- a/packages/runtime/src/internal/node-metrics.ts
+++ b/packages/runtime/src/internal/node-metrics.ts
@@ -70,6 +70,11 @@
     help: 'Runs that are left in evacuated data centres.',
     divisor: 1,
   },
+  leaseGrants: {
+    name: 'redwingcrank_lease_grants',
+    help: 'Workers on which nodes of their data centre may renew leases in the name of the leader.',
+    divisor: 1,
+  },
   idleJobs: {
     name: 'redwingcrank_scheduler_idle_jobs',
     help: 'Jobs with tasks to start and none at a worker.',
@@ -132,6 +137,8 @@
 
   readonly #objectives: Counter;
 
+  readonly #delegatedRenewals: Counter;
+
   readonly #load = new Map<string, Gauge>();
 
   constructor(log: NodeLog, state: () => NodeState) {
@@ -181,6 +188,12 @@
       labelNames: ['queue', 'objective'],
       registers,
     });
+    this.#delegatedRenewals = new Counter({
+      name: 'redwingcrank_delegated_renewals_total',
+      help: 'Workers whose leases this node renewed or tried to renew for the leader, by outcome.',
+      labelNames: ['outcome'],
+      registers,
+    });
     for (const [field, { name, help }] of Object.entries(LOAD_GAUGES)) {
       this.#load.set(field, new Gauge({ name, help, registers }));
     }
@@ -201,6 +214,7 @@
     if (event === 'bound') this.#observeBound(fields);
     if (event === 'task-stop') this.#observeStop(fields);
     if (event === 'job-ended') this.#observeJobEnd(fields);
+    if (event === 'delegate-done') this.#countDelegated(fields);
     if (event === 'term-load') this.#setLoad(fields);
     if (event === 'term-end') this.#setLoad({});
     if (event === 'submit') this.#submits.observe({ outcome }, seconds);
@@ -220,6 +234,11 @@
     this.#lostCpu.inc({ reason: String(reason) }, Number(lostCpuMs) / 1_000);
   }
 
+  #countDelegated(fields: LogFields): void {
+    for (const outcome of ['renewed', 'refused', 'silent'])
+      this.#delegatedRenewals.inc({ outcome }, Number(fields[outcome]));
+  }
+
   /** Sets the load gauges. A node that is no longer leader reports no load. */
   #setLoad(fields: LogFields): void {
     for (const [field, gauge] of this.#load) {
--- a/packages/runtime/src/internal/term-load.ts
+++ b/packages/runtime/src/internal/term-load.ts
@@ -35,6 +35,8 @@
   readonly evacuatedRuns: number;
   /** How many tasks a second the leader can start; 0 if it was not overloaded recently. */
   readonly startsPerSecond: number;
+  /** On how many workers other nodes may renew leases. */
+  readonly leaseGrants: number;
 }
 
 /**
@@ -151,6 +153,7 @@
       unstartedTasks: view.unstartedTasks,
       startsPerSecond: Math.round(view.startsPerSecond),
       evacuatedRuns: view.evacuatedRuns,
+      leaseGrants: view.leaseGrants,
       idleJobs: view.idleJobs,
       longestIdleMs: Math.round(view.longestIdleMs),
       reservedPercent: view.reservedPercent,
--- a/packages/runtime/src/internal/watchers.ts
+++ b/packages/runtime/src/internal/watchers.ts
@@ -8,6 +8,11 @@
     peers.accepted$.subscribe((link) => this.#accepted(link));
   }
 
+  /** The connections, the newest last. */
+  get links(): Iterable<PeerLink> {
+    return this.#links;
+  }
+
   /** The largest node among them, which claims leadership first when this process ends. */
   get standby(): string | undefined {
     let largest: PeerLink | undefined;
--- a/packages/runtime/src/internal/worker-link.ts
+++ b/packages/runtime/src/internal/worker-link.ts
@@ -52,7 +52,8 @@
  */
 const ACK_WAIT_MS = 400;
 
-interface ClockReading {
+/** A worker's clock in its newest answer, and when that answer arrived. */
+export interface ClockReading {
   readonly clockMs: number;
   readonly atMs: number;
 }
@@ -104,6 +105,11 @@
     return this.address.id;
   }
 
+  /** The newest reading of the worker's clock; undefined before its first answer. */
+  get clock(): ClockReading | undefined {
+    return this.#clock;
+  }
+
   /** Whether the first answer is missing although a live worker would have answered by now. */
   isOverdue(nowMs: number): boolean {
     return this.#clock === undefined && nowMs - this.#startedMs > FIRST_ANSWER_MS;
--- a/packages/runtime/src/node-settings.ts
+++ b/packages/runtime/src/node-settings.ts
@@ -6,6 +6,8 @@
   readonly cores: number | undefined;
   /** The longest lease that a worker grants, in milliseconds. */
   readonly maxLeaseMs: number;
+  /** How many partitioned or failed data centres the system is to tolerate. */
+  readonly toleratedDataCentres: number;
   /** How long a stop may take, in milliseconds. */
   readonly stopTimeoutMs: number;
   /**
--- a/packages/runtime/src/test/fixtures.ts
+++ b/packages/runtime/src/test/fixtures.ts
@@ -46,6 +46,7 @@
     dataCentre: 'a',
     cores: undefined,
     maxLeaseMs: 6_000,
+    toleratedDataCentres: 0,
     stopTimeoutMs: 500,
     drainMs: 2_000,
     cancelMs: 3_000,
--- a/packages/runtime/src/test/term-load_test.ts
+++ b/packages/runtime/src/test/term-load_test.ts
@@ -14,6 +14,7 @@
   unstartedTasks: 0,
   startsPerSecond: 0,
   evacuatedRuns: 4,
+  leaseGrants: 5,
   idleJobs: 2,
   longestIdleMs: 4_200.3,
   reservedPercent: 45,
--- a/packages/runtime/src/test/virtual-fleet.ts
+++ b/packages/runtime/src/test/virtual-fleet.ts
@@ -17,6 +17,7 @@
 } from '../keyed-log.js';
 import { KeyedLog, RecordsExpiredError, StoreUnavailableError } from '../keyed-log.js';
 import type { LogFields } from '../node-log.js';
+import type { NodeSettings } from '../node-settings.js';
 import { NodeLog } from '../node-log.js';
 import type { PlatformPort } from '../platform-port.js';
 import { nodeSettings } from './fixtures.js';
@@ -330,16 +331,23 @@
 
   readonly #leadership: Leadership;
 
+  /** The operators' configuration; undefined where the test has none. */
+  readonly #config: ConfigWatch | undefined;
+
   /** The node's connections to other nodes; undefined where nodes only share the store. */
   readonly peers: VirtualPeers | undefined;
 
-  /** @param parts replaces parts of the platform, which has no jobs and no workers otherwise. */
+  /**
+   * @param parts replaces parts of the platform, which has no jobs and no workers otherwise.
+   * @param changed replaces settings of the node.
+   */
   constructor(
     name: string,
     cores: number,
     { store, time }: Pick<VirtualFleet, 'store' | 'time'>,
     peers?: VirtualPeers,
     parts: Partial<PlatformPort> = {},
+    changed: Partial<NodeSettings> = {},
   ) {
     this.peers = peers;
     this.name = name;
@@ -354,8 +362,9 @@
     const port = platformPort({ ...logs, ...(peers && { peers }), ...parts });
     const table = new WorkTable(name);
     this.#follower = new WorkFollower(port, log, table);
-    const settings = { ...nodeSettings(name), cores };
+    const settings = { ...nodeSettings(name), cores, ...changed };
     const config = new ConfigWatch(port, log);
+    if (parts.operatorLog) this.#config = config;
     this.#leadership = new Leadership(port, settings, log, table, this.#follower, config);
   }
 
@@ -370,9 +379,15 @@
 
   start(): void {
     this.#follower.run().catch(() => {});
+    this.#config?.follower.run().catch(() => {});
     this.#leadership.run().catch(() => {});
   }
 
+  /** Sets whether calls of the node to the store fail. */
+  set isStoreUnreachable(isUnreachable: boolean) {
+    this.#log.isDisconnected = isUnreachable;
+  }
+
   /** Sets the additional time until the answer to a read of the work log arrives, in milliseconds. */
   set readDelayMs(ms: number) {
     this.#log.readDelayMs = ms;
@@ -400,6 +415,7 @@
     this.#log.isDisconnected = true;
     if (this.peers) this.peers.reachability = 'silent';
     this.#follower.stop();
+    this.#config?.follower.stop();
     this.#leadership.stop().catch(() => {});
   }
 }
