--- a/packages/runtime/src/test/scheduling-metrics_test.ts
+++ b/packages/runtime/src/test/scheduling-metrics_test.ts
@@ -25,3 +25,16 @@
   assert.match(text, /redwingcrank_job_objectives_total\{queue="q",objective="late"\} 1\n/);
   assert.doesNotMatch(text, /job_objectives_total\{queue="q",objective="undefined"/);
 });
+
+test('workers with delegated renewals are counted by outcome, and grants are reported by the leader', async () => {
+  // Guards against an event whose fields and metrics no longer agree.
+  const log = new NodeLog('n1', 'silent');
+  const metrics = new NodeMetrics(log, () => NODE_STATE);
+  log.emit('info', 'term-load', { leaseGrants: 62 });
+  const done = { reason: 'messages', renewed: 60, refused: 0, silent: 2 };
+  log.emit('info', 'delegate-done', done);
+  const text = await metrics.text();
+  assert.match(text, /redwingcrank_delegated_renewals_total\{outcome="renewed"\} 60\n/);
+  assert.match(text, /redwingcrank_delegated_renewals_total\{outcome="silent"\} 2\n/);
+  assert.match(text, /redwingcrank_lease_grants 62\n/);
+});
