Leader estimates how long a new job waits for its first start

Cause: in a load spike jobs are accepted until jobs are idle for 15 s or the leader cannot start them, and end at several times their objective; nothing tells the nodes how long a new job would wait.

Change: WorkBacklog divides the waiting work of accepted jobs (claim times estimate) by the rate at which the capacity class completes work, in the same unit, by class and queue priority. The delay is known only after first starts have waited for capacity for 2 s. Work that is of no use any more is left out, as the scheduler places it after a new job. The sums follow the jobs that a round changes.

--- a/packages/jobs/src/internal/cluster-state.ts
+++ b/packages/jobs/src/internal/cluster-state.ts
@@ -9,6 +9,7 @@
 import { findTask } from './runs.js';
 import type { StopReason } from './stop-reason.js';
 import { IdleWaitEstimator } from './idle-wait-estimator.js';
+import { WorkBacklog } from './work-backlog.js';
 import { objectiveMsOf, objectiveOutcomeOf } from './urgency.js';
 import type { WorkerRun } from './worker-run.js';
 import { lostCpuMs } from './worker-run.js';
@@ -59,6 +60,8 @@
 
   readonly idleWaits: IdleWaitEstimator;
 
+  readonly work: WorkBacklog;
+
   /** False while jobs that were started earlier may not have been loaded yet. */
   isFullyLoaded = true;
 
@@ -66,6 +69,7 @@
     this.timing = timing;
     this.startedMs = startedMs;
     this.idleWaits = new IdleWaitEstimator(startedMs);
+    this.work = new WorkBacklog(startedMs);
     this.logEvent = logEvent;
   }
 
--- a/packages/jobs/src/internal/task-placer.ts
+++ b/packages/jobs/src/internal/task-placer.ts
@@ -432,13 +432,15 @@
       payload: job.spec.payload,
       checkpoint: task.checkpoint,
     });
+    const wait = this.#waits.of(tasks, nowMs);
+    this.#state.work.started(queue, spec, wait.waitMs, wait.keptBy);
     this.#state.logEvent('bound', {
       task: taskName(ref),
       run,
       worker: worker.entry.id,
       fills: spec.fills,
       rank,
-      ...this.#waits.of(tasks, nowMs),
+      ...wait,
     });
   }
 }
--- a/packages/jobs/src/internal/urgency.ts
+++ b/packages/jobs/src/internal/urgency.ts
@@ -46,6 +46,11 @@
   return stretch * Math.max(0, ...criticalPathsMs(spec)) + targetLatencyMs;
 }
 
+/** Returns after how long from its acceptance the end of a job is of no use, in milliseconds. */
+export function worthlessAfterMs(spec: JobSpec, queue: QueuePolicy): number {
+  return WORTHLESS_FACTOR * objectiveMsOf(spec, queue);
+}
+
 /** Returns the feasibility of a job that has yet to run a step and all steps that depend on it. */
 export function feasibilityOf(
   spec: JobSpec,
--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -1,6 +1,7 @@
 import type { QueuePolicy } from './job.js';
 import { isFinal } from './job.js';
 import type { RetryAfter } from './admission.js';
+import type { StartDelays } from './start-delay.js';
 import type { Backlog } from './backlog.js';
 import type { JobProgress, TaskProgress } from './job-progress.js';
 import type { Order, OrderOutcome } from './order.js';
@@ -141,6 +142,7 @@
 
   setQueues(queues: Iterable<QueuePolicy>): void {
     for (const queue of queues) this.#state.queues.set(queue.name, queue);
+    this.#state.work.queuesChanged();
   }
 
   /**
@@ -151,6 +153,7 @@
     const { id } = progress.spec;
     if (this.#state.jobs.has(id)) return;
     this.#state.jobs.set(id, progress);
+    this.#state.work.add(progress, this.#state.queues.get(progress.spec.queue));
     this.#placer.restoreIdle(progress, changedMs);
     for (const [ref, task] of boundTasks(progress)) this.#inherit(progress, ref, task);
   }
@@ -158,6 +161,7 @@
   /** Removes a job that has ended and whose record has been deleted. */
   dropJob(id: string): void {
     this.#state.jobs.delete(id);
+    this.#state.work.remove(id);
   }
 
   /**
@@ -296,6 +300,7 @@
     this.#openDue(timeOfDayMs);
     const isCutShort = this.#placer.placeAll(nowMs, limits);
     this.#stopUnwanted(nowMs);
+    this.#state.work.roundDone(this.#state, isCutShort, nowMs);
     this.#closeCompleted(timeOfDayMs);
     const decisions = {
       changed: [...this.#state.changed],
@@ -335,6 +340,11 @@
     return this.#placer.admission.retryAfter(nowMs);
   }
 
+  /** Returns how long new jobs wait for their first start, as of the latest round. */
+  startDelays(nowMs: number): StartDelays {
+    return this.#state.work.startDelays(nowMs, this.#state.timeOfDayMs);
+  }
+
   /** Restores the rate of starts that an earlier leader stated. */
   restoreStartRate(startsPerSecond: number): void {
     this.#placer.admission.restoreStartRate(startsPerSecond);
