--- a/packages/jobs/src/index.ts
+++ b/packages/jobs/src/index.ts
@@ -3,6 +3,7 @@
 export * from './job-progress.js';
 export * from './admission.js';
 export * from './start-delay.js';
+export * from './return-schedule.js';
 export * from './backlog.js';
 export * from './worker.js';
 export * from './order.js';
