Nodes refuse jobs whose start would be delayed too long

Cause: the nodes accept work beyond what the workers complete, as the leader's record states no delay.

Change: the leader's record states startDelayMs, workRates and the number of nodes while there is a delay. Each node refuses a job that would end after three times its own objective (reason work-backlog, code 608), by a record of at most 1.5 s, and gives its caller a return time. Events start-delay and submit-returned, metrics redwingcrank_start_delay_ms and redwingcrank_returns_total. Without the fields nothing is refused for a delay; malformed ones make the record unusable. Without a delay the record is unchanged.

Tests: delay-refusals_test (3 tests) and four malformed records in broken-work-records_test; each fails with the rule that it guards removed.

--- a/packages/runtime/src/internal/leader-term.ts
+++ b/packages/runtime/src/internal/leader-term.ts
@@ -12,6 +12,7 @@
 import { NO_STARTS, RoundPacing } from './round-pacing.js';
 import { SilenceDetector } from './silent-workers.js';
 import { pollUntilSettled } from './poll-until-settled.js';
+import { StartDelayReport } from './start-delay-report.js';
 import { StartViews } from './start-views.js';
 import { TermLeases } from './term-leases.js';
 import type { TermDependencies } from './term-dependencies.js';
@@ -67,6 +68,8 @@
 
   readonly #workerList: WorkerList;
 
+  readonly #startDelays: StartDelayReport;
+
   readonly #watchers: TermDependencies['watchers'];
 
   readonly #links: WorkerLinks;
@@ -127,6 +130,7 @@
       leaseMs: this.#leaseMs,
       signal: this.#stopping.signal,
     });
+    this.#startDelays = new StartDelayReport(log);
     this.#load = new TermLoad(log, record.epoch);
     this.#leases = new TermLeases(record, this.#writer, table.formerLeases);
     this.#inheritedEndsMs = table.formerLeases.namedEndMs;
@@ -305,12 +309,14 @@
       const standby = this.#watchers?.standby;
       const retryAfterMs = this.#scheduler.retryAfter(steadyMs());
       const startsPerSecond = this.#scheduler.startsPerSecond();
+      const delays = this.#scheduler.startDelays(steadyMs());
       const { startsPerSecond: _former, ...leases } = this.#leases.record(resigns, steadyMs());
       const rec = {
         ...leases,
         ...(standby && { standby }),
         ...(Object.keys(retryAfterMs).length > 0 && { retryAfterMs }),
         ...(startsPerSecond !== undefined && { startsPerSecond }),
+        ...this.#startDelays.fields(delays, this.#watchers?.nodeCount, steadyMs()),
       };
       this.#lastRecord = { number: rec.number, sentMs: steadyMs() };
       writes.push({ key: leaderKey(), value: encodeLeader(rec) });
--- a/packages/runtime/src/internal/node-metrics.ts
+++ b/packages/runtime/src/internal/node-metrics.ts
@@ -132,6 +132,10 @@
 
   readonly #objectives: Counter;
 
+  readonly #startDelay: Gauge;
+
+  readonly #returns: Counter;
+
   readonly #load = new Map<string, Gauge>();
 
   constructor(log: NodeLog, state: () => NodeState) {
@@ -181,6 +185,18 @@
       labelNames: ['queue', 'objective'],
       registers,
     });
+    this.#startDelay = new Gauge({
+      name: 'redwingcrank_start_delay_ms',
+      help: 'How long new jobs wait for their first start, by capacity class and queue priority.',
+      labelNames: ['class', 'priority'],
+      registers,
+    });
+    this.#returns = new Counter({
+      name: 'redwingcrank_returns_total',
+      help: 'Submissions of jobs that this node had refused for their delay, by outcome.',
+      labelNames: ['outcome'],
+      registers,
+    });
     for (const [field, { name, help }] of Object.entries(LOAD_GAUGES)) {
       this.#load.set(field, new Gauge({ name, help, registers }));
     }
@@ -202,7 +218,12 @@
     if (event === 'task-stop') this.#observeStop(fields);
     if (event === 'job-ended') this.#observeJobEnd(fields);
     if (event === 'term-load') this.#setLoad(fields);
-    if (event === 'term-end') this.#setLoad({});
+    if (event === 'start-delay') this.#setStartDelay(fields);
+    if (event === 'submit-returned') this.#returns.inc({ outcome });
+    if (event === 'term-end') {
+      this.#setLoad({});
+      this.#startDelay.reset();
+    }
     if (event === 'submit') this.#submits.observe({ outcome }, seconds);
   }
 
@@ -220,6 +241,11 @@
     this.#lostCpu.inc({ reason: String(reason) }, Number(lostCpuMs) / 1_000);
   }
 
+  #setStartDelay({ class: capacityClass, priority, delayMs }: LogFields): void {
+    const labels = { class: String(capacityClass), priority: String(priority) };
+    this.#startDelay.set(labels, Number(delayMs));
+  }
+
   /** Sets the load gauges. A node that is no longer leader reports no load. */
   #setLoad(fields: LogFields): void {
     for (const [field, gauge] of this.#load) {
--- a/packages/runtime/src/internal/term-dependencies.ts
+++ b/packages/runtime/src/internal/term-dependencies.ts
@@ -18,5 +18,5 @@
   readonly config: ConfigWatch;
   readonly faults?: FaultLog;
   /** The processes that watch this one. */
-  readonly watchers?: Pick<Watchers, 'standby'>;
+  readonly watchers?: Pick<Watchers, 'standby' | 'nodeCount'>;
 }
--- a/packages/runtime/src/internal/watchers.ts
+++ b/packages/runtime/src/internal/watchers.ts
@@ -17,6 +17,11 @@
     return largest?.peer.node;
   }
 
+  /** The number of nodes, of those that are connected and this one. */
+  get nodeCount(): number {
+    return new Set([...this.#links].map(({ peer }) => peer.node)).size + 1;
+  }
+
   async #accepted(link: PeerLink): Promise<void> {
     this.#links.add(link);
     await link.closed;
--- a/packages/runtime/src/internal/work-records.ts
+++ b/packages/runtime/src/internal/work-records.ts
@@ -1,4 +1,4 @@
-import type { InterferenceWeights, RetryAfter } from '@redwingcrank/jobs';
+import type { InterferenceWeights, RetryAfter, StartDelays } from '@redwingcrank/jobs';
 import type { Decoded, RecordFault } from '../record-fault.js';
 import { parseObject } from './parse-object.js';
 import { DEFAULT_LEASE_MS, withClockDrift } from './timing.js';
@@ -72,6 +72,15 @@
    * if none was recently. With a silent or a new leader, this is still the best estimate.
    */
   readonly startsPerSecond?: number;
+  /**
+   * How long new jobs wait for their first start, in milliseconds, by capacity class and queue
+   * priority; absent while none is known to wait.
+   */
+  readonly startDelayMs?: StartDelays['startDelayMs'];
+  /** The work that is completed a millisecond, by the same keys. */
+  readonly workRates?: StartDelays['workRates'];
+  /** The number of nodes that answer callers; absent if it is not known. */
+  readonly nodes?: number;
 }
 
 /** A node's offer to take over from a smaller leader. */
@@ -131,7 +140,7 @@
     ...rec,
   };
   // The next claim increments the epoch, and workers compare it with the tokens that they have seen.
-  if (!isEpoch(epoch)) return wrongType('epoch');
+  if (!isPositiveInteger(epoch)) return wrongType('epoch');
   if (typeof node !== 'string') return wrongType('node');
   if (typeof nonce !== 'string') return wrongType('nonce');
   if (typeof resigned !== 'boolean') return wrongType('resigned');
@@ -151,6 +160,11 @@
     return wrongType('retryAfterMs');
   if (startsPerSecond !== undefined && !isPositive(startsPerSecond))
     return wrongType('startsPerSecond');
+  const { startDelayMs, workRates, nodes } = rec;
+  if (startDelayMs !== undefined && !isRecordOf(startDelayMs, isNonNegative))
+    return wrongType('startDelayMs');
+  if (workRates !== undefined && !isRecordOf(workRates, isPositive)) return wrongType('workRates');
+  if (nodes !== undefined && !isPositiveInteger(nodes)) return wrongType('nodes');
   const required = { epoch, node, nonce, resigned, leasesMs, formerMs, silent, number };
   const sizes = cores === undefined || largestCores === undefined ? {} : { cores, largestCores };
   return {
@@ -162,6 +176,9 @@
       ...(standby === undefined ? {} : { standby }),
       ...(retryAfterMs === undefined ? {} : { retryAfterMs }),
       ...(startsPerSecond === undefined ? {} : { startsPerSecond }),
+      ...(startDelayMs === undefined ? {} : { startDelayMs }),
+      ...(workRates === undefined ? {} : { workRates }),
+      ...(nodes === undefined ? {} : { nodes }),
     },
   };
 }
@@ -177,7 +194,7 @@
   const { node, cores, epoch } = rec;
   if (typeof node !== 'string') return wrongType('node');
   if (!isNonNegative(cores)) return wrongType('cores');
-  if (!isEpoch(epoch)) return wrongType('epoch');
+  if (!isPositiveInteger(epoch)) return wrongType('epoch');
   return { value: { node, cores, epoch } };
 }
 
@@ -202,7 +219,7 @@
   return typeof address === 'string' && typeof id === 'string';
 }
 
-function isEpoch(value: unknown): value is number {
+function isPositiveInteger(value: unknown): value is number {
   return Number.isSafeInteger(value) && (value as number) > 0;
 }
 
--- a/packages/runtime/src/job-service.ts
+++ b/packages/runtime/src/job-service.ts
@@ -7,9 +7,11 @@
 import type { NodeLog } from './node-log.js';
 import { AppendBatcher } from './internal/append-batcher.js';
 import { encodeJob } from './internal/job-record.js';
+import type { LeaderRecord } from './internal/work-records.js';
 import { cancelKey, jobKey } from './internal/work-records.js';
 import type { WorkTable } from './internal/work-table.js';
 import { shownState } from './internal/work-table.js';
+import { DelayRefusals } from './internal/delay-refusals.js';
 import { UnreadJobs } from './internal/unread-jobs.js';
 import { delay, steadyMs } from './internal/delay.js';
 
@@ -114,6 +116,8 @@
 
   readonly #queues: QueueList;
 
+  readonly #delayRefusals: DelayRefusals;
+
   /** Jobs that were stored through this node and not yet read back. */
   readonly #justAccepted = new Map<string, JobSpec>();
 
@@ -124,6 +128,7 @@
     this.#batcher = new AppendBatcher(target);
     this.#unread = new UnreadJobs(target);
     this.#log = log;
+    this.#delayRefusals = new DelayRefusals(log);
     view.table.changes$.subscribe((change) => {
       if (change.kind === 'accepted') this.#justAccepted.delete(change.id);
     });
@@ -168,9 +173,11 @@
     if (this.#find(spec.id)) return undefined;
     const idleMs = retryDelayMs(spec, queue, this.#refusals);
     const backlogMs = this.startBacklogMs(spec);
-    if (idleMs === undefined && backlogMs === undefined) return undefined;
-    const waitMs = Math.max(idleMs ?? 0, backlogMs ?? 0);
-    const waitReason = backlogMs === undefined ? 'idle-jobs' : 'start-backlog';
+    const delayed = this.#delayRefusals.check(spec, queue, this.#recentLeader, steadyMs());
+    const waitMs = Math.max(idleMs ?? 0, backlogMs ?? 0, delayed?.returnInMs ?? 0);
+    if (waitMs === 0) return undefined;
+    const delayReason = idleMs === undefined ? 'work-backlog' : 'idle-jobs';
+    const waitReason = backlogMs === undefined ? delayReason : 'start-backlog';
     const { unstartedTasks, aheadTasks } = this.#startBacklog(spec.queue);
     this.#log.emit('info', 'submit', {
       job: spec.id,
@@ -181,6 +188,7 @@
       leaderAgeMs: Math.round(leaderAgeMs),
       unstartedTasks,
       aheadTasks,
+      ...delayed?.fields,
       tookMs: 0,
       ...sizeOf(spec),
     });
@@ -194,9 +202,13 @@
 
   /** When callers may retry, by what the leader refuses; empty if its record is old. */
   get #refusals(): RetryAfter {
+    return this.#recentLeader?.retryAfterMs ?? {};
+  }
+
+  /** The leader's record; undefined if it is too old to refuse jobs. */
+  get #recentLeader(): LeaderRecord | undefined {
     const { leader, leaderSeenMs } = this.#view.table;
-    const isRecent = steadyMs() - leaderSeenMs < MAX_REFUSAL_AGE_MS;
-    return (isRecent && leader?.retryAfterMs) || {};
+    return steadyMs() - leaderSeenMs < MAX_REFUSAL_AGE_MS ? leader : undefined;
   }
 
   /**
--- a/packages/runtime/src/test/broken-work-records_test.ts
+++ b/packages/runtime/src/test/broken-work-records_test.ts
@@ -49,6 +49,10 @@
   { ...LEADER, successor: 7 },
   { ...LEADER, startsPerSecond: '40' },
   { ...LEADER, startsPerSecond: 0 },
+  { ...LEADER, startDelayMs: [6_000] },
+  { ...LEADER, startDelayMs: { 'pool reserved 0': '6000' } },
+  { ...LEADER, workRates: { 'pool reserved 0': 0 } },
+  { ...LEADER, nodes: 0 },
 ];
 
 let table: WorkTable;
