--- a/packages/jobs/src/internal/obstacle.ts
+++ b/packages/jobs/src/internal/obstacle.ts
@@ -1,8 +1,8 @@
 /**
  * Why a worker cannot take a task.
  *
- * - `closed`: the worker takes no tasks now: it is leaving, does not answer, is suspected, or has
- *   just rejected a start for lack of capacity.
+ * - `closed`: the worker takes no tasks now: it is leaving, its machine is about to have
+ *   maintenance, it does not answer, is suspected, or has just rejected a start for lack of capacity.
  * - `evacuated`: its data centre is evacuated, or was until a moment ago.
  * - `label`: it lacks a label that the task requires.
  * - `room`: its unreserved processors are too few.
--- a/packages/jobs/src/internal/placement.ts
+++ b/packages/jobs/src/internal/placement.ts
@@ -66,6 +66,7 @@
 
 function isOpen(worker: WorkerState, nowMs: number): boolean {
   if (!worker.listed || !worker.fenced || worker.entry.draining) return false;
+  if (worker.isClosedForUpkeep) return false;
   if (nowMs - worker.answeredMs > SILENT_MS) return false;
   return nowMs >= worker.fullUntilMs && !worker.health.isSuspected(nowMs);
 }
--- a/packages/jobs/src/internal/stop-reason.ts
+++ b/packages/jobs/src/internal/stop-reason.ts
@@ -6,6 +6,7 @@
  * - `superseded`: its task is bound to another worker, or to a later run.
  * - `broken-gang`: another member of its gang is not running.
  * - `worker-leaves`: its worker is about to leave.
+ * - `upkeep`: its machine is about to have maintenance.
  * - `stands-still`: it made no progress for too long.
  * - `halted`: it must not work at all beside a serving task, and either its progress is saved or no
  *   other task of its job is running.
@@ -18,5 +19,6 @@
   | 'superseded'
   | 'broken-gang'
   | 'worker-leaves'
+  | 'upkeep'
   | 'stands-still'
   | 'halted';
--- a/packages/jobs/src/internal/worker-state.ts
+++ b/packages/jobs/src/internal/worker-state.ts
@@ -39,6 +39,9 @@
   /** No task is started here before this time; Infinity while the data centre is evacuated. */
   opensMs = -Infinity;
 
+  /** Whether its machine drains for maintenance, or may be down for it: no task is started here. */
+  isClosedForUpkeep = false;
+
   /** When the pace of any run here was last changed. */
   paceChangedMs = 0;
 
--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -20,6 +20,7 @@
 import { StopRules } from './internal/stop-rules.js';
 import { TailLatencyModel } from './internal/tail-latency-model.js';
 import { TaskPlacer } from './internal/task-placer.js';
+import type { UpkeepPlan } from './internal/upkeep-planner.js';
 import type { WorkerRun } from './internal/worker-run.js';
 import type { WorkerState } from './internal/worker-state.js';
 
@@ -139,6 +140,12 @@
     return runs;
   }
 
+  /** Closes the workers of machines that are to have maintenance, opens the others, and stops runs. */
+  applyUpkeep({ closed, stops }: Pick<UpkeepPlan, 'closed' | 'stops'>, nowMs: number): void {
+    for (const [id, worker] of this.#state.workers) worker.isClosedForUpkeep = closed.has(id);
+    for (const [worker, run] of stops) this.#state.stopRun(worker, run, 'upkeep', nowMs);
+  }
+
   setQueues(queues: Iterable<QueuePolicy>): void {
     for (const queue of queues) this.#state.queues.set(queue.name, queue);
   }
@@ -201,7 +208,7 @@
     const worker = this.#state.workers.get(id);
     if (!worker) return;
     this.#state.logEvent('worker-gone', { worker: id, why, runs: worker.runs.size });
-    this.#crashSuspects.workerEnded(worker);
+    if (!worker.isClosedForUpkeep) this.#crashSuspects.workerEnded(worker);
     this.#state.releaseAll(worker);
     this.#state.workers.delete(id);
   }
@@ -255,7 +262,7 @@
     const run = worker?.runs.get(taskName(order.task));
     if (!worker || run?.run !== order.run) return false;
     const isUsable = worker.listed && !worker.entry.draining && !worker.isEvacuated;
-    return isUsable && !this.#stopRules.unwantedReason(worker, run);
+    return isUsable && !worker.isClosedForUpkeep && !this.#stopRules.unwantedReason(worker, run);
   }
 
   /** Returns how long ago the task of a start was bound, in milliseconds; 0 if it no longer is. */
@@ -439,10 +446,12 @@
    */
   #releaseSent(worker: WorkerState): void {
     const sent = [...worker.runs].filter(([, { sendCompletedMs }]) => sendCompletedMs < Infinity);
-    this.#crashSuspects.workerSilent(
-      worker,
-      sent.map(([, run]) => run),
-    );
+    if (!worker.isClosedForUpkeep) {
+      this.#crashSuspects.workerSilent(
+        worker,
+        sent.map(([, run]) => run),
+      );
+    }
     for (const [key, run] of sent) this.#state.releaseRun(worker, key, run);
   }
 
