A machine whose maintenance call is refused stays closed

A refused call deleted the drain of its machine, so the machine took tasks again for up to 2 s and had to drain a second time. The drain is kept until the call is repeated. Where the platform does not know the machine, or not in this wave, the refusal may be permanent: the machine takes tasks, and the pause between calls grows to 30 s. WaveProgress states whether a machine is settled.

--- a/packages/jobs/src/internal/upkeep-planner.ts
+++ b/packages/jobs/src/internal/upkeep-planner.ts
@@ -135,11 +135,6 @@
     return { ...draft, complete, ended };
   }
 
-  /** Returns the machines of the wave that are gone. */
-  droppedOf({ request }: PlannedWave): readonly string[] {
-    return request.machines.filter((machine) => this.#isDropped(machine));
-  }
-
   isDraining(machine: string): boolean {
     return this.#drains.has(machine);
   }
@@ -205,9 +200,7 @@
   }
 
   #remaining({ request, progress }: PlannedWave): string[] {
-    return request.machines.filter(
-      (name) => !progress.isDone(name) && !progress.dropped.has(name) && !this.#isDropped(name),
-    );
+    return request.machines.filter((name) => !progress.isSettled(name) && !this.#isDropped(name));
   }
 
   #planWave(wave: PlannedWave, waves: readonly PlannedWave[], draft: Draft): void {
@@ -220,10 +213,16 @@
     let places = this.#freePlaces(wave, remaining);
     for (const name of remaining) {
       const machine = list.machines.get(name);
-      if (!machine || taken.has(name) || !this.#isReady(wave, machine, draft)) {
+      const mayCall = wave.progress.mayCall(name, list, nowMs);
+      const isLeftOut = !mayCall && wave.progress.isForeign(name);
+      if (!machine || taken.has(name) || isLeftOut || !this.#isAvailable(wave, machine, draft)) {
         if (!wave.progress.isDown(name)) this.#hold(wave, name, 'busy', draft);
         // A machine that cannot be called takes tasks again.
         if (!taken.has(name)) this.#drains.delete(name);
+      } else if (!mayCall) {
+        // It stays empty until its call is repeated.
+        if (this.#drains.has(name)) draft.closed.add(machine.worker);
+        if (!wave.progress.isDown(name)) this.#hold(wave, name, 'busy', draft);
       } else {
         if (wave.progress.isDown(name)) {
           // It counts as down already: the call is repeated without another drain.
@@ -254,12 +253,13 @@
   }
 
   /** Whether the machine could be called now, apart from what runs on it. */
-  #isReady({ progress }: PlannedWave, { name, state, worker }: Machine, draft: Draft): boolean {
-    const { nowMs, list, input } = draft;
-    if (state !== 'up' || worker === '' || !progress.mayCall(name, list, nowMs)) return false;
+  #isAvailable({ progress }: PlannedWave, machine: Machine, draft: Draft): boolean {
+    const { name, state, worker } = machine;
+    if (state !== 'up' || worker === '') return false;
     // Another wave has called the machine, and the list does not show it yet.
     if (draft.downMachines.has(name) && !progress.isDown(name)) return false;
-    return !input.workers.get(worker)?.entry.draining || !input.workers.get(worker)?.listed;
+    const known = draft.input.workers.get(worker);
+    return !known?.listed || !known.entry.draining;
   }
 
   /** Drains a machine, and calls it when it is empty or its drain is over. */
@@ -289,7 +289,6 @@
         draft.ending.set(step, (draft.ending.get(step) ?? 0) + count);
       draft.downMachines.add(name);
       calls.push({ wave: wave.number, machine: name, worker: id });
-      this.#drains.delete(name);
     }
   }
 
--- a/packages/jobs/src/test/upkeep-cluster.ts
+++ b/packages/jobs/src/test/upkeep-cluster.ts
@@ -190,7 +190,7 @@
       this.completed.add(number);
       for (const machine of this.machines.filter(({ name }) => request.machines.includes(name)))
         assert.ok(machine.maintainedFor.has(number), `${machine.name} was never maintained`);
-      progress.dropped = new Set(request.machines.filter((name) => !progress.isDone(name)));
+      progress.complete(request.machines);
     }
     for (const id of plan.ended) scheduler.workerEnded(id, nowMs, 'upkeep');
     scheduler.applyUpkeep(plan, nowMs);
--- a/packages/jobs/src/test/upkeep_test.ts
+++ b/packages/jobs/src/test/upkeep_test.ts
@@ -68,6 +68,22 @@
   });
 }
 
+test('a machine whose call is refused stays closed, except where the platform does not know it', () => {
+  // Guards against a machine that fills up between two calls, and against one that never opens.
+  for (const outcome of ['limited', 'other-wave'] as const) {
+    const cluster = new UpkeepCluster(8, { taskCount: 1 });
+    cluster.fateOf = () => [false, outcome];
+    cluster.wave(1, ['m0'], 1_000, 1);
+    while (cluster.calls.length < 5) cluster.step();
+    for (let i = 0; i < 15; i += 1) cluster.step();
+    const { isClosedForUpkeep, runs } = cluster.harness.scheduler.workers.get('m0-0')!;
+    assert.deepEqual(
+      [isClosedForUpkeep, runs.size > 0],
+      [outcome === 'limited', outcome !== 'limited'],
+    );
+  }
+});
+
 test('leaders that die with calls under way leave a wave that is completed within its limits', () => {
   const cluster = new UpkeepCluster(16, LIMITED);
   let count = 0;
--- a/packages/jobs/src/wave-progress.ts
+++ b/packages/jobs/src/wave-progress.ts
@@ -5,6 +5,12 @@
 
 const MAX_RETRY_MS = 2_000;
 
+/**
+ * The upper limit of that pause where the platform does not know the machine, or not in this wave, in
+ * milliseconds. Such a machine takes tasks meanwhile: the refusal may be permanent.
+ */
+const MAX_FOREIGN_RETRY_MS = 30_000;
+
 /**
  * A machine that still shows the same worker this long after its call was answered was not taken
  * down by it, in milliseconds: its maintenance for the wave had been done before. The platform takes
@@ -29,6 +35,13 @@
   endedMs: number;
 }
 
+interface Retry {
+  readonly count: number;
+  readonly atMs: number;
+  /** Whether the platform does not know the machine, or not in this wave. */
+  readonly isForeign: boolean;
+}
+
 /** The calls and finished machines of a wave, in the form that a later leader needs. */
 export interface StoredWaveProgress {
   /** Time of day at which a leader first read the wave, in milliseconds since 1970. */
@@ -48,11 +61,10 @@
 
   readonly #done: Set<string>;
 
-  /** Machines that were gone when the wave was completed. */
-  dropped: ReadonlySet<string>;
+  #dropped: ReadonlySet<string>;
 
   /** For each machine: how often in a row its calls were not carried out, and the next try. */
-  readonly #retries = new Map<string, { count: number; atMs: number }>();
+  readonly #retries = new Map<string, Retry>();
 
   /**
    * Continues from `nowMs` what an earlier leader stored. Without an answer on record, the outcome of
@@ -61,7 +73,7 @@
   constructor({ sinceMs, called, done, dropped }: StoredWaveProgress, nowMs: number) {
     this.sinceMs = sinceMs;
     this.#done = new Set(done);
-    this.dropped = new Set(dropped);
+    this.#dropped = new Set(dropped);
     for (const [machine, worker, lastWorker, token] of called) {
       const isUnsure = !this.#done.has(machine);
       const state = { isInFlight: false, isUnsure, isUp: false, endedMs: nowMs };
@@ -73,6 +85,16 @@
     return this.#done;
   }
 
+  /** Whether the machine has begun its maintenance, or was gone when the wave was completed. */
+  isSettled(machine: string): boolean {
+    return this.#done.has(machine) || this.#dropped.has(machine);
+  }
+
+  /** Records that the wave is completed: those of its machines that are not done are gone. */
+  complete(machines: readonly string[]): void {
+    this.#dropped = new Set(machines.filter((machine) => !this.#done.has(machine)));
+  }
+
   isDone(machine: string): boolean {
     return this.#done.has(machine);
   }
@@ -95,6 +117,11 @@
     return call === undefined || askedMs > call.endedMs;
   }
 
+  /** Whether the platform did not know the machine, or not in this wave, at its newest call. */
+  isForeign(machine: string): boolean {
+    return this.#retries.get(machine)?.isForeign ?? false;
+  }
+
   /** Records that a call is about to be made, under a fencing token; `worker` is there now. */
   call(machine: string, worker: string, token: number): void {
     const before = this.#calls.get(machine);
@@ -124,7 +151,7 @@
       return;
     }
     if (outcome === 'unknown') call.isUnsure = true;
-    this.#pause(machine, nowMs);
+    this.#pause(machine, outcome === 'other-wave' || outcome === 'no-machine', nowMs);
     this.#notCarriedOut(machine, nowMs);
   }
 
@@ -174,7 +201,7 @@
         token,
       ]),
       done: [...this.#done],
-      dropped: [...this.dropped],
+      dropped: [...this.#dropped],
     };
   }
 
@@ -184,9 +211,10 @@
     else this.#calls.delete(machine);
   }
 
-  #pause(machine: string, nowMs: number): void {
+  #pause(machine: string, isForeign: boolean, nowMs: number): void {
     const count = (this.#retries.get(machine)?.count ?? 0) + 1;
-    const atMs = nowMs + Math.min(MAX_RETRY_MS, RETRY_MS * 2 ** (count - 1));
-    this.#retries.set(machine, { count, atMs });
+    const maxMs = isForeign ? MAX_FOREIGN_RETRY_MS : MAX_RETRY_MS;
+    const atMs = nowMs + Math.min(maxMs, RETRY_MS * 2 ** (count - 1));
+    this.#retries.set(machine, { count, atMs, isForeign });
   }
 }
