Waves of rolling maintenance are carried out by the leader

Operators' records of waves were not read. Every node follows them beside the configuration (WaveWatch). The leader plans in each round, stores in the record u/N which machines it is about to call, and calls once that record is stored, within 1 s of its newest confirmed record; a later leader makes its first call lease_ms plus 1.1 s after its term began. The state of a wave is appended under the leader's epoch. Without a record of a wave the machine service is not called.

--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -3,6 +3,7 @@
 export * from './task-workers.js';
 export * from './cluster-config.js';
 export * from './platform-port.js';
+export * from './machine-port.js';
 export * from './peer-port.js';
 export * from './tcp-peers.js';
 export * from './node-settings.js';
--- a/packages/runtime/src/internal/config-watch.ts
+++ b/packages/runtime/src/internal/config-watch.ts
@@ -6,6 +6,7 @@
 import { EvacuationWatch } from './evacuation-watch.js';
 import { FaultLog } from './fault-log.js';
 import { KeyedFollower } from './keyed-follower.js';
+import { WaveWatch } from './wave-watch.js';
 
 /**
  * The pause between reads of the operator log, in milliseconds: well below the time within which a
@@ -25,6 +26,8 @@
 
   readonly evacuations: EvacuationWatch;
 
+  readonly waves: WaveWatch;
+
   #current: ClusterConfig | undefined;
 
   readonly changes$ = new Subject<ClusterConfig>();
@@ -39,6 +42,7 @@
       gapMs: POLL_GAP_MS,
     });
     this.evacuations = new EvacuationWatch(port, log, faults, this.follower.messages$);
+    this.waves = new WaveWatch(port, faults, this.follower.messages$);
     this.follower.messages$.subscribe((message) => {
       if (message.kind !== 'record') return;
       const { rec } = message;
--- a/packages/runtime/src/internal/leader-term.ts
+++ b/packages/runtime/src/internal/leader-term.ts
@@ -27,6 +27,8 @@
   withClockDrift,
 } from './timing.js';
 import type { ConfigWatch } from './config-watch.js';
+import { Upkeep } from './upkeep.js';
+import type { WaveView } from './wave-view.js';
 import type { LinkListener } from './worker-link.js';
 import { WorkerLinks } from './worker-links.js';
 import type { LeaderRecord } from './work-records.js';
@@ -73,6 +75,8 @@
 
   readonly views: StartViews;
 
+  readonly #upkeep: Upkeep | undefined;
+
   readonly #subscriptions: Subscription[] = [];
 
   readonly #stopping = new AbortController();
@@ -140,12 +144,32 @@
     this.#workerList = new WorkerList(port, log, config, this.#scheduler, link, faults);
     const sources = { workers: this.#workerList, work, operators: config.follower };
     this.views = new StartViews(sources, settings, this.#stopping.signal);
+    if (!port.waves) return;
+    this.#upkeep = new Upkeep({
+      port: port.waves,
+      settings,
+      log,
+      table,
+      waves: config.waves,
+      scheduler: this.#scheduler,
+      token: record.epoch,
+      confirmedMs: () => this.#writer.confirmedMs,
+      mayCall: () => this.#isFullyLoaded && !this.#isResigning,
+      fenced: () => this.fenced('', 'machine-called'),
+      workerEnded: (worker) => this.workerEnded(worker, 'upkeep'),
+      wake: () => this.#pacing.wake(),
+      signal: this.#stopping.signal,
+    });
   }
 
   get token(): number {
     return this.#record.epoch;
   }
 
+  get waves(): readonly WaveView[] {
+    return this.#upkeep?.views ?? [];
+  }
+
   /** How many runs are left in evacuated data centres. */
   get evacuatedRuns(): number {
     return this.#scheduler.evacuatedRuns();
@@ -275,6 +299,7 @@
     // A start that cannot be sent now is not bound either: its binding would be stored in vain, and
     // again later.
     const { isNodeBusy } = this.#load;
+    const upkeepWrites = this.#upkeep?.round(startedMs) ?? [];
     const limits =
       this.views.windowMs(startedMs) > 0 ? { ...this.#pacing.limits, isNodeBusy } : NO_STARTS;
     const decisions = this.#scheduler.decide(startedMs, Date.now(), limits);
@@ -283,7 +308,7 @@
       key: progressKey(job.spec.id),
       value: job.encode(),
     }));
-    writes.push(...this.#housekeeping.progressDeletions());
+    writes.push(...upkeepWrites, ...this.#housekeeping.progressDeletions());
     writes.push(...this.#housekeeping.learnedWrites(this.#scheduler.learned));
     const isQuiet = steadyMs() - this.#lastWriteMs >= LEADER_WRITE_INTERVAL_MS;
     const resigns = this.#isResigning;
@@ -326,6 +351,7 @@
       this.#lastWriteMs = sentMs;
       if (writesRecord) this.#leases.recordStored();
     }
+    this.#upkeep?.stored();
     if (resigns) {
       this.#log.emit('info', 'resigned', { epoch: this.token });
       this.stop();
--- a/packages/runtime/src/internal/leadership.ts
+++ b/packages/runtime/src/internal/leadership.ts
@@ -31,6 +31,7 @@
 } from './timing.js';
 import { UnreadJobsDelay } from './unread-jobs-delay.js';
 import { Watchers } from './watchers.js';
+import type { WaveView } from './wave-view.js';
 import type { LeaderRecord, OfferRecord } from './work-records.js';
 import { encodeLeader, isLeaderKey, leaderKey } from './work-records.js';
 import type { WorkTable } from './work-table.js';
@@ -204,6 +205,11 @@
     return this.#term?.evacuatedRuns;
   }
 
+  /** The waves of maintenance; undefined unless this node schedules. */
+  get waves(): readonly WaveView[] | undefined {
+    return this.#term?.waves;
+  }
+
   async run(): Promise<void> {
     while (!this.#stopping.signal.aborted) {
       await this.#checkPause.wait(CHECK_INTERVAL_MS);
--- a/packages/runtime/src/internal/node-metrics.ts
+++ b/packages/runtime/src/internal/node-metrics.ts
@@ -1,5 +1,6 @@
 import { Counter, Gauge, Histogram, Registry } from 'prom-client';
 import type { LogFields, NodeLog } from '../node-log.js';
+import type { WaveView } from './wave-view.js';
 import type { FaultCount } from './fault-log.js';
 
 /**
@@ -109,6 +110,8 @@
   readonly evacuationAgesMs: ReadonlyMap<string, number>;
   /** How many runs are left in evacuated data centres; undefined unless this node schedules. */
   readonly evacuatedRuns: number | undefined;
+  /** The waves of maintenance that the operators request. */
+  readonly waves: readonly WaveView[];
 }
 
 /**
@@ -132,6 +135,8 @@
 
   readonly #objectives: Counter;
 
+  readonly #upkeepCalls: Counter;
+
   readonly #load = new Map<string, Gauge>();
 
   constructor(log: NodeLog, state: () => NodeState) {
@@ -181,6 +186,12 @@
       labelNames: ['queue', 'objective'],
       registers,
     });
+    this.#upkeepCalls = new Counter({
+      name: 'redwingcrank_upkeep_calls_total',
+      help: 'Calls for the maintenance of machines, by outcome.',
+      labelNames: ['outcome'],
+      registers,
+    });
     for (const [field, { name, help }] of Object.entries(LOAD_GAUGES)) {
       this.#load.set(field, new Gauge({ name, help, registers }));
     }
@@ -201,6 +212,7 @@
     if (event === 'bound') this.#observeBound(fields);
     if (event === 'task-stop') this.#observeStop(fields);
     if (event === 'job-ended') this.#observeJobEnd(fields);
+    if (event === 'upkeep') this.#upkeepCalls.inc({ outcome });
     if (event === 'term-load') this.#setLoad(fields);
     if (event === 'term-end') this.#setLoad({});
     if (event === 'submit') this.#submits.observe({ outcome }, seconds);
@@ -272,6 +284,22 @@
     },
   });
 
+  new Gauge({
+    name: 'redwingcrank_wave_machines',
+    help: 'Machines of the waves of maintenance, by wave and state; drained and down on the leader only.',
+    labelNames: ['wave', 'state'],
+    registers,
+    collect() {
+      this.reset();
+      for (const { wave, machines, done, down = 0, draining = 0 } of state().waves) {
+        this.set({ wave, state: 'requested' }, machines);
+        this.set({ wave, state: 'draining' }, draining);
+        this.set({ wave, state: 'down' }, down);
+        this.set({ wave, state: 'done' }, done);
+      }
+    },
+  });
+
   new Counter({
     name: 'redwingcrank_unusable_records_total',
     help: 'Records of the store that could not be used, by log and reason.',
--- a/packages/runtime/src/internal/work-records.ts
+++ b/packages/runtime/src/internal/work-records.ts
@@ -5,14 +5,16 @@
 
 /**
  * The kinds of records in the logs of work. The keys of jobs, progress and cancels are one letter,
- * a slash and the job id.
+ * a slash and the job id; those of maintenance, the letter, a slash and the number of the wave.
  */
-export type WorkRecordKind = 'job' | 'progress' | 'cancel' | 'leader' | 'learned' | 'offer';
+export type WorkRecordKind =
+  'job' | 'progress' | 'cancel' | 'leader' | 'learned' | 'offer' | 'upkeep';
 
 const KINDS_BY_LETTER: Readonly<Record<string, WorkRecordKind>> = {
   j: 'job',
   s: 'progress',
   c: 'cancel',
+  u: 'upkeep',
 };
 
 const LEADER_KEY = 'leader';
@@ -97,6 +99,9 @@
 
 export const cancelKey = (id: string): string => `c/${id}`;
 
+/** The key of the record of which machines of a wave were called for maintenance. */
+export const upkeepKey = (wave: number): string => `u/${wave}`;
+
 export const leaderKey = (): string => LEADER_KEY;
 
 export const learnedKey = (): string => LEARNED_KEY;
@@ -115,7 +120,7 @@
 /** Whether only the leader writes records of this key. */
 export function isLeaderKey(key: string): boolean {
   const kind = parseKey(key)?.kind;
-  return kind === 'leader' || kind === 'learned' || kind === 'progress';
+  return kind === 'leader' || kind === 'learned' || kind === 'progress' || kind === 'upkeep';
 }
 
 export function encodeLeader(rec: LeaderRecord): string {
--- a/packages/runtime/src/internal/work-table.ts
+++ b/packages/runtime/src/internal/work-table.ts
@@ -1,5 +1,10 @@
 import { Subject } from 'rxjs';
-import type { JobSpec, JobState, InterferenceWeights } from '@redwingcrank/jobs';
+import type {
+  InterferenceWeights,
+  JobSpec,
+  JobState,
+  StoredWaveProgress,
+} from '@redwingcrank/jobs';
 import { JobProgress, isFinal, unstartedTasksOf } from '@redwingcrank/jobs';
 import type { KeyedRecord } from '../keyed-log.js';
 import type { Decoded, RecordFault } from '../record-fault.js';
@@ -7,6 +12,7 @@
 import type { FaultLog } from './fault-log.js';
 import { FormerLeases } from './former-leases.js';
 import { decodeJob } from './job-record.js';
+import { decodeUpkeep } from './upkeep-record.js';
 import type { LeaderRecord, OfferRecord } from './work-records.js';
 import { decodeLeader, decodeLearned, decodeOffer, parseKey, progressKey } from './work-records.js';
 
@@ -77,6 +83,8 @@
 
   #learned: InterferenceWeights = {};
 
+  readonly #upkeep = new Map<number, StoredWaveProgress>();
+
   readonly changes$ = new Subject<WorkChange>();
 
   /** Offers of nodes to take over from the leader. */
@@ -117,6 +125,11 @@
     return this.#learned;
   }
 
+  /** Which machines were called for maintenance and which are done, by wave. */
+  get upkeep(): ReadonlyMap<number, StoredWaveProgress> {
+    return this.#upkeep;
+  }
+
   /** Whether progress was read of jobs that were not read yet. */
   get hasEarlyProgress(): boolean {
     return [...this.#early.values()].some(({ progress, isUnsure }) => progress ?? isUnsure);
@@ -178,6 +191,9 @@
       case 'offer':
         this.#applyOffer(rec);
         break;
+      case 'upkeep':
+        this.#applyUpkeep(Number(key.id), rec);
+        break;
       case 'job':
         this.#applyJob(key.id, rec);
         break;
@@ -245,6 +261,13 @@
     this.#leaderWrote(rec, learned !== undefined);
   }
 
+  #applyUpkeep(wave: number, rec: KeyedRecord): void {
+    const progress = this.#decoded(rec, decodeUpkeep);
+    if (progress) this.#upkeep.set(wave, progress);
+    else if (rec.value === undefined && !rec.fault) this.#upkeep.delete(wave);
+    this.#leaderWrote(rec, progress !== undefined);
+  }
+
   #applyOffer(rec: KeyedRecord): void {
     const offer = this.#decoded(rec, decodeOffer);
     if (offer) this.offers$.next(offer);
--- a/packages/runtime/src/job-api.ts
+++ b/packages/runtime/src/job-api.ts
@@ -50,6 +50,7 @@
  * - `GET /queues/QUEUE` returns the number of jobs that have not started.
  * - `GET /evacuations` returns the evacuated data centres, as far as this node knows, and how many runs
  *   are left there if this node schedules.
+ * - `GET /waves` returns the waves of maintenance, with what blocks them if this node schedules.
  * - `GET /metrics` returns the metrics in the text format of Prometheus.
  *
  * The schema and the metrics library are loaded after the node serves its callers: they would
@@ -100,6 +101,9 @@
   async #answer(req: http.IncomingMessage, path: readonly string[]): Promise<Answer> {
     const [root, name = '', jobs, id = ''] = path;
     if (root === 'evacuations' && path.length === 1) return this.#evacuations();
+    if (root === 'waves' && path.length === 1) {
+      return { result: RESULT_CODES.jobAccepted, fields: { waves: this.#node.state.waves } };
+    }
     if (root !== 'queues' || path.length > 4) return { result: RESULT_CODES.badCall };
     const queue = this.#node.queue(name);
     if (!queue) return { result: RESULT_CODES.noSuchQueue };
--- a/packages/runtime/src/node-settings.ts
+++ b/packages/runtime/src/node-settings.ts
@@ -24,6 +24,17 @@
   readonly evacuateMs: number;
   /** How long after a change of the configuration every node must apply it, in milliseconds. */
   readonly configApplyMs: number;
+  /** How long the maintenance of a machine takes, in milliseconds. */
+  readonly maintenanceMs: number;
+  /**
+   * How long after the last call of a node for the maintenance of a machine no other node may call,
+   * in milliseconds.
+   */
+  readonly machineLeaseMs: number;
+  /** How many calls for maintenance all nodes together may make in a second. */
+  readonly machineCallsPerS: number;
+  /** How many calls for the list of machines all nodes together may make in a second. */
+  readonly machineReadsPerS: number;
   /** How long the final state of a job must be kept, in milliseconds. */
   readonly keepStateMs: number;
   /** How long after SIGTERM the process is killed, in milliseconds. */
--- a/packages/runtime/src/node.ts
+++ b/packages/runtime/src/node.ts
@@ -2,6 +2,7 @@
 import { ConfigWatch } from './internal/config-watch.js';
 import { FaultLog } from './internal/fault-log.js';
 import type { NodeState } from './internal/node-metrics.js';
+import { followedWaves } from './internal/wave-view.js';
 import { WorkFollower } from './internal/work-follower.js';
 import { WorkTable, shownState } from './internal/work-table.js';
 import type { QueueRoute } from './cluster-config.js';
@@ -145,6 +146,7 @@
       faults: this.#faults.counts,
       evacuationAgesMs: this.#config.evacuations.ages,
       evacuatedRuns: this.#leadership.evacuatedRuns,
+      waves: this.#leadership.waves ?? followedWaves(this.#config.waves, this.#table),
     };
   }
 
--- a/packages/runtime/src/platform-port.ts
+++ b/packages/runtime/src/platform-port.ts
@@ -1,6 +1,7 @@
 import type { WorkerEntry } from '@redwingcrank/jobs';
 import type { ClusterConfig, EvacuationRecord } from './cluster-config.js';
 import type { KeyedLog, KeyedRecord } from './keyed-log.js';
+import type { WavePort } from './machine-port.js';
 import type { PeerPort } from './peer-port.js';
 import type { Decoded } from './record-fault.js';
 import type { TaskWorkers } from './task-workers.js';
@@ -25,6 +26,9 @@
    */
   readonly peers?: PeerPort;
 
+  /** Waves of maintenance; absent if the platform has none. */
+  readonly waves?: WavePort;
+
   /** Returns the id of the worker whose entry this record is; undefined for other records. */
   workerIdOf(rec: KeyedRecord): string | undefined;
 
--- a/packages/runtime/src/test/fixtures.ts
+++ b/packages/runtime/src/test/fixtures.ts
@@ -37,6 +37,7 @@
   faults: [],
   evacuationAgesMs: new Map(),
   evacuatedRuns: 0,
+  waves: [],
 };
 
 /** Returns the settings of a node with this name. */
@@ -51,6 +52,10 @@
     cancelMs: 3_000,
     evacuateMs: 5_000,
     configApplyMs: 2_000,
+    maintenanceMs: 2_000,
+    machineLeaseMs: 3_000,
+    machineCallsPerS: 60,
+    machineReadsPerS: 60,
     keepStateMs: 120_000,
     graceMs: 6_000,
   };
