--- a/packages/cli/src/internal/run-cli.ts
+++ b/packages/cli/src/internal/run-cli.ts
@@ -9,6 +9,7 @@
 import { Hosts, Jobs, Tasks, Teams } from './commands/lists.js';
 import { Cancel, Depth, State, Submit } from './commands/queue-jobs.js';
 import { Evacuations } from './commands/evacuations.js';
+import { Waves } from './commands/waves.js';
 import { Publish } from './commands/publish.js';
 import { Status } from './commands/status.js';
 import { Timeline } from './commands/timeline.js';
@@ -42,6 +43,7 @@
   new Cancel(),
   new Depth(),
   new Evacuations(),
+  new Waves(),
   new Trace(),
   new Why(),
   new Timeline(),
