--- a/packages/cli/src/test/run-cli_test.ts
+++ b/packages/cli/src/test/run-cli_test.ts
@@ -32,6 +32,7 @@
     [['frobnicate'], 'usage'],
     [['tasks', '--nodes', UNUSED_ADDRESS], 'unreachable'],
     [['status', '--nodes', UNUSED_ADDRESS], 'unreachable'],
+    [['waves', '--nodes', UNUSED_ADDRESS], 'unreachable'],
     [
       ['publish', EXAMPLE, '--nodes', UNUSED_ADDRESS, '--log-url', `http://${UNUSED_ADDRESS}`],
       'unreachable',
