Start tasks while the store does not answer, under bindings stored ahead

Cause: each start needs its binding stored first, so a store that does not answer for 3 to 9 s stops all starts, although workers end tasks and answer.

Change: once a second the placer binds the most urgent tasks that wait for capacity ahead (AheadBindings). They stay waiting in memory; only their records show them as bound. While an append is unanswered, the leader sends the starts of those whose bindings are stored and whose workers have capacity, under the conditions of every start. A report of a run of a queued job marks the job as running, as a former leader may have started it under such a binding.

--- a/packages/jobs/src/internal/report-reader.ts
+++ b/packages/jobs/src/internal/report-reader.ts
@@ -80,6 +80,7 @@
     run.percent = row.percent;
     const job = this.#state.jobs.get(run.ref.jobId);
     const task = job && findTask(job, run.ref);
+    if (job?.state === 'queued') this.#markRunning(job);
     const isLong = nowMs - run.startedMs >= MIN_STORED_RUN_MS;
     if (task?.phase === 'bound' && row.checkpoint && isLong) task.checkpoint = row.checkpoint;
     const idleMs = nowMs - run.progressedMs;
@@ -95,6 +96,15 @@
     }
   }
 
+  /**
+   * An earlier leader has started the task under an ahead binding, and could not store that the job
+   * is running.
+   */
+  #markRunning(job: JobProgress): void {
+    job.markRunning();
+    this.#state.changed.add(job);
+  }
+
   #updateMissedTarget(worker: WorkerState, run: WorkerRun, nowMs: number, besideMs: number): void {
     const { spec, measure, missedTargetSinceMs: sinceMs } = run;
     const isMissed = spec.targetMs > 0 && measure > spec.targetMs;
--- a/packages/jobs/src/internal/round-limits.ts
+++ b/packages/jobs/src/internal/round-limits.ts
@@ -1,3 +1,9 @@
+/**
+ * What a round does with ahead bindings: `plan` chooses them anew when that is due, `release` lets
+ * their tasks wait without.
+ */
+export type AheadMode = 'plan' | 'release';
+
 /** Limits the placement work of one round; the rest waits for the next rounds. */
 export interface RoundLimits {
   /** The time for which the round may place tasks, in milliseconds of `clockMs`. */
@@ -10,6 +16,8 @@
   readonly clockMs: () => number;
   /** Whether the node has no processor time left; absent if it is not known. */
   readonly isNodeBusy?: boolean;
+  /** Absent if no ahead binding is made; those that can still be started stay. */
+  readonly ahead?: AheadMode;
 }
 
 export const NO_LIMITS: RoundLimits = {
--- a/packages/jobs/src/internal/task-placer.ts
+++ b/packages/jobs/src/internal/task-placer.ts
@@ -6,6 +6,8 @@
 import type { TaskRef } from '../task-ref.js';
 import { taskName } from '../task-ref.js';
 import { AdmissionControl } from './admission-control.js';
+import type { AheadTask } from './ahead-bindings.js';
+import { AheadBindings } from './ahead-bindings.js';
 import type { ClusterState } from './cluster-state.js';
 import type { HaltedRun } from './halted-runs.js';
 import { haltedRuns } from './halted-runs.js';
@@ -19,6 +21,7 @@
 import type { RoundLimits } from './round-limits.js';
 import { RoundBudget } from './round-limits.js';
 import { newRun } from './runs.js';
+import type { WaitCause } from './obstacle.js';
 import { isCapacityLack } from './obstacle.js';
 import { RoomShortage } from './room-shortage.js';
 import { StepWaits } from './step-waits.js';
@@ -70,10 +73,12 @@
   /** Determines which jobs can be accepted, as of the latest round. */
   readonly admission: AdmissionControl;
 
+  readonly ahead: AheadBindings;
+
   /** The steps that the latest round had to place. */
   #waiting: readonly WaitingStep[] = [];
 
-  /** The number of tasks that the latest round has bound. */
+  /** The number of tasks that were bound since the end of the round before. */
   #startCount = 0;
 
   /** Whether a job that could still end in time did not fit on any worker in the last round. */
@@ -83,6 +88,7 @@
     this.#state = state;
     this.#placement = placement;
     this.admission = new AdmissionControl(state, this.#idle, this.#idleByClass);
+    this.ahead = new AheadBindings(state);
   }
 
   /**
@@ -90,16 +96,27 @@
    * limits ended placement while there may be capacity for more tasks.
    */
   placeAll(nowMs: number, limits: RoundLimits): boolean {
-    this.#startCount = 0;
     const isCutShort = this.#placeWaiting(nowMs, limits);
     if (isCutShort)
       this.admission.cutShort(this.#startCount, this.#waitingTasks(), nowMs, limits.isNodeBusy);
     else this.admission.completed(this.#startCount, nowMs);
+    this.#startCount = 0;
     this.#starvedUnplaced.length = 0;
     this.#holdCapacity(nowMs);
+    this.#updateAhead(nowMs, limits);
     return isCutShort;
   }
 
+  /** Starts tasks that are bound ahead on workers that have the capacity by now. */
+  startAhead(nowMs: number, limits: RoundLimits): void {
+    if (!this.#state.isFullyLoaded) return;
+    const start = ({ step, ref, task, worker, binding }: AheadTask): void => {
+      this.#bind(step, ref, task, worker, binding.run, nowMs);
+      this.#started(step, nowMs);
+    };
+    this.ahead.startAll(limits, this.#placement, this.#hold.worker, start, nowMs);
+  }
+
   /**
    * Restores the idle time of a job from an earlier leader: if none of its tasks is bound, it has
    * been idle since `sinceMs`. Jobs with occurrences are left out, as they have nothing to start
@@ -122,6 +139,17 @@
     return { idleJobs, longestIdleMs, ...this.#state.usage() };
   }
 
+  /**
+   * All nodes count the unstarted tasks of the stored jobs while the leader limits the starts, so no
+   * record may show a task as bound that was not started.
+   */
+  #updateAhead(nowMs: number, { ahead }: RoundLimits): void {
+    const isLeaderLimiting = this.admission.startsPerSecond() !== undefined;
+    const mode = ahead && isLeaderLimiting ? 'release' : ahead;
+    const causeOf = ({ tasks }: WaitingStep): WaitCause => this.#waits.of(tasks, nowMs).keptBy;
+    this.ahead.update(mode, this.#waiting, causeOf, nowMs);
+  }
+
   /** Returns how many tasks of the steps of the latest round still wait for a worker. */
   #waitingTasks(): CountByPriority {
     const waiting = new CountByPriority();
@@ -368,7 +396,7 @@
         const worker = candidates.choose({ ref, spec: step.spec, avoid: task.worker, isSuspect });
         // The tasks of a step are alike: if one of them does not fit, the next one does not either.
         if (!worker) return 'placeless';
-        this.#bind(step, ref, task, worker, task.run + 1, nowMs);
+        this.#bind(step, ref, task, worker, nextRunOf(task), nowMs);
         budget.recordStarts(1);
         this.#started(step, nowMs);
         started += 1;
@@ -419,6 +447,8 @@
     nowMs: number,
   ): void {
     this.#startCount += 1;
+    this.ahead.started(nowMs);
+    delete task.ahead;
     Object.assign(task, { phase: 'bound', run, worker: worker.entry.id });
     worker.add(taskName(ref), newRun(ref, task, spec, nowMs));
     job.markRunning();
@@ -443,6 +473,11 @@
   }
 }
 
+/** Returns the number of the next run; that of an ahead binding is not used for another worker. */
+function nextRunOf({ run, ahead }: TaskProgress): number {
+  return Math.max(run, ahead?.run ?? 0) + 1;
+}
+
 /** Returns whether a run that has been halted for some time can continue on another worker. */
 function canMove(
   { worker, run }: HaltedRun,
--- a/packages/jobs/src/job-progress.ts
+++ b/packages/jobs/src/job-progress.ts
@@ -11,6 +11,12 @@
  */
 export type TaskPhase = 'waiting' | 'bound' | 'done' | 'failed';
 
+/** A stored binding of a waiting task whose start was not sent (see `AheadBindings`). */
+export interface AheadBinding {
+  readonly run: number;
+  readonly worker: string;
+}
+
 /** The progress of one task. */
 export interface TaskProgress {
   phase: TaskPhase;
@@ -29,6 +35,8 @@
    * `CrashSuspects`); absent if none did.
    */
   crashWeight?: number;
+  /** Absent unless the task waits and is bound ahead; its record shows it as bound then. */
+  ahead?: AheadBinding;
 }
 
 /** One execution of all steps of a job. */
@@ -230,8 +238,11 @@
 
 function encodeTask(task: TaskProgress): TaskTuple {
   if (task.phase === 'done') return 1;
-  if (task.phase === 'waiting' && task.run === 0) return 0;
-  const { phase, run, worker, failures, checkpoint, crashWeight } = task;
+  const isBoundAhead = task.phase === 'waiting' && task.ahead !== undefined;
+  if (task.phase === 'waiting' && task.run === 0 && !isBoundAhead) return 0;
+  const { failures, checkpoint, crashWeight } = task;
+  const { run, worker } = isBoundAhead ? task.ahead! : task;
+  const phase = isBoundAhead ? 'bound' : task.phase;
   const tuple: TaskTuple = [PHASES.indexOf(phase), run, worker, failures, checkpoint];
   if (crashWeight) tuple.push(crashWeight);
   return tuple;
--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -2,7 +2,7 @@
 import { isFinal } from './job.js';
 import type { RetryAfter } from './admission.js';
 import type { Backlog } from './backlog.js';
-import type { JobProgress, TaskProgress } from './job-progress.js';
+import type { AheadBinding, JobProgress, TaskProgress } from './job-progress.js';
 import type { Order, OrderOutcome } from './order.js';
 import type { TaskRef } from './task-ref.js';
 import { taskName } from './task-ref.js';
@@ -24,7 +24,7 @@
 import type { WorkerState } from './internal/worker-state.js';
 
 export type { EventLogger, SchedulerTiming } from './internal/cluster-state.js';
-export type { RoundLimits } from './internal/round-limits.js';
+export type { AheadMode, RoundLimits } from './internal/round-limits.js';
 
 /**
  * How long a worker that lacked capacity for a start gets no other start, in milliseconds: until
@@ -44,6 +44,8 @@
    * soon.
    */
   readonly isCutShort: boolean;
+  /** Bindings among the changes whose starts are not sent yet; see `aheadStored`. */
+  readonly ahead: readonly AheadBinding[];
 }
 
 /**
@@ -304,6 +306,7 @@
         [...this.#state.endsProcessed].map((worker) => [worker.entry.id, worker.processedEnd]),
       ),
       isCutShort,
+      ahead: this.#placer.ahead.takeUnstored(),
     };
     this.#state.changed.clear();
     this.#state.orders = [];
@@ -311,6 +314,32 @@
     return decisions;
   }
 
+  /** The number of tasks that are bound ahead of their starts. */
+  get aheadCount(): number {
+    return this.#placer.ahead.count;
+  }
+
+  /** Records that the store has confirmed the changes that these bindings are part of. */
+  aheadStored(bindings: readonly AheadBinding[]): void {
+    this.#placer.ahead.stored(bindings);
+  }
+
+  /**
+   * Returns the starts of tasks that are bound ahead and whose workers have the capacity by now.
+   * Their bindings are stored, so callers send them immediately, while an append has been unanswered
+   * for `storeSilentMs`.
+   */
+  startAhead(nowMs: number, limits: RoundLimits, storeSilentMs: number): Order[] {
+    const former = this.#state.orders;
+    this.#state.orders = [];
+    this.#placer.startAhead(nowMs, limits);
+    const starts = this.#state.orders;
+    this.#state.orders = former;
+    const count = starts.length;
+    if (count > 0) this.#state.logEvent('started-ahead', { count, storeSilentMs });
+    return starts;
+  }
+
   /**
    * Records that workers may forget their ends up to the given numbers, because the changes that
    * follow from these are stored.
--- a/packages/runtime/src/internal/leader-term.ts
+++ b/packages/runtime/src/internal/leader-term.ts
@@ -1,5 +1,5 @@
 import type { Subscription } from 'rxjs';
-import type { Order, OrderOutcome, Scheduler, WorkerReport } from '@redwingcrank/jobs';
+import type { AheadMode, Order, OrderOutcome, Scheduler, WorkerReport } from '@redwingcrank/jobs';
 import type { KeyedWrite } from '../keyed-log.js';
 import type { LogFields, NodeLog } from '../node-log.js';
 import type { NodeSettings } from '../node-settings.js';
@@ -275,8 +275,11 @@
     // A start that cannot be sent now is not bound either: its binding would be stored in vain, and
     // again later.
     const { isNodeBusy } = this.#load;
+    const ahead: AheadMode = this.#isResigning ? 'release' : 'plan';
     const limits =
-      this.views.windowMs(startedMs) > 0 ? { ...this.#pacing.limits, isNodeBusy } : NO_STARTS;
+      this.views.windowMs(startedMs) > 0
+        ? { ...this.#pacing.limits, isNodeBusy, ahead }
+        : NO_STARTS;
     const decisions = this.#scheduler.decide(startedMs, Date.now(), limits);
     this.#load.decided(steadyMs() - startedMs, decisions.isCutShort);
     const writes: KeyedWrite[] = decisions.changed.map((job) => ({
@@ -324,6 +327,7 @@
         return;
       }
       this.#lastWriteMs = sentMs;
+      this.#scheduler.aheadStored(decisions.ahead);
       if (writesRecord) this.#leases.recordStored();
     }
     if (resigns) {
@@ -340,22 +344,33 @@
   }
 
   /**
-   * Stores the records and sends stops that become due meanwhile. With a store that loses answers,
-   * an append takes seconds. Stops that waited for it would be too late: a worker that announced
-   * that it is leaving would have ended, together with the long-running tasks on it.
+   * Stores the records, and sends stops that become due meanwhile and starts that are bound ahead.
+   * With a store that loses answers, an append takes seconds. Stops that waited for it would be too
+   * late: a worker that announced that it is leaving would have ended, together with the long-running
+   * tasks on it.
    */
   async #write(writes: readonly KeyedWrite[]): Promise<boolean> {
+    const sentMs = steadyMs();
     this.#load.appendSent();
     try {
       return await pollUntilSettled(this.#writer.write(writes), STOP_POLL_INTERVAL_MS, () => {
         if (this.#stopping.signal.aborted) return;
         this.#sendStops(this.#scheduler.decideStops(steadyMs()));
+        this.#sendAhead(sentMs);
       });
     } finally {
       this.#load.appendEnded();
     }
   }
 
+  /** Sends the starts that are bound ahead; the append that was sent at `sentMs` is unanswered. */
+  #sendAhead(sentMs: number): void {
+    const nowMs = steadyMs();
+    if (this.views.windowMs(nowMs) === 0) return;
+    const silentMs = Math.round(nowMs - sentMs);
+    this.#pacing.send(this.#scheduler.startAhead(nowMs, this.#pacing.limits, silentMs));
+  }
+
   /** Sends all orders except starts, and returns the starts: these are sent after the append. */
   #sendStops(orders: readonly Order[]): Order[] {
     this.#pacing.sendAtOnce(orders.filter(({ kind }) => kind !== 'start'));
@@ -369,6 +384,7 @@
       unstartedTasks: this.#table.unstartedTasks,
       evacuatedRuns: this.#scheduler.evacuatedRuns(),
       startsPerSecond: this.#scheduler.startsPerSecond() ?? 0,
+      aheadBindings: this.#scheduler.aheadCount,
       ...reachabilityOf(this.#scheduler.workers.values(), steadyMs()),
       ...this.#scheduler.backlog(steadyMs()),
     };
--- a/packages/runtime/src/internal/node-metrics.ts
+++ b/packages/runtime/src/internal/node-metrics.ts
@@ -70,6 +70,11 @@
     help: 'Runs that are left in evacuated data centres.',
     divisor: 1,
   },
+  aheadBindings: {
+    name: 'redwingcrank_ahead_bindings',
+    help: 'Waiting tasks whose bindings are stored ahead of their starts.',
+    divisor: 1,
+  },
   idleJobs: {
     name: 'redwingcrank_scheduler_idle_jobs',
     help: 'Jobs with tasks to start and none at a worker.',
@@ -132,6 +137,8 @@
 
   readonly #objectives: Counter;
 
+  readonly #aheadStarts: Counter;
+
   readonly #load = new Map<string, Gauge>();
 
   constructor(log: NodeLog, state: () => NodeState) {
@@ -181,6 +188,11 @@
       labelNames: ['queue', 'objective'],
       registers,
     });
+    this.#aheadStarts = new Counter({
+      name: 'redwingcrank_ahead_starts_total',
+      help: 'Starts of tasks that were bound ahead, sent while the store did not answer.',
+      registers,
+    });
     for (const [field, { name, help }] of Object.entries(LOAD_GAUGES)) {
       this.#load.set(field, new Gauge({ name, help, registers }));
     }
@@ -203,6 +215,7 @@
     if (event === 'job-ended') this.#observeJobEnd(fields);
     if (event === 'term-load') this.#setLoad(fields);
     if (event === 'term-end') this.#setLoad({});
+    if (event === 'started-ahead') this.#aheadStarts.inc(Number(fields.count));
     if (event === 'submit') this.#submits.observe({ outcome }, seconds);
   }
 
--- a/packages/runtime/src/internal/term-load.ts
+++ b/packages/runtime/src/internal/term-load.ts
@@ -35,6 +35,8 @@
   readonly evacuatedRuns: number;
   /** How many tasks a second the leader can start; 0 if it was not overloaded recently. */
   readonly startsPerSecond: number;
+  /** How many waiting tasks are bound ahead. */
+  readonly aheadBindings: number;
 }
 
 /**
@@ -150,6 +152,7 @@
       quietMs: Math.round(view.quietMs),
       unstartedTasks: view.unstartedTasks,
       startsPerSecond: Math.round(view.startsPerSecond),
+      aheadBindings: view.aheadBindings,
       evacuatedRuns: view.evacuatedRuns,
       idleJobs: view.idleJobs,
       longestIdleMs: Math.round(view.longestIdleMs),
--- a/packages/runtime/src/test/term-load_test.ts
+++ b/packages/runtime/src/test/term-load_test.ts
@@ -13,6 +13,7 @@
   leaseLeftMs: -20,
   unstartedTasks: 0,
   startsPerSecond: 0,
+  aheadBindings: 0,
   evacuatedRuns: 4,
   idleJobs: 2,
   longestIdleMs: 4_200.3,
