Prove that no start is sent ahead without a stored binding

In all targets of the model, the oracle now also fails for a start whose binding the store has never held.

--- a/packages/fuzz/src/jobs/jobs-oracle.ts
+++ b/packages/fuzz/src/jobs/jobs-oracle.ts
@@ -63,6 +63,9 @@
   /** Since when each evacuated data centre is so. */
   readonly #evacuatedSinceMs = new Map<string, number>();
 
+  /** Bindings that the store has held: task, run and worker. */
+  readonly #bindings = new Set<string>();
+
   nowMs = 0;
 
   /** Requires the tasks of this job to run from now on. */
@@ -137,8 +140,15 @@
     else this.#evacuatedSinceMs.delete(dataCentre);
   }
 
+  /** Records that the store holds a binding of this task. */
+  bindingStored(task: string, run: number, worker: string): void {
+    this.#bindings.add(`${task} ${run} ${worker}`);
+  }
+
   started(worker: WorkerEntry, { task, run }: Order): void {
     const name = taskName(task);
+    const isStored = this.#bindings.has(`${name} ${run} ${worker.id}`);
+    expect(isStored, `${name} run ${run} starts on ${worker.id} without a stored binding`);
     const announcedMs = this.#leavingSinceMs.get(worker.id) ?? Infinity;
     expect(
       this.nowMs <= announcedMs + DRAIN_MS,
--- a/packages/fuzz/src/jobs/jobs-script.ts
+++ b/packages/fuzz/src/jobs/jobs-script.ts
@@ -1,4 +1,5 @@
-import type { JobsWorld } from './jobs-world.js';
+import type { AppendOutcome, JobsWorld } from './jobs-world.js';
+import type { ModelLeader } from './model-leader.js';
 
 /** How long before it is removed a worker announces that it leaves, in milliseconds. */
 const LEAVING_MS = 2_000;
@@ -6,6 +7,16 @@
 /** How much longer than announced some workers stay, in milliseconds. */
 const OVERSTAY_MS = 4_000;
 
+/** The jobs, and tasks of each of their steps, that fill all workers twice. */
+const FILLING_JOBS = 6;
+
+const TASKS_PER_FILLING_JOB = 4;
+
+/** More than the interval at which ahead bindings are chosen, in milliseconds. */
+const AHEAD_INTERVAL_MS = 1_050;
+
+const APPEND_OUTCOMES: readonly AppendOutcome[] = ['answered', 'unanswered', 'lost'];
+
 /** Carries out a drawn command; two small numbers select the leader, worker or other target. */
 export class JobsScript {
   readonly #world: JobsWorld;
@@ -41,6 +52,19 @@
       case 'renew':
         world.renew(leader, worker, a >= 6 ? 'unanswered' : 'answered');
         break;
+      case 'fill':
+        this.#fill(leader);
+        break;
+      case 'bind-ahead':
+        this.#bindAhead(leader, APPEND_OUTCOMES[a % APPEND_OUTCOMES.length]!);
+        break;
+      case 'free':
+        while (worker.running.length > 0) world.end(worker, 0, 'done');
+        world.renew(leader, worker, 'answered');
+        break;
+      case 'start-ahead':
+        world.startAhead(leader);
+        break;
       case 'renew-late':
         world.renew(leader, worker, 'late');
         break;
@@ -105,6 +129,23 @@
     }
   }
 
+  /** Submits more tasks than fit on the workers, and starts those that do. */
+  #fill(leader: ModelLeader): void {
+    const world = this.#world;
+    for (let i = 0; i < FILLING_JOBS; i += 1) world.submit(TASKS_PER_FILLING_JOB);
+    for (const worker of world.workers) world.renew(leader, worker, 'answered');
+    world.round(leader, 'answered');
+    while (leader.inFlight.length > 0) world.deliver(leader, 0, false);
+  }
+
+  /** Runs a round in which ahead bindings are due, with this outcome of its append. */
+  #bindAhead(leader: ModelLeader, outcome: AppendOutcome): void {
+    const world = this.#world;
+    world.passTime(AHEAD_INTERVAL_MS);
+    for (const worker of world.workers) world.renew(leader, worker, 'answered');
+    world.round(leader, outcome);
+  }
+
   #cancel(index: number): void {
     const id = this.#world.jobIds[index];
     if (id === undefined) return;
--- a/packages/fuzz/src/jobs/jobs-world.ts
+++ b/packages/fuzz/src/jobs/jobs-world.ts
@@ -92,8 +92,12 @@
 
   #nowMs = 1_000;
 
-  constructor(coverage: Coverage) {
+  readonly #bindsAhead: boolean;
+
+  /** `bindsAhead`: whether the leaders bind tasks ahead of their starts. */
+  constructor(coverage: Coverage, bindsAhead = false) {
     this.coverage = coverage;
+    this.#bindsAhead = bindsAhead;
     this.#nodes = NODE_NAMES.map((name) => new ModelNode(name, this.#nowMs));
     for (let i = 0; i < WORKER_COUNT; i += 1) this.#addWorker(`host${i}`);
     this.elect();
@@ -248,6 +252,7 @@
     if (!this.#takesAppends(leader)) return;
     const append = leader.unansweredAppend ?? leader.decide(this.#nowMs, false);
     if (outcome !== 'answered') this.coverage.hit(`append-${outcome}`);
+    if (append.ahead.length > 0) this.coverage.hit(`bound-ahead-${outcome}`);
     if (outcome !== 'lost') this.#store(append);
     Object.assign(leader, { unansweredAppend: outcome === 'answered' ? undefined : append });
     if (outcome !== 'answered') return;
@@ -257,6 +262,11 @@
     this.round(leader, outcome, followUps - 1);
   }
 
+  /** Sends the starts of tasks that are bound ahead, as while an append is unanswered. */
+  startAhead(leader: ModelLeader): void {
+    if (leader.startAhead(this.#nowMs) > 0) this.coverage.hit('started-ahead');
+  }
+
   /** The leader resigns and does not learn that its resignation is stored. */
   resign(): void {
     const { currentLeader } = this;
@@ -390,7 +400,7 @@
     const claim = node.claim(this.#nowMs);
     this.#epoch = claim.epoch;
     this.#announce(claim);
-    const leader = new ModelLeader(claim, node, this.#nowMs);
+    const leader = new ModelLeader(claim, node, this.#nowMs, this.#bindsAhead);
     for (const [id, spec] of this.#jobs) {
       const stored = this.#progress.get(id);
       leader.scheduler.addJob(stored ? JobProgress.decode(spec, stored) : new JobProgress(spec));
@@ -417,6 +427,7 @@
     const { progress, rec } = append;
     for (const { id, text } of progress) {
       this.#progress.set(id, text);
+      this.#recordBindings(id, text);
       const stored = JobProgress.decodeState(this.#jobs.get(id)!, text);
       if (stored!.state === 'completed') this.oracle.completed(id);
       if (stored!.state === 'failed') this.oracle.failed(id);
@@ -424,6 +435,18 @@
     this.#announce(rec);
   }
 
+  #recordBindings(jobId: string, text: string): void {
+    const { occurrences } = JobProgress.decode(this.#jobs.get(jobId)!, text);
+    for (const { number: occurrence, steps } of occurrences.values()) {
+      for (const [step, tasks] of steps.entries()) {
+        for (const [index, { phase, run, worker }] of tasks.entries()) {
+          const name = taskName({ jobId, occurrence, step, index });
+          if (phase === 'bound') this.oracle.bindingStored(name, run, worker);
+        }
+      }
+    }
+  }
+
   /** Makes every node read the record at once: a later read would only make the nodes wait longer. */
   #announce(entry: LogEntry): void {
     for (const node of this.#nodes) node.read(entry, this.#nowMs);
--- a/packages/fuzz/src/jobs/model-leader.ts
+++ b/packages/fuzz/src/jobs/model-leader.ts
@@ -1,4 +1,4 @@
-import type { Order, OrderOutcome, WorkerReport } from '@redwingcrank/jobs';
+import type { Decisions, Order, OrderOutcome, RoundLimits, WorkerReport } from '@redwingcrank/jobs';
 import { Scheduler } from '@redwingcrank/jobs';
 import type { LeaderRecord, SilentWorkers } from '@redwingcrank/runtime/leases';
 import {
@@ -42,6 +42,7 @@
   readonly sentMs: number;
   readonly starts: readonly Order[];
   readonly acks: ReadonlyMap<string, number>;
+  readonly ahead: Decisions['ahead'];
   /** Whether another round follows at once. */
   readonly isCutShort: boolean;
 }
@@ -65,6 +66,8 @@
 
 const NO_STARTS = { ...FEW_STARTS, starts: 0 };
 
+const NO_LIMITS = { ...FEW_STARTS, starts: Infinity };
+
 /**
  * One term of a leader: the real scheduler and the real bookkeeping of leases, with calls in place
  * of sockets.
@@ -98,6 +101,8 @@
 
   nowMs: number;
 
+  readonly #bindsAhead: boolean;
+
   readonly #views: StartViews;
 
   readonly #startedMs: number;
@@ -111,7 +116,8 @@
   /** Workers whose newest renewal got no answer. */
   readonly #lostRenewals = new Set<string>();
 
-  constructor(claim: LeaderRecord, node: ModelNode, nowMs: number) {
+  constructor(claim: LeaderRecord, node: ModelNode, nowMs: number, bindsAhead: boolean) {
+    this.#bindsAhead = bindsAhead;
     const { former } = node;
     this.epoch = claim.epoch;
     this.node = node;
@@ -164,8 +170,9 @@
   /** Decides, sends the stops, and returns the append, which may contain the resignation. */
   decide(nowMs: number, resigns: boolean): Append {
     const isOpen = this.#views.windowMs(nowMs) > 0;
-    const decisions = this.scheduler.decide(nowMs, nowMs, isOpen ? FEW_STARTS : NO_STARTS);
-    const { changed, orders, acks } = decisions;
+    const limits = isOpen ? this.#limits(resigns) : NO_STARTS;
+    const decisions = this.scheduler.decide(nowMs, nowMs, limits);
+    const { changed, orders, acks, ahead } = decisions;
     const isCutShort = isOpen && decisions.isCutShort;
     const { silent, isComplete } = this.#silentWorkers(nowMs);
     const hasSilentChanged = this.#leases.updateSilent(silent, isComplete);
@@ -174,17 +181,32 @@
     const progress = changed.map((job) => ({ id: job.spec.id, text: job.encode() }));
     const starts = orders.filter(({ kind }) => kind === 'start');
     for (const order of orders) if (order.kind !== 'start') this.#send(order, nowMs, false);
-    return { progress, rec, sentMs: nowMs, starts, acks, isCutShort };
+    return { progress, rec, sentMs: nowMs, starts, acks, ahead, isCutShort };
+  }
+
+  #limits(resigns: boolean): RoundLimits {
+    if (!this.#bindsAhead) return FEW_STARTS;
+    return { ...FEW_STARTS, ahead: resigns ? 'release' : 'plan' };
+  }
+
+  /** Sends the starts that are bound ahead, and returns how many these are. */
+  startAhead(nowMs: number): number {
+    if (this.hasEnded || this.#views.windowMs(nowMs) === 0) return 0;
+    const starts = this.scheduler.startAhead(nowMs, NO_LIMITS, 0);
+    for (const order of starts) this.#send(order, nowMs, false);
+    return starts.length;
   }
 
-  /** Sends the stops that are due; an append may be in progress. */
+  /** Sends the stops that are due, and starts that are bound ahead; an append may be in progress. */
   sendStops(nowMs: number): void {
     for (const order of this.scheduler.decideStops(nowMs)) this.#send(order, nowMs, false);
+    this.startAhead(nowMs);
   }
 
   /** Handles the confirmation that the append is stored. */
-  stored({ rec, sentMs, starts, acks }: Append, nowMs: number): void {
+  stored({ rec, sentMs, starts, acks, ahead }: Append, nowMs: number): void {
     this.confirmedMs = sentMs;
+    this.scheduler.aheadStored(ahead);
     if (rec) this.#leases.recordStored();
     this.scheduler.acknowledge(acks);
     for (const order of starts) this.#send(order, nowMs, false);
--- a/packages/fuzz/src/targets/jobs.ts
+++ b/packages/fuzz/src/targets/jobs.ts
@@ -45,7 +45,7 @@
  * Fuzzes jobs with two leaders at once, disconnected, crashing and leaving workers, lost and late
  * orders and renewals, and store outages. In every case, no task runs in two places. No task starts
  * after its successful end was acknowledged, before the step it depends on has ended, after its
- * last attempt, on a worker that announced long before that it leaves, or in a data centre that was
+ * last attempt, without a stored binding, on a worker that announced long before that it leaves, or in a data centre that was
  * evacuated long before, even if the leader's views lack that. No worker exceeds its capacity, and no unfinished job is shown as completed. A job is
  * shown as failed only if a task of it has used up its attempts, or two workers have crashed under
  * one. A task that crashes each worker that starts it gets fewer than three starts after three
@@ -58,6 +58,9 @@
 export class Jobs extends FuzzTarget {
   readonly name: string = 'jobs';
 
+  /** Whether the leaders bind tasks ahead of their starts. */
+  protected readonly bindsAhead: boolean = false;
+
   readonly coveragePoints: readonly string[] = [
     'cancel',
     'cut',
@@ -97,7 +100,7 @@
       fc.array(command, COMMANDS),
       ending,
       (commands, { loss, cut, workerIndex }) => {
-        const world = new JobsWorld(coverage);
+        const world = new JobsWorld(coverage, this.bindsAhead);
         const script = new JobsScript(world);
         for (const { kind, a, b } of commands) {
           coverage.step();
