--- a/packages/runtime/src/internal/node-metrics.ts
+++ b/packages/runtime/src/internal/node-metrics.ts
@@ -76,6 +76,11 @@
     help: 'Workers on which nodes of their data centre may renew leases in the name of the leader.',
     divisor: 1,
   },
+  aheadBindings: {
+    name: 'redwingcrank_ahead_bindings',
+    help: 'Waiting tasks whose bindings are stored ahead of their starts.',
+    divisor: 1,
+  },
   idleJobs: {
     name: 'redwingcrank_scheduler_idle_jobs',
     help: 'Jobs with tasks to start and none at a worker.',
@@ -148,6 +153,8 @@
 
   readonly #upkeepCalls: Counter;
 
+  readonly #aheadStarts: Counter;
+
   readonly #load = new Map<string, Gauge>();
 
   constructor(log: NodeLog, state: () => NodeState) {
@@ -221,6 +228,11 @@
       labelNames: ['outcome'],
       registers,
     });
+    this.#aheadStarts = new Counter({
+      name: 'redwingcrank_ahead_starts_total',
+      help: 'Starts of tasks that were bound ahead, sent while the store did not answer.',
+      registers,
+    });
     for (const [field, { name, help }] of Object.entries(LOAD_GAUGES)) {
       this.#load.set(field, new Gauge({ name, help, registers }));
     }
@@ -250,6 +262,8 @@
       this.#setLoad({});
       this.#startDelay.reset();
     }
+    if (event === 'term-end') this.#setLoad({});
+    if (event === 'started-ahead') this.#aheadStarts.inc(Number(fields.count));
     if (event === 'submit') this.#submits.observe({ outcome }, seconds);
   }
 
--- a/packages/runtime/src/internal/term-load.ts
+++ b/packages/runtime/src/internal/term-load.ts
@@ -37,6 +37,8 @@
   readonly startsPerSecond: number;
   /** On how many workers other nodes may renew leases. */
   readonly leaseGrants: number;
+  /** How many waiting tasks are bound ahead. */
+  readonly aheadBindings: number;
 }
 
 /**
@@ -152,6 +154,7 @@
       quietMs: Math.round(view.quietMs),
       unstartedTasks: view.unstartedTasks,
       startsPerSecond: Math.round(view.startsPerSecond),
+      aheadBindings: view.aheadBindings,
       evacuatedRuns: view.evacuatedRuns,
       leaseGrants: view.leaseGrants,
       idleJobs: view.idleJobs,
--- a/packages/runtime/src/test/term-load_test.ts
+++ b/packages/runtime/src/test/term-load_test.ts
@@ -13,6 +13,7 @@
   leaseLeftMs: -20,
   unstartedTasks: 0,
   startsPerSecond: 0,
+  aheadBindings: 0,
   evacuatedRuns: 4,
   leaseGrants: 5,
   idleJobs: 2,
