Urgent reserve: demand of short tasks and slots for them, as pure modules

Long-running tasks hold for minutes what urgent short tasks need a second later, and nothing measured how much that is. Run times are learned from the ends of runs. Nothing asks the modules yet: no decision changes.

--- a/packages/jobs/src/internal/cluster-state.ts
+++ b/packages/jobs/src/internal/cluster-state.ts
@@ -10,6 +10,7 @@
 import type { StopReason } from './stop-reason.js';
 import { IdleWaitEstimator } from './idle-wait-estimator.js';
 import { objectiveMsOf, objectiveOutcomeOf } from './urgency.js';
+import { UrgentReserve } from './urgent-reserve.js';
 import type { WorkerRun } from './worker-run.js';
 import { lostCpuMs } from './worker-run.js';
 import { WorkerState } from './worker-state.js';
@@ -59,6 +60,8 @@
 
   readonly idleWaits: IdleWaitEstimator;
 
+  readonly urgentReserve = new UrgentReserve();
+
   /** False while jobs that were started earlier may not have been loaded yet. */
   isFullyLoaded = true;
 
--- a/packages/jobs/src/internal/report-reader.ts
+++ b/packages/jobs/src/internal/report-reader.ts
@@ -164,6 +164,10 @@
       ...(run && isCurrent && slowStartOf(run)),
     });
     if (!job || !task) return;
+    if (run && isCurrent && row.how === 'done') {
+      const queue = this.#state.queues.get(job.spec.queue);
+      this.#state.urgentReserve.ended(queue, run.spec, nowMs - run.startedMs);
+    }
     this.#crashSuspects.runWorked(job, task);
     if (isBoundRun) this.#taskEnded(job, ref, task, row);
     else if (row.how === 'done') this.#completeLate(job, ref, task);
--- a/packages/jobs/src/internal/worker-state.ts
+++ b/packages/jobs/src/internal/worker-state.ts
@@ -1,6 +1,7 @@
 import type { StepSpec } from '../job.js';
 import type { TaskRef } from '../task-ref.js';
 import type { WorkerEntry } from '../worker.js';
+import { isShort, sizeClassOf } from './urgent-reserve.js';
 import { WorkerHealth } from './worker-health.js';
 import type { WorkerRun } from './worker-run.js';
 
@@ -62,6 +63,9 @@
 
   readonly #bestEffortClaims = new Map<string, number>();
 
+  /** The number of short tasks here, by size class. */
+  readonly #shortRuns = new Map<number, number>();
+
   /** The number of serving tasks here, by image. */
   readonly servingImages = new Map<string, number>();
 
@@ -90,6 +94,24 @@
     return this.#cpuMilli;
   }
 
+  /** Unreserved processor time. */
+  get freeMilli(): number {
+    return this.entry.capacity.cpuMilli - this.#cpuMilli;
+  }
+
+  get freeMb(): number {
+    return this.entry.capacity.memMb - this.#memMb;
+  }
+
+  get freeGpus(): number {
+    return this.entry.capacity.gpus - this.#gpus;
+  }
+
+  /** Returns how many short tasks of a size class occupy capacity here. */
+  shortRuns(sizeMilli: number): number {
+    return this.#shortRuns.get(sizeMilli) ?? 0;
+  }
+
   /** The processor time that the best-effort tasks here would use if no other tasks did. */
   get bestEffortMilli(): number {
     return this.#bestEffortMilli;
@@ -187,6 +209,7 @@
     } else {
       this.#cpuMilli += sign * spec.cpuMilli;
       if (spec.lasting) this.#longRunningMilli += sign * spec.cpuMilli;
+      if (isShort(spec)) addTo(this.#shortRuns, sizeClassOf(spec.cpuMilli), sign);
     }
     if (spec.targetMs > 0) {
       this.#servingMilli += sign * spec.cpuMilli;
@@ -197,7 +220,7 @@
   }
 }
 
-function addTo(sums: Map<string, number>, key: string, amount: number): void {
+function addTo<K>(sums: Map<K, number>, key: K, amount: number): void {
   const sum = (sums.get(key) ?? 0) + amount;
   if (sum > 0) sums.set(key, sum);
   else sums.delete(key);
