--- a/packages/jobs/src/internal/round-candidates.ts
+++ b/packages/jobs/src/internal/round-candidates.ts
@@ -22,6 +22,16 @@
   readonly isSuspect?: boolean;
 }
 
+/** A further rule for the workers of one step, beside their scores. */
+export interface WorkerRule {
+  /** Called before each choice. */
+  readonly prepare: () => void;
+  /** Whether a task may be placed on the worker. */
+  readonly allows: (worker: WorkerState) => boolean;
+  /** What is added to the score of the worker. */
+  readonly adjustment: (worker: WorkerState) => number;
+}
+
 interface Candidate {
   readonly worker: WorkerState;
   /** The worker's version when it was evaluated. */
@@ -38,6 +48,15 @@
 
   #isExhausted = false;
 
+  /** The rule of the step that is placed now. */
+  rule: WorkerRule | undefined;
+
+  /** Whether the rule was all that kept the latest task from a worker. */
+  isHeldBack = false;
+
+  /** The rule that no worker passes for the rest of the round, as capacity only decreases in it. */
+  #unmetRule: WorkerRule | undefined;
+
   /** Cached until a candidate is evaluated again. */
   #obstacle: Obstacle | undefined;
 
@@ -55,10 +74,17 @@
 
   /** Returns the best of the workers that can take the task now; undefined if there is none. */
   choose({ ref, spec, avoid, isSuspect }: PlacementRequest): WorkerState | undefined {
+    this.isHeldBack = false;
     if (this.#isExhausted) return undefined;
+    if (this.rule && this.rule === this.#unmetRule) {
+      this.isHeldBack = true;
+      return undefined;
+    }
+    this.rule?.prepare();
     let best: WorkerState | undefined;
     let bestScore = -Infinity;
     let isExhausted = true;
+    let isLimited = false;
     for (const candidate of this.#candidates) {
       const { worker } = candidate;
       if (candidate.version !== worker.version) this.#reevaluate(candidate);
@@ -67,13 +93,20 @@
         let { score } = candidate;
         if (worker.entry.id === avoid) score -= AVOID_PENALTY;
         if (isSuspect && worker.hasSuspect()) score -= SHARED_SUSPECTS_PENALTY;
-        if (score > bestScore && isBelowMaxPerWorker(ref, spec, worker)) {
-          best = worker;
-          bestScore = score;
+        score += this.rule?.adjustment(worker) ?? 0;
+        if (score > bestScore) {
+          if (!isBelowMaxPerWorker(ref, spec, worker)) isLimited = true;
+          else if (this.rule?.allows(worker) === false) this.isHeldBack = true;
+          else {
+            best = worker;
+            bestScore = score;
+          }
         }
       }
     }
     this.#isExhausted = isExhausted;
+    this.isHeldBack &&= !best;
+    if (this.isHeldBack && !isLimited) this.#unmetRule = this.rule;
     return best;
   }
 
@@ -95,6 +128,11 @@
     });
   }
 
+  /** Yields the workers that would take the task if they had more memory or GPUs. */
+  *lackingMemory(): Generator<WorkerState> {
+    for (const { score, worker } of this.#candidates) if (score === 'memory') yield worker;
+  }
+
   /** Returns the number of workers by obstacle; those that would take a task count as `open`. */
   counts(): Record<string, number> {
     const counts: Record<string, number> = {};
@@ -108,6 +146,7 @@
   /** Records that tentative placements were undone. */
   capacityReturned(): void {
     this.#isExhausted = false;
+    this.#unmetRule = undefined;
   }
 
   #reevaluate(candidate: Candidate): void {
@@ -150,12 +189,17 @@
     }
   }
 
+  /** Returns the workers of a pool that may take tasks in this round. */
+  workersOf(pool: string): readonly WorkerState[] {
+    return this.#workersByPool.get(pool) ?? [];
+  }
+
   /** Returns the candidates for tasks of a step among the workers of a pool. */
   of(spec: StepSpec, pool: string, isStarved: boolean): Candidates {
     const key = `${kindOf(spec)} ${pool} ${isStarved}`;
     const known = this.#byKind.get(key);
     if (known) return known;
-    const candidates = new Candidates(this.#workersByPool.get(pool) ?? [], (worker) =>
+    const candidates = new Candidates(this.workersOf(pool), (worker) =>
       this.#policy.evaluate(spec, worker, this.#nowMs, isStarved),
     );
     this.#byKind.set(key, candidates);
