New long-running tasks leave the reserve of urgent short tasks free

Cause: with 85 % of the processors asked for by long-running tasks, half of the urgent jobs ended late, as every capacity that became free between two of them was taken for minutes.

A new long-running task is placed only where the pool has enough slots for the reserve afterwards, or where it takes none, for at most 10 s of its wait. A new leader observes the stored jobs of the last 10 s, ended ones included.

--- a/packages/jobs/src/internal/placement.ts
+++ b/packages/jobs/src/internal/placement.ts
@@ -64,6 +64,11 @@
   return !requiredLabel || entry.labels.includes(requiredLabel);
 }
 
+/** Returns whether a worker may take tasks now, if it has capacity for them. */
+export function isAvailable(worker: WorkerState, nowMs: number): boolean {
+  return nowMs >= worker.opensMs && isOpen(worker, nowMs);
+}
+
 function isOpen(worker: WorkerState, nowMs: number): boolean {
   if (!worker.listed || !worker.fenced || worker.entry.draining) return false;
   if (nowMs - worker.answeredMs > SILENT_MS) return false;
--- a/packages/jobs/src/internal/step-waits.ts
+++ b/packages/jobs/src/internal/step-waits.ts
@@ -15,10 +15,11 @@
 export class StepWaits {
   readonly #waits = new WeakMap<readonly TaskProgress[], StepWait>();
 
-  /** Records that the step is waiting in this round. */
-  waiting(tasks: readonly TaskProgress[], nowMs: number): void {
-    if (this.#waits.has(tasks)) return;
+  /** Records that the step is waiting in this round. Returns whether it was not waiting before. */
+  waiting(tasks: readonly TaskProgress[], nowMs: number): boolean {
+    if (this.#waits.has(tasks)) return false;
     this.#waits.set(tasks, { sinceMs: nowMs, cause: 'none', checkedMs: -Infinity });
+    return true;
   }
 
   /** Records that the round reached its limits before it tried the step. */
--- a/packages/jobs/src/internal/task-placer.ts
+++ b/packages/jobs/src/internal/task-placer.ts
@@ -20,10 +20,10 @@
 import { RoundBudget } from './round-limits.js';
 import { newRun } from './runs.js';
 import { isCapacityLack } from './obstacle.js';
-import { RoomShortage } from './room-shortage.js';
 import { StepWaits } from './step-waits.js';
+import { UrgentCapacity } from './urgent-capacity.js';
 import type { WaitingStep } from './waiting-steps.js';
-import { IN_TIME_RANK, NEW_LONG_RUNNING_RANK, byUrgency, waitingStepsOf } from './waiting-steps.js';
+import { IN_TIME_RANK, byUrgency, waitingStepsOf } from './waiting-steps.js';
 import type { WorkerState } from './worker-state.js';
 
 /**
@@ -56,7 +56,7 @@
 
   readonly #hold = new CapacityHold();
 
-  readonly #shortage = new RoomShortage();
+  readonly #urgent: UrgentCapacity;
 
   /** Steps of starved jobs that did not fit on any worker in this round, since the last start. */
   readonly #starvedUnplaced: WaitingStep[] = [];
@@ -82,6 +82,7 @@
   constructor(state: ClusterState, placement: PlacementPolicy) {
     this.#state = state;
     this.#placement = placement;
+    this.#urgent = new UrgentCapacity(state);
     this.admission = new AdmissionControl(state, this.#idle, this.#idleByClass);
   }
 
@@ -101,11 +102,12 @@
   }
 
   /**
-   * Restores the idle time of a job from an earlier leader: if none of its tasks is bound, it has
-   * been idle since `sinceMs`. Jobs with occurrences are left out, as they have nothing to start
-   * between two occurrences.
+   * Records an added job, and restores its idle time if it is from an earlier leader: if none of its
+   * tasks is bound, it has been idle since `sinceMs`. Jobs with occurrences are left out, as they
+   * have nothing to start between two occurrences.
    */
-  restoreIdle(job: JobProgress, sinceMs: number): void {
+  jobAdded(job: JobProgress, sinceMs: number): void {
+    this.#urgent.jobAdded(job);
     const hasWork = !job.spec.schedule && !isFinal(job.state);
     if (sinceMs < Infinity && hasWork && !job.hasBoundTasks()) this.#idle.markIdle(job, sinceMs);
   }
@@ -146,7 +148,9 @@
     const hasAmpleCapacity =
       !this.#isCapacityShort && this.#state.reservedShare() < SLOW_PLACEMENT_BELOW;
     this.#isCapacityShort = false;
-    for (const { tasks } of waiting) this.#waits.waiting(tasks, nowMs);
+    this.#urgent.startRound(roundCandidates, nowMs);
+    for (const step of waiting)
+      if (this.#waits.waiting(step.tasks, nowMs)) this.#urgent.becameReady(step, nowMs);
     for (const [count, step] of waiting.entries()) {
       // At least one step is tried, however late it is.
       const mayContinue = budget.hasStarts && (count === 0 || budget.hasTime);
@@ -156,16 +160,16 @@
       }
       const mayRunSlowly = this.#mayRunSlowly(step, hasAmpleCapacity, nowMs);
       const candidates = roundCandidates.of(step.spec, step.queue.pool, mayRunSlowly);
-      const outcome = this.#mustYield(step, nowMs)
-        ? 'yielded'
-        : this.#placeStep(step, candidates, budget, nowMs);
+      const waitMs = step.spec.lasting ? this.#waits.of(step.tasks, nowMs).waitMs : 0;
+      const mustYield = this.#urgent.mustYield(step, waitMs, nowMs);
+      candidates.rule = mustYield ? undefined : this.#urgent.ruleFor(step, waitMs, nowMs);
+      const outcome = mustYield ? 'yielded' : this.#placeStep(step, candidates, budget, nowMs);
       if (outcome === 'yielded') this.#waits.yielded(step.tasks);
       if (outcome === 'placed' && step.maxTasks === Infinity) this.#waits.placed(step.tasks);
       if (outcome === 'placeless') {
         unplaced.push(step);
         this.#isCapacityShort ||= step.rank === IN_TIME_RANK;
-        if (step.rank === IN_TIME_RANK && candidates.lackRoomFor(step.spec))
-          this.#shortage.found(step.queue, nowMs);
+        this.#urgent.unplaced(step, candidates, nowMs);
         if (step.rank === STARVED_RANK) this.#starvedUnplaced.push(step);
         this.#waits.unplaced(step.tasks, () => candidates.obstacle, nowMs);
         this.#logIdle(step.job, step.spec, candidates, nowMs);
@@ -333,12 +337,6 @@
     return rank === STARVED_RANK && this.#idle.isLongStarved(job, nowMs);
   }
 
-  /** Returns whether new long-running tasks leave their room to jobs in time that lack it. */
-  #mustYield({ rank, queue, tasks }: WaitingStep, nowMs: number): boolean {
-    if (rank !== NEW_LONG_RUNNING_RANK) return false;
-    return this.#shortage.mustYield(queue, this.#waits.of(tasks, nowMs).waitMs, nowMs);
-  }
-
   #placeStep(
     step: WaitingStep,
     candidates: Candidates,
@@ -367,7 +365,7 @@
         const isSuspect = (task.crashWeight ?? 0) > 0;
         const worker = candidates.choose({ ref, spec: step.spec, avoid: task.worker, isSuspect });
         // The tasks of a step are alike: if one of them does not fit, the next one does not either.
-        if (!worker) return 'placeless';
+        if (!worker) return candidates.isHeldBack ? 'yielded' : 'placeless';
         this.#bind(step, ref, task, worker, task.run + 1, nowMs);
         budget.recordStarts(1);
         this.#started(step, nowMs);
@@ -398,7 +396,7 @@
     }
     for (const [ref, worker] of placed) worker.remove(taskName(ref));
     if (placed.length > 0) candidates.capacityReturned();
-    if (placed.length < step.tasks.length) return 'placeless';
+    if (placed.length < step.tasks.length) return candidates.isHeldBack ? 'yielded' : 'placeless';
     const { checkpoint } = step.tasks[0]!;
     for (const [ref, worker] of placed) {
       const task = step.tasks[ref.index]!;
--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -151,7 +151,7 @@
     const { id } = progress.spec;
     if (this.#state.jobs.has(id)) return;
     this.#state.jobs.set(id, progress);
-    this.#placer.restoreIdle(progress, changedMs);
+    this.#placer.jobAdded(progress, changedMs);
     for (const [ref, task] of boundTasks(progress)) this.#inherit(progress, ref, task);
   }
 
--- a/packages/jobs/src/test/round-work_test.ts
+++ b/packages/jobs/src/test/round-work_test.ts
@@ -72,6 +72,45 @@
   assert.ok(workers.checks <= maxChecks, `${workers.checks} checks`);
 });
 
+test('choices of a round do not increase with the long-running jobs that leave capacity to urgent ones', () => {
+  // Guards against rounds that rate all workers for each of them: these fit, but must not be placed.
+  const workers = new CountedWorkers();
+  const harness = new SchedulerHarness(workers.entries);
+  harness.submit(jobSpec([stepSpec({ taskCount: 80 })], { id: 'short', acceptedMs: 1_000 }));
+  const starts = harness.starts();
+  for (const { id } of workers.entries) {
+    const ended = starts.filter(({ worker }) => worker === id);
+    harness.report(id, { ended: ended.map((start) => harness.end(start, 'done')) });
+  }
+  let reads = 0;
+  const countRead = (): void => {
+    reads += 1;
+  };
+  for (const { entry } of harness.scheduler.workers.values()) {
+    const { capacity } = entry;
+    const counted = {
+      ...entry,
+      get capacity() {
+        countRead();
+        return capacity;
+      },
+    };
+    harness.scheduler.listWorker(counted, harness.nowMs);
+  }
+  const readsWith = (count: number): number => {
+    for (let i = 0; i < count; i += 1) {
+      const id = `watch${harness.scheduler.jobs.size}`;
+      harness.submit(jobSpec([stepSpec({ lasting: true, cpuMilli: 8_000 })], { id }));
+    }
+    harness.starts();
+    reads = 0;
+    assert.equal(harness.starts().length, 0);
+    return reads;
+  };
+  const readsWithFew = readsWith(WORKERS);
+  assert.ok(readsWith(JOBS) <= readsWithFew + WORKERS, `${reads} reads after ${readsWithFew}`);
+});
+
 /** Limits of a round whose clock advances by one with each check of a worker. */
 function limitsByChecks(
   workers: CountedWorkers,
--- a/packages/jobs/src/test/simulated-cluster.ts
+++ b/packages/jobs/src/test/simulated-cluster.ts
@@ -1,3 +1,4 @@
+import type { StepSpec } from '../job.js';
 import type { Order } from '../order.js';
 import type { WorkerEntry } from '../worker.js';
 import { SchedulerHarness, jobSpec, runningRow, stepSpec } from './scheduler-harness.js';
@@ -19,6 +20,14 @@
   };
 }
 
+/** In what a simulation differs from the usual one. */
+interface SimulationVariant {
+  /** Returns how long a task takes that is not long-running; `random` is from 0 to 1. */
+  readonly durationMsOf?: (spec: StepSpec, random: number) => number;
+  /** The tail latency of long-running tasks, in milliseconds; none is reported by default. */
+  readonly tailMs?: number;
+}
+
 /**
  * Simulates a cluster in which each task ends after a random time of 0.5 to 1.5 s, in steps of 100
  * ms. Long-running tasks run until they are stopped.
@@ -35,8 +44,11 @@
 
   startCount = 0;
 
-  constructor(seed: number, workers: readonly WorkerEntry[]) {
+  readonly #variant: SimulationVariant;
+
+  constructor(seed: number, workers: readonly WorkerEntry[], variant: SimulationVariant = {}) {
     this.#random = pseudoRandom(seed);
+    this.#variant = variant;
     this.harness = new SchedulerHarness(workers);
   }
 
@@ -61,7 +73,7 @@
     for (const id of harness.scheduler.workers.keys()) {
       const running = this.#running
         .filter(({ order }) => order.worker === id)
-        .map(({ order }) => runningRow(order, this.#isLongRunning(order) ? { percent: 100 } : {}));
+        .map(({ order }) => this.#rowOf(order));
       const rows = [
         ...stopped.filter(({ worker }) => worker === id).map((end) => harness.end(end, 'stopped')),
         ...ended.filter(({ worker }) => worker === id).map((end) => harness.end(end, 'done')),
@@ -74,12 +86,27 @@
     this.startCount += 1;
     const { jobId } = start.task;
     if (!this.firstStartMs.has(jobId)) this.firstStartMs.set(jobId, this.harness.nowMs);
-    const durationMs = this.#isLongRunning(start) ? Infinity : 500 + 1_000 * this.#random();
-    this.#running.push({ order: start, endsMs: this.harness.nowMs + durationMs });
+    this.#running.push({ order: start, endsMs: this.harness.nowMs + this.#durationMs(start) });
+  }
+
+  #rowOf(order: Start): ReturnType<typeof runningRow> {
+    const { tailMs: measure = 0 } = this.#variant;
+    return runningRow(order, this.#isLongRunning(order) ? { percent: 100, measure } : {});
+  }
+
+  #durationMs(start: Start): number {
+    if (this.#isLongRunning(start)) return Infinity;
+    const spec = this.#specOf(start);
+    const random = this.#random();
+    return (spec && this.#variant.durationMsOf?.(spec, random)) ?? 500 + 1_000 * random;
+  }
+
+  #isLongRunning(start: Start): boolean {
+    return this.#specOf(start)?.lasting ?? false;
   }
 
-  #isLongRunning({ task }: Start): boolean {
-    return this.harness.scheduler.jobs.get(task.jobId)?.spec.steps[task.step]!.lasting ?? false;
+  #specOf({ task }: Start): StepSpec | undefined {
+    return this.harness.scheduler.jobs.get(task.jobId)?.spec.steps[task.step];
   }
 
   /** Removes the running tasks for which `hasEnded` holds, and returns their starts. */
