--- a/packages/runtime/src/internal/node-metrics.ts
+++ b/packages/runtime/src/internal/node-metrics.ts
@@ -132,6 +132,8 @@
 
   readonly #objectives: Counter;
 
+  readonly #reserve: Gauge;
+
   readonly #load = new Map<string, Gauge>();
 
   constructor(log: NodeLog, state: () => NodeState) {
@@ -181,6 +183,12 @@
       labelNames: ['queue', 'objective'],
       registers,
     });
+    this.#reserve = new Gauge({
+      name: 'redwingcrank_urgent_reserve_milli',
+      help: 'Processors kept free of new long-running tasks for urgent short ones, in thousandths of a core.',
+      labelNames: ['pool', 'priority', 'size_milli'],
+      registers,
+    });
     for (const [field, { name, help }] of Object.entries(LOAD_GAUGES)) {
       this.#load.set(field, new Gauge({ name, help, registers }));
     }
@@ -203,6 +211,8 @@
     if (event === 'job-ended') this.#observeJobEnd(fields);
     if (event === 'term-load') this.#setLoad(fields);
     if (event === 'term-end') this.#setLoad({});
+    if (event === 'term-end') this.#reserve.reset();
+    if (event === 'urgent-reserve') this.#setReserve(fields);
     if (event === 'submit') this.#submits.observe({ outcome }, seconds);
   }
 
@@ -220,6 +230,12 @@
     this.#lostCpu.inc({ reason: String(reason) }, Number(lostCpuMs) / 1_000);
   }
 
+  #setReserve({ pool, priority, sizeMilli, tasks }: LogFields): void {
+    const labels = { pool: `${pool}`, priority: `${priority}`, size_milli: `${sizeMilli}` };
+    if (tasks === 0) this.#reserve.remove(labels);
+    else this.#reserve.set(labels, Number(tasks) * Number(sizeMilli));
+  }
+
   /** Sets the load gauges. A node that is no longer leader reports no load. */
   #setLoad(fields: LogFields): void {
     for (const [field, gauge] of this.#load) {
--- a/packages/runtime/src/test/scheduling-metrics_test.ts
+++ b/packages/runtime/src/test/scheduling-metrics_test.ts
@@ -25,3 +25,18 @@
   assert.match(text, /redwingcrank_job_objectives_total\{queue="q",objective="late"\} 1\n/);
   assert.doesNotMatch(text, /job_objectives_total\{queue="q",objective="undefined"/);
 });
+
+test('the reserve for urgent tasks is shown by pool, priority and size class until the term ends', async () => {
+  // Guards against a former leader that still reports a reserve, which would then be counted twice.
+  const log = new NodeLog('n1', 'silent');
+  const metrics = new NodeMetrics(log, () => NODE_STATE);
+  const fields = { pool: 'p', priority: 0, sizeMilli: 8_192, tasks: 3, freeTasks: 7 };
+  log.emit('info', 'urgent-reserve', fields);
+  log.emit('info', 'urgent-reserve', { ...fields, sizeMilli: 1_024 });
+  log.emit('info', 'urgent-reserve', { ...fields, sizeMilli: 1_024, tasks: 0 });
+  const line = /urgent_reserve_milli\{pool="p",priority="0",size_milli="8192"\} 24576\n/;
+  assert.match(await metrics.text(), line);
+  assert.doesNotMatch(await metrics.text(), /size_milli="1024"/);
+  log.emit('info', 'term-end', { epoch: 1 });
+  assert.doesNotMatch(await metrics.text(), line);
+});
