--- a/packages/jobs/src/test/urgent-reserve_test.ts
+++ b/packages/jobs/src/test/urgent-reserve_test.ts
@@ -88,6 +88,19 @@
   assert.equal(startedWatches(withDemand(2)), WATCH.taskCount);
 });
 
+test('the reserve decays when no more short tasks come', () => {
+  // Guards against capacity that stays reserved for hours after a load spike.
+  const harness = withDemand();
+  startedWatches(harness, 1);
+  for (let second = 0; second < 40; second += 1) {
+    harness.nowMs += 1_000;
+    for (const worker of ['w1', 'w2']) harness.report(worker);
+    harness.decide();
+  }
+  const tasks = harness.fieldsOf('urgent-reserve').map((fields) => fields.tasks);
+  assert.deepEqual(tasks, [4, 3, 2, 1, 0]);
+});
+
 test('a new leader keeps the reserve by the jobs of the last seconds that have ended', () => {
   // Guards against long-running tasks that take all capacity in the first rounds of each term.
   const harness = new SchedulerHarness([workerEntry('w1'), workerEntry('w2')]);
