--- a/packages/jobs/src/internal/cluster-state.ts
+++ b/packages/jobs/src/internal/cluster-state.ts
@@ -11,6 +11,7 @@
 import { IdleWaitEstimator } from './idle-wait-estimator.js';
 import { WorkBacklog } from './work-backlog.js';
 import { objectiveMsOf, objectiveOutcomeOf } from './urgency.js';
+import { UrgentReserve } from './urgent-reserve.js';
 import type { WorkerRun } from './worker-run.js';
 import { lostCpuMs } from './worker-run.js';
 import { WorkerState } from './worker-state.js';
@@ -62,6 +63,8 @@
 
   readonly work: WorkBacklog;
 
+  readonly urgentReserve = new UrgentReserve();
+
   /** False while jobs that were started earlier may not have been loaded yet. */
   isFullyLoaded = true;
 
--- a/packages/jobs/src/internal/round-candidates.ts
+++ b/packages/jobs/src/internal/round-candidates.ts
@@ -30,6 +30,16 @@
   readonly isSuspect?: boolean;
 }
 
+/** A further rule for the workers of one step, beside their scores. */
+export interface WorkerRule {
+  /** Called before each choice. */
+  readonly prepare: () => void;
+  /** Whether a task may be placed on the worker. */
+  readonly allows: (worker: WorkerState) => boolean;
+  /** What is added to the score of the worker. */
+  readonly adjustment: (worker: WorkerState) => number;
+}
+
 interface Candidate {
   readonly worker: WorkerState;
   /** The worker's version when it was evaluated. */
@@ -49,6 +59,15 @@
 
   #isExhausted = false;
 
+  /** The rule of the step that is placed now. */
+  rule: WorkerRule | undefined;
+
+  /** Whether the rule was all that kept the latest task from a worker. */
+  isHeldBack = false;
+
+  /** The rule that no worker passes for the rest of the round, as capacity only decreases in it. */
+  #unmetRule: WorkerRule | undefined;
+
   /** Cached until a candidate is evaluated again. */
   #obstacle: Obstacle | undefined;
 
@@ -66,11 +85,19 @@
    * evaluated; undefined if there is none.
    */
   choose(request: PlacementRequest): WorkerState | undefined {
+    this.isHeldBack = false;
     if (this.#isExhausted) return undefined;
+    if (this.rule && this.rule === this.#unmetRule) {
+      this.isHeldBack = true;
+      return undefined;
+    }
+    this.rule?.prepare();
     for (;;) {
-      const { worker, isSuitable, isExhausted } = this.#bestEvaluated(request);
+      const { worker, isSuitable, isExhausted, isLimited } = this.#bestEvaluated(request);
       if (isSuitable || !this.#evaluateBlock()) {
         this.#isExhausted = isExhausted;
+        this.isHeldBack &&= !worker;
+        if (this.isHeldBack && !isLimited) this.#unmetRule = this.rule;
         return worker;
       }
     }
@@ -86,17 +113,20 @@
   }
 
   /**
-   * Returns the best evaluated worker, whether it is to be taken if there are others to evaluate, and
-   * whether no evaluated worker can take a task of this kind.
+   * Returns the best evaluated worker, whether it is to be taken if there are others to evaluate,
+   * whether no evaluated worker can take a task of this kind, and whether the maximum of tasks on one
+   * worker kept the task from any.
    */
   #bestEvaluated({ ref, spec, avoid, isSuspect }: PlacementRequest): {
     readonly worker: WorkerState | undefined;
     readonly isSuitable: boolean;
     readonly isExhausted: boolean;
+    readonly isLimited: boolean;
   } {
     let best: WorkerState | undefined;
     let bestScore = -Infinity;
     let isExhausted = true;
+    let isLimited = false;
     for (const candidate of this.#candidates) {
       const { worker } = candidate;
       if (candidate.version !== worker.version) this.#reevaluate(candidate);
@@ -105,13 +135,18 @@
         let { score } = candidate;
         if (worker.entry.id === avoid) score -= AVOID_PENALTY;
         if (isSuspect && worker.hasSuspect()) score -= SHARED_SUSPECTS_PENALTY;
-        if (score > bestScore && isBelowMaxPerWorker(ref, spec, worker)) {
-          best = worker;
-          bestScore = score;
+        score += this.rule?.adjustment(worker) ?? 0;
+        if (score > bestScore) {
+          if (!isBelowMaxPerWorker(ref, spec, worker)) isLimited = true;
+          else if (this.rule?.allows(worker) === false) this.isHeldBack = true;
+          else {
+            best = worker;
+            bestScore = score;
+          }
         }
       }
     }
-    return { worker: best, isSuitable: bestScore > -AVOID_PENALTY / 2, isExhausted };
+    return { worker: best, isSuitable: bestScore > -AVOID_PENALTY / 2, isExhausted, isLimited };
   }
 
   /** The obstacle that most workers have. */
@@ -132,6 +167,11 @@
     });
   }
 
+  /** Yields the workers that would take the task if they had more memory or GPUs. */
+  *lackingMemory(): Generator<WorkerState> {
+    for (const { score, worker } of this.#candidates) if (score === 'memory') yield worker;
+  }
+
   /** Returns the number of workers by obstacle; those that would take a task count as `open`. */
   counts(): Record<string, number> {
     const counts: Record<string, number> = {};
@@ -145,6 +185,7 @@
   /** Records that tentative placements were undone. */
   capacityReturned(): void {
     this.#isExhausted = false;
+    this.#unmetRule = undefined;
   }
 
   #reevaluate(candidate: Candidate): void {
@@ -191,6 +232,11 @@
     }
   }
 
+  /** Returns the workers of a pool that may take tasks in this round. */
+  workersOf(pool: string): readonly WorkerState[] {
+    return this.#workersByPool.get(pool) ?? [];
+  }
+
   /** Returns the candidates for tasks of a step among the workers of a pool. */
   of(spec: StepSpec, pool: string, isStarved: boolean): Candidates {
     const key = `${kindOf(spec)} ${pool} ${isStarved}`;
@@ -209,7 +255,7 @@
    * the rack with the step's data go first.
    */
   #inSearchOrder({ dataRack }: StepSpec, pool: string): readonly WorkerState[] {
-    const workers = this.#workersByPool.get(pool) ?? [];
+    const workers = this.workersOf(pool);
     if (workers.length <= BLOCK_SIZE) return workers;
     const begin = (this.#round * BLOCK_SIZE) % workers.length;
     const rotated = [...workers.slice(begin), ...workers.slice(0, begin)];
--- a/packages/jobs/src/internal/stop-reason.ts
+++ b/packages/jobs/src/internal/stop-reason.ts
@@ -10,6 +10,7 @@
  * - `stands-still`: it made no progress for too long.
  * - `halted`: it must not work at all beside a serving task, and either its progress is saved or no
  *   other task of its job is running.
+ * - `preempted`: it held memory that a task of a more urgent queue needs.
  */
 export type StopReason =
   | 'cancelled'
@@ -21,4 +22,5 @@
   | 'worker-leaves'
   | 'upkeep'
   | 'stands-still'
-  | 'halted';
+  | 'halted'
+  | 'preempted';
--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -163,7 +163,7 @@
     if (this.#state.jobs.has(id)) return;
     this.#state.jobs.set(id, progress);
     this.#state.work.add(progress, this.#state.queues.get(progress.spec.queue));
-    this.#placer.restoreIdle(progress, changedMs);
+    this.#placer.jobAdded(progress, changedMs);
     for (const [ref, task] of boundTasks(progress)) this.#inherit(progress, ref, task);
   }
 
--- a/packages/runtime/src/internal/node-metrics.ts
+++ b/packages/runtime/src/internal/node-metrics.ts
@@ -155,6 +155,8 @@
 
   readonly #aheadStarts: Counter;
 
+  readonly #reserve: Gauge;
+
   readonly #load = new Map<string, Gauge>();
 
   constructor(log: NodeLog, state: () => NodeState) {
@@ -233,6 +235,12 @@
       help: 'Starts of tasks that were bound ahead, sent while the store did not answer.',
       registers,
     });
+    this.#reserve = new Gauge({
+      name: 'redwingcrank_urgent_reserve_milli',
+      help: 'Processors kept free of new long-running tasks for urgent short ones, in thousandths of a core.',
+      labelNames: ['pool', 'priority', 'size_milli'],
+      registers,
+    });
     for (const [field, { name, help }] of Object.entries(LOAD_GAUGES)) {
       this.#load.set(field, new Gauge({ name, help, registers }));
     }
@@ -261,9 +269,10 @@
     if (event === 'term-end') {
       this.#setLoad({});
       this.#startDelay.reset();
+      this.#reserve.reset();
     }
-    if (event === 'term-end') this.#setLoad({});
     if (event === 'started-ahead') this.#aheadStarts.inc(Number(fields.count));
+    if (event === 'urgent-reserve') this.#setReserve(fields);
     if (event === 'submit') this.#submits.observe({ outcome }, seconds);
   }
 
@@ -291,6 +300,12 @@
     this.#startDelay.set(labels, Number(delayMs));
   }
 
+  #setReserve({ pool, priority, sizeMilli, tasks }: LogFields): void {
+    const labels = { pool: `${pool}`, priority: `${priority}`, size_milli: `${sizeMilli}` };
+    if (tasks === 0) this.#reserve.remove(labels);
+    else this.#reserve.set(labels, Number(tasks) * Number(sizeMilli));
+  }
+
   /** Sets the load gauges. A node that is no longer leader reports no load. */
   #setLoad(fields: LogFields): void {
     for (const [field, gauge] of this.#load) {
