The progress of a task may have a second run

A task of a speculative step is to run a second time beside a slow or silent first run, and the binding of each run must be stored before its start. A started task gets two optional parts after its crash weight: run number and worker of the copy. Records without copies are as before, byte for byte. A copy with the number or the worker of the first run, of a task that is not bound, or in a step that is not speculative makes the record unreadable.

--- a/packages/jobs/src/internal/compact-progress.ts
+++ b/packages/jobs/src/internal/compact-progress.ts
@@ -40,7 +40,8 @@
  * each step "|" and its tasks, joined by ","; "!" ends it, so that a truncated record is recognised.
  * Consecutive tasks that were never started, or are done, are one entry with their count: `w5`, `d`.
  * Other tasks are `~WORKER` or `~WORKER.CHECKPOINT` for a first run that is bound, else
- * PHASE.RUN.FAILURES.WORKER.CHECKPOINT with the index of the phase, and `.CRASH_WEIGHT` if it has one.
+ * PHASE.RUN.FAILURES.WORKER.CHECKPOINT with the index of the phase, and `.CRASH_WEIGHT` if it has one;
+ * a task with a copy is all of that, its crash weight also if it is 0, and `.RUN.WORKER` of the copy.
  * Workers that consist of the prefix and bytes in hexadecimal, and checkpoints of such bytes, are
  * `~` and the bytes in base64url; all other text is escaped.
  */
@@ -106,12 +107,15 @@
 }
 
 function encodeStarted(task: Exclude<TaskTuple, number>, names: PackedText): string {
-  const [phase, run, worker, failures, checkpoint, crashWeight] = task;
+  const [phase, run, worker, failures, checkpoint, crashWeight, copyRun, copyWorker] = task;
   const name = names.pack(worker);
   const saved = checkpoint && CHECKPOINTS.pack(checkpoint);
+  const started = [phase, run, failures, name, saved];
+  if (copyRun !== undefined)
+    return [...started, crashWeight, copyRun, names.pack(copyWorker!)].join('.');
   const isFirstRun = phase === BOUND && run === 1 && failures === 0 && !crashWeight;
   if (isFirstRun && PackedText.isPacked(name)) return saved ? `${name}.${saved}` : name;
-  return [phase, run, failures, name, saved, ...(crashWeight ? [crashWeight] : [])].join('.');
+  return [...started, ...(crashWeight ? [crashWeight] : [])].join('.');
 }
 
 /** Decodes the tasks of a step; returns undefined if any of them is malformed. */
@@ -144,14 +148,19 @@
 }
 
 function decodeStarted(entry: string, names: PackedText): TaskTuple | undefined {
-  const [phase, run, failures, name, saved, crashWeight, ...rest] = entry.split('.');
+  const [phase, run, failures, name, saved, crashWeight, copyRun, copyName, ...rest] =
+    entry.split('.');
   if (name === undefined || saved === undefined || rest.length > 0) return undefined;
-  if (![phase, run, failures, crashWeight ?? '0'].every((count) => COUNT.test(count!)))
+  if (![phase, run, failures, crashWeight ?? '0', copyRun ?? '0'].every((n) => COUNT.test(n!)))
     return undefined;
   const worker = names.unpack(name);
   const checkpoint = CHECKPOINTS.unpack(saved);
   if (worker === undefined || checkpoint === undefined) return undefined;
   const task: TaskTuple = [Number(phase), Number(run), worker, Number(failures), checkpoint];
   if (crashWeight !== undefined) task.push(Number(crashWeight));
+  if (copyRun === undefined) return task;
+  const copyWorker = copyName === undefined ? undefined : names.unpack(copyName);
+  if (copyWorker === undefined) return undefined;
+  task.push(Number(copyRun), copyWorker);
   return task;
 }
--- a/packages/jobs/src/job-progress.ts
+++ b/packages/jobs/src/job-progress.ts
@@ -11,6 +11,17 @@
  */
 export type TaskPhase = 'waiting' | 'bound' | 'done' | 'failed';
 
+/** The second run of a task of a `speculative` step. */
+export interface TaskCopy {
+  /** Its run number, higher than that of the first run. */
+  readonly run: number;
+  /**
+   * The worker of the run; empty once the run has ended. Its number stays in use until the first run
+   * ends, because workers refuse a run number that they have seen end.
+   */
+  readonly worker: string;
+}
+
 /** The progress of one task. */
 export interface TaskProgress {
   phase: TaskPhase;
@@ -29,6 +40,8 @@
    * `CrashSuspects`); absent if none did.
    */
   crashWeight?: number;
+  /** A second run beside the one of `run` and `worker`; absent unless the task is bound. */
+  copy?: TaskCopy;
 }
 
 /** One execution of all steps of a job. */
@@ -231,8 +244,11 @@
 function encodeTask(task: TaskProgress): TaskTuple {
   if (task.phase === 'done') return 1;
   if (task.phase === 'waiting' && task.run === 0) return 0;
-  const { phase, run, worker, failures, checkpoint, crashWeight } = task;
-  const tuple: TaskTuple = [PHASES.indexOf(phase), run, worker, failures, checkpoint];
+  const { phase, run, worker, failures, checkpoint, crashWeight = 0, copy } = task;
+  const index = PHASES.indexOf(phase);
+  if (phase === 'bound' && copy)
+    return [index, run, worker, failures, checkpoint, crashWeight, copy.run, copy.worker];
+  const tuple: TaskTuple = [index, run, worker, failures, checkpoint];
   if (crashWeight) tuple.push(crashWeight);
   return tuple;
 }
@@ -240,7 +256,9 @@
 function decodeTask(tuple: TaskTuple): TaskProgress {
   if (tuple === 0) return newTask();
   if (tuple === 1) return { ...newTask(), phase: 'done' };
-  const [phase, run, worker, failures, checkpoint, crashWeight] = tuple;
-  const task = { phase: PHASES[phase]!, run, worker, failures, checkpoint };
-  return crashWeight ? { ...task, crashWeight } : task;
+  const [phase, run, worker, failures, checkpoint, crashWeight, copyRun, copyWorker] = tuple;
+  const task: TaskProgress = { phase: PHASES[phase]!, run, worker, failures, checkpoint };
+  if (crashWeight) task.crashWeight = crashWeight;
+  if (copyRun !== undefined) task.copy = { run: copyRun, worker: copyWorker! };
+  return task;
 }
--- a/packages/jobs/src/test/compact-progress_test.ts
+++ b/packages/jobs/src/test/compact-progress_test.ts
@@ -181,3 +181,21 @@
     assert.equal(parseProgress(jobOf(1), json(parts)), undefined, JSON.stringify(parts));
   }
 });
+
+test('a task with a copy decodes to what was encoded, and a malformed copy is unreadable', () => {
+  // Guards against a second run that the next leader does not know, or that it takes for the first
+  // run, or finds in a step that allows only one.
+  const spec = jobSpec([stepSpec({ speculative: true })]);
+  const tuple: TaskTuple = [1, 2, 'i-4b1c187eed', 1, 'a1', 0, 3, 'i-4b1c187eee'];
+  const rec: ProgressRecord = { s: 'running', b: 1, o: [[0, [[tuple]]]] };
+  const text = encodeCompact(rec);
+  assert.equal(text, 'r1;i-;0|1.2.1.~SxwYfu0.~oQ.0.3.~SxwYfu4!');
+  assert.equal(JobProgress.decode(spec, text).encode(), text);
+  assert.deepEqual(parseProgress(spec, JSON.stringify(rec)), rec);
+  assert.equal(parseProgress(jobOf(1), text), undefined);
+  for (const copy of ['.3', '.2.w', '.1.w', '.x.w', '.3.~SxwYfu0', '.3.w.1', '.3.~'])
+    assert.equal(parseProgress(spec, text.replace('.3.~SxwYfu4', copy)), undefined, copy);
+  // The number of a copy that has ended stays in the record.
+  assert.notEqual(parseProgress(spec, text.replace('~SxwYfu4', '')), undefined);
+  assert.equal(parseProgress(spec, text.replace('|1.', '|0.')), undefined);
+});
