Slow and silent tasks of speculative steps get a second run

One task of a step that runs far longer than its peers, or whose worker does not answer, made the whole step wait: up to 6 s for the leases of a lost worker. TaskCopies looks at the runs every 200 ms and binds a copy on another worker; the first success counts and the other run is stopped.

--- a/packages/jobs/src/internal/cluster-state.ts
+++ b/packages/jobs/src/internal/cluster-state.ts
@@ -7,13 +7,18 @@
 import type { WorkerEntry } from '../worker.js';
 import { EvacuatedDataCentres } from './evacuated-data-centres.js';
 import { findTask } from './runs.js';
+import { StepDurations } from './step-durations.js';
 import type { StopReason } from './stop-reason.js';
 import { IdleWaitEstimator } from './idle-wait-estimator.js';
+import { dropRun, isBoundTo } from './task-runs.js';
 import { objectiveMsOf, objectiveOutcomeOf } from './urgency.js';
 import type { WorkerRun } from './worker-run.js';
 import { lostCpuMs } from './worker-run.js';
 import { WorkerState } from './worker-state.js';
 
+/** The maximum number of attempts of a task whose queue is no longer known. */
+const DEFAULT_ATTEMPTS = 3;
+
 /** Times that govern scheduling decisions, in milliseconds of the node's monotonic clock. */
 export interface SchedulerTiming {
   /** After its latest renewal, the leases of an unreachable worker expire within this time. */
@@ -59,6 +64,8 @@
 
   readonly idleWaits: IdleWaitEstimator;
 
+  readonly durations = new StepDurations();
+
   /** False while jobs that were started earlier may not have been loaded yet. */
   isFullyLoaded = true;
 
@@ -142,9 +149,14 @@
     });
   }
 
-  /** Makes a task that no longer runs anywhere wait for its next start. */
-  release(job: JobProgress, task: TaskProgress, checkpoint: string): void {
-    task.phase = 'waiting';
+  /** Returns the number of failures of a task after which the job fails. */
+  maxAttemptsOf({ spec }: JobProgress): number {
+    return this.queues.get(spec.queue)?.maxAttempts ?? DEFAULT_ATTEMPTS;
+  }
+
+  /** Drops a run of a bound task. If it was the only one, the task waits for its next start. */
+  release(job: JobProgress, task: TaskProgress, run: number, checkpoint: string): void {
+    if (!dropRun(task, run)) task.phase = 'waiting';
     if (checkpoint) task.checkpoint = checkpoint;
     this.changed.add(job);
   }
@@ -157,9 +169,8 @@
     worker.remove(key);
     const job = this.jobs.get(run.ref.jobId);
     const task = job && findTask(job, run.ref);
-    if (!job || task?.phase !== 'bound') return;
-    if (task.run !== run.run || task.worker !== worker.entry.id) return;
-    this.release(job, task, run.checkpoint);
+    if (!job || !task || !isBoundTo(task, run.run, worker.entry.id)) return;
+    this.release(job, task, run.run, run.checkpoint);
   }
 
   /**
--- a/packages/jobs/src/internal/crash-suspects.ts
+++ b/packages/jobs/src/internal/crash-suspects.ts
@@ -4,6 +4,7 @@
 import { taskName } from '../task-ref.js';
 import type { ClusterState } from './cluster-state.js';
 import { findTask } from './runs.js';
+import { isBoundTo } from './task-runs.js';
 import type { WorkerRun } from './worker-run.js';
 import type { WorkerState } from './worker-state.js';
 
@@ -33,6 +34,7 @@
   readonly job: JobProgress;
   readonly ref: TaskRef;
   readonly task: TaskProgress;
+  readonly run: number;
   /** Whether the run is known to have begun. */
   readonly confirmed: boolean;
 }
@@ -114,14 +116,13 @@
       const { ref } = run;
       const job = this.#state.jobs.get(ref.jobId);
       const task = job && findTask(job, ref);
-      const isCurrent =
-        task?.phase === 'bound' && task.run === run.run && task.worker === worker.entry.id;
+      const isCurrent = task && isBoundTo(task, run.run, worker.entry.id);
       if (run.isHarmless || !isCurrent) continue;
-      yield { job: job!, ref, task, confirmed: run.confirmed };
+      yield { job, ref, task, run: run.run, confirmed: run.confirmed };
     }
   }
 
-  #count(worker: WorkerState, { job, ref, task, confirmed }: Suspect, weight: number): void {
+  #count(worker: WorkerState, { job, ref, task, run, confirmed }: Suspect, weight: number): void {
     // The job may have ended, also just now by another of its tasks.
     if (isFinal(job.state)) return;
     const crashWeight = (task.crashWeight ?? 0) + weight;
@@ -129,7 +130,7 @@
     this.#state.changed.add(job);
     this.#state.logEvent('worker-crash', {
       task: taskName(ref),
-      run: task.run,
+      run,
       worker: worker.entry.id,
       confirmed,
       crashWeight,
--- a/packages/jobs/src/internal/report-reader.ts
+++ b/packages/jobs/src/internal/report-reader.ts
@@ -6,16 +6,15 @@
 import { parseTaskName, taskName } from '../task-ref.js';
 import type { EndedRow, RunningRow, WorkerReport } from '../worker.js';
 import type { ClusterState } from './cluster-state.js';
+import { CopyEnds } from './copy-ends.js';
 import type { CrashSuspects } from './crash-suspects.js';
 import { choosePaces } from './pacing.js';
 import type { TailLatencyModel } from './tail-latency-model.js';
 import { findTask, newRun } from './runs.js';
+import { isBoundTo } from './task-runs.js';
 import type { WorkerRun } from './worker-run.js';
 import type { WorkerState } from './worker-state.js';
 
-/** The maximum number of attempts of a task whose queue is no longer known. */
-const DEFAULT_ATTEMPTS = 3;
-
 /** The maximum number of ends in one report; a report with this many may omit others. */
 const MAX_REPORTED_ENDS = 500;
 
@@ -42,10 +41,13 @@
 
   readonly #crashSuspects: CrashSuspects;
 
+  readonly #copyEnds: CopyEnds;
+
   constructor(state: ClusterState, model: TailLatencyModel, crashSuspects: CrashSuspects) {
     this.#state = state;
     this.#model = model;
     this.#crashSuspects = crashSuspects;
+    this.#copyEnds = new CopyEnds(state);
   }
 
   /** Applies one report, which was requested at `askedMs`. */
@@ -63,6 +65,20 @@
     this.#adjustPaces(worker, nowMs);
   }
 
+  /** Applies the ends that were held until the other run of their task could no longer begin. */
+  applyHeldEnds(nowMs: number): void {
+    for (const { worker, row, ref } of this.#copyEnds.takeSettled(nowMs)) {
+      const job = this.#state.jobs.get(ref.jobId);
+      const task = job && findTask(job, ref);
+      if (job && task) this.#applyEnd(worker, row, job, ref, task, nowMs);
+    }
+  }
+
+  /** Returns the number up to which a worker's ends may be acknowledged once changes are stored. */
+  ackableEnd(worker: WorkerState): number {
+    return this.#copyEnds.ackableEnd(worker);
+  }
+
   /** `besideMs`: for how long best-effort tasks have worked there since the report before. */
   #updateRun(worker: WorkerState, row: RunningRow, nowMs: number, besideMs: number): void {
     const run = worker.runs.get(row.task);
@@ -150,11 +166,11 @@
     if (isCurrent) worker.remove(row.task);
     if (run) this.#state.idleWaits.ended(capacityClassOf(worker.entry.pool, run.spec.fills), nowMs);
     if (row.how === 'done') worker.health.ended(true, nowMs);
+    if (row.how === 'done' && run && isCurrent) this.#state.durations.ended(run, nowMs);
     if (row.how === 'failed') worker.health.ended(false, nowMs);
     const job = this.#state.jobs.get(ref.jobId);
     const task = job && findTask(job, ref);
-    const isBoundRun =
-      task?.phase === 'bound' && task.run === row.run && task.worker === worker.entry.id;
+    const isBoundRun = task !== undefined && isBoundTo(task, row.run, worker.entry.id);
     this.#state.logEvent('run-ended', {
       task: row.task,
       run: row.run,
@@ -165,8 +181,23 @@
     });
     if (!job || !task) return;
     this.#crashSuspects.runWorked(job, task);
-    if (isBoundRun) this.#taskEnded(job, ref, task, row);
-    else if (row.how === 'done') this.#completeLate(job, ref, task);
+    const isHeld = isBoundRun && this.#copyEnds.holds(worker, row, ref, job, task, nowMs);
+    if (!isHeld) this.#applyEnd(worker, row, job, ref, task, nowMs);
+  }
+
+  #applyEnd(
+    worker: WorkerState,
+    row: EndedRow,
+    job: JobProgress,
+    ref: TaskRef,
+    task: TaskProgress,
+    nowMs: number,
+  ): void {
+    const winner = { run: row.run, worker: worker.entry.id };
+    if (isBoundTo(task, winner.run, winner.worker)) {
+      if (row.how === 'done') this.#copyEnds.completed(ref, task, winner, nowMs);
+      this.#taskEnded(job, ref, task, row);
+    } else if (row.how === 'done') this.#completeLate(job, ref, task);
   }
 
   #taskEnded(job: JobProgress, ref: TaskRef, task: TaskProgress, row: EndedRow): void {
@@ -176,7 +207,7 @@
       this.#complete(job, ref, spec);
       return;
     }
-    this.#state.release(job, task, row.checkpoint);
+    this.#state.release(job, task, row.run, row.checkpoint);
     if (row.how === 'failed' && !spec.lasting) this.#countFailure(job, ref, task, spec);
   }
 
@@ -202,8 +233,7 @@
     const tasks = job.occurrences.get(ref.occurrence)?.steps[ref.step] ?? [];
     const counted = spec.gang ? tasks[0]! : task;
     counted.failures += 1;
-    const attempts = this.#state.queues.get(job.spec.queue)?.maxAttempts ?? DEFAULT_ATTEMPTS;
-    if (counted.failures < attempts) return;
+    if (counted.failures < this.#state.maxAttemptsOf(job)) return;
     this.#state.failTask(job, ref);
   }
 
--- a/packages/jobs/src/internal/runs.ts
+++ b/packages/jobs/src/internal/runs.ts
@@ -2,15 +2,16 @@
 import type { JobProgress, TaskProgress } from '../job-progress.js';
 import type { TaskRef } from '../task-ref.js';
 import type { WorkerEntry } from '../worker.js';
+import { runsOf } from './task-runs.js';
 import type { WorkerRun } from './worker-run.js';
 
-/** Yields every task of a job that runs on a worker or may run there. */
-export function* boundTasks(job: JobProgress): Generator<[TaskRef, TaskProgress]> {
+/** Yields every run of a job that a worker has or may have, with its task's progress otherwise. */
+export function* boundRuns(job: JobProgress): Generator<[TaskRef, TaskProgress]> {
   for (const { number, steps } of job.occurrences.values()) {
     for (const [step, tasks] of steps.entries()) {
       for (const [index, task] of tasks.entries()) {
         const ref = { jobId: job.spec.id, occurrence: number, step, index };
-        if (task.phase === 'bound') yield [ref, task];
+        for (const { run, worker } of runsOf(task)) yield [ref, { ...task, run, worker }];
       }
     }
   }
--- a/packages/jobs/src/internal/stop-reason.ts
+++ b/packages/jobs/src/internal/stop-reason.ts
@@ -9,6 +9,7 @@
  * - `stands-still`: it made no progress for too long.
  * - `halted`: it must not work at all beside a serving task, and either its progress is saved or no
  *   other task of its job is running.
+ * - `copy-not-needed`: the other run of its task has ended first.
  */
 export type StopReason =
   | 'cancelled'
@@ -19,4 +20,5 @@
   | 'broken-gang'
   | 'worker-leaves'
   | 'stands-still'
-  | 'halted';
+  | 'halted'
+  | 'copy-not-needed';
--- a/packages/jobs/src/internal/stop-rules.ts
+++ b/packages/jobs/src/internal/stop-rules.ts
@@ -4,6 +4,7 @@
 import { mustEvacuate } from './evacuation.js';
 import { findTask } from './runs.js';
 import type { StopReason } from './stop-reason.js';
+import { isLatestRun } from './task-runs.js';
 import type { WorkerRun } from './worker-run.js';
 import type { WorkerState } from './worker-state.js';
 
@@ -31,8 +32,8 @@
     const task = findTask(job, run.ref);
     if (!task) return 'unknown-job';
     if (run.stopReason) return run.stopReason;
-    const isBoundRun = task.run === run.run && task.worker === worker.entry.id;
-    if (!isBoundRun || task.phase === 'waiting') return 'superseded';
+    if (!isLatestRun(task, run.run, worker.entry.id) || task.phase === 'waiting')
+      return 'superseded';
     // An earlier run of the task has succeeded.
     if (task.phase === 'done' && !run.spec.gang) return 'superseded';
     // The other members of a gang end by themselves when one has succeeded.
--- a/packages/jobs/src/internal/task-placer.ts
+++ b/packages/jobs/src/internal/task-placer.ts
@@ -8,7 +8,7 @@
 import { AdmissionControl } from './admission-control.js';
 import type { ClusterState } from './cluster-state.js';
 import type { HaltedRun } from './halted-runs.js';
-import { haltedRuns } from './halted-runs.js';
+import { canMove, haltedRuns } from './halted-runs.js';
 import { CapacityHold } from './capacity-hold.js';
 import { CountByPriority } from './count-by-priority.js';
 import { IdleJobs, STARVED_RANK, CATCH_UP_RANK } from './idle-jobs.js';
@@ -22,6 +22,7 @@
 import { isCapacityLack } from './obstacle.js';
 import { RoomShortage } from './room-shortage.js';
 import { StepWaits } from './step-waits.js';
+import { TaskCopies } from './task-copies.js';
 import type { WaitingStep } from './waiting-steps.js';
 import { IN_TIME_RANK, NEW_LONG_RUNNING_RANK, byUrgency, waitingStepsOf } from './waiting-steps.js';
 import type { WorkerState } from './worker-state.js';
@@ -37,11 +38,6 @@
 /** Below this reserved share of the processors, tasks that run slowly do not delay others. */
 const SLOW_PLACEMENT_BELOW = 0.5;
 
-/**
- * A job whose tasks have all been halted for this time is moved to another worker, in milliseconds.
- */
-const MOVE_HALTED_AFTER_MS = 1_000;
-
 /** Assigns waiting tasks to workers. */
 export class TaskPlacer {
   readonly #state: ClusterState;
@@ -58,6 +54,8 @@
 
   readonly #shortage = new RoomShortage();
 
+  readonly #copies: TaskCopies;
+
   /** Steps of starved jobs that did not fit on any worker in this round, since the last start. */
   readonly #starvedUnplaced: WaitingStep[] = [];
 
@@ -82,6 +80,7 @@
   constructor(state: ClusterState, placement: PlacementPolicy) {
     this.#state = state;
     this.#placement = placement;
+    this.#copies = new TaskCopies(state);
     this.admission = new AdmissionControl(state, this.#idle, this.#idleByClass);
   }
 
@@ -97,6 +96,9 @@
     else this.admission.completed(this.#startCount, nowMs);
     this.#starvedUnplaced.length = 0;
     this.#holdCapacity(nowMs);
+    const candidatesNow = (): RoundCandidates => this.#roundCandidates(nowMs);
+    if (!isCutShort)
+      this.#copies.start(this.#waiting, limits.starts - this.#startCount, candidatesNow, nowMs);
     return isCutShort;
   }
 
@@ -141,7 +143,7 @@
     // while.
     const budget = new RoundBudget(limits);
     this.#placeHeld(budget, nowMs);
-    const roundCandidates = new RoundCandidates(this.#availableWorkers(), this.#placement, nowMs);
+    const roundCandidates = this.#roundCandidates(nowMs);
     const unplaced: WaitingStep[] = [];
     const hasAmpleCapacity =
       !this.#isCapacityShort && this.#state.reservedShare() < SLOW_PLACEMENT_BELOW;
@@ -213,6 +215,10 @@
     });
   }
 
+  #roundCandidates(nowMs: number): RoundCandidates {
+    return new RoundCandidates(this.#availableWorkers(), this.#placement, nowMs);
+  }
+
   /**
    * Yields the workers that may take tasks. It leaves out workers with runs of jobs that are not
    * yet loaded, because the capacity that these use is unknown, and the worker on which capacity is
@@ -442,18 +448,3 @@
     });
   }
 }
-
-/** Returns whether a run that has been halted for some time can continue on another worker. */
-function canMove(
-  { worker, run }: HaltedRun,
-  roundCandidates: RoundCandidates,
-  pool: string,
-  nowMs: number,
-): boolean {
-  if (run.spec.gang || run.stopSentMs > 0 || nowMs - run.progressedMs < MOVE_HALTED_AFTER_MS)
-    return false;
-  const target = roundCandidates
-    .of(run.spec, pool, true)
-    .choose({ ...run, avoid: worker.entry.id });
-  return target !== undefined && target !== worker;
-}
--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -16,7 +16,7 @@
 import type { RoundLimits } from './internal/round-limits.js';
 import { NO_LIMITS } from './internal/round-limits.js';
 import { ReportReader } from './internal/report-reader.js';
-import { boundTasks, newRun, unlistedEntry } from './internal/runs.js';
+import { boundRuns, newRun, unlistedEntry } from './internal/runs.js';
 import { StopRules } from './internal/stop-rules.js';
 import { TailLatencyModel } from './internal/tail-latency-model.js';
 import { TaskPlacer } from './internal/task-placer.js';
@@ -152,7 +152,7 @@
     if (this.#state.jobs.has(id)) return;
     this.#state.jobs.set(id, progress);
     this.#placer.restoreIdle(progress, changedMs);
-    for (const [ref, task] of boundTasks(progress)) this.#inherit(progress, ref, task);
+    for (const [ref, run] of boundRuns(progress)) this.#inherit(progress, ref, run);
   }
 
   /** Removes a job that has ended and whose record has been deleted. */
@@ -293,6 +293,7 @@
   decide(nowMs: number, timeOfDayMs: number, limits: RoundLimits = NO_LIMITS): Decisions {
     this.#state.timeOfDayMs = timeOfDayMs;
     this.#expireSilent(nowMs);
+    this.#reader.applyHeldEnds(nowMs);
     this.#openDue(timeOfDayMs);
     const isCutShort = this.#placer.placeAll(nowMs, limits);
     this.#stopUnwanted(nowMs);
@@ -301,7 +302,10 @@
       changed: [...this.#state.changed],
       orders: this.#state.orders,
       acks: new Map(
-        [...this.#state.endsProcessed].map((worker) => [worker.entry.id, worker.processedEnd]),
+        [...this.#state.endsProcessed].map((worker) => [
+          worker.entry.id,
+          this.#reader.ackableEnd(worker),
+        ]),
       ),
       isCutShort,
     };
@@ -450,9 +454,7 @@
     for (const job of this.#state.changed) {
       if (!isFinal(job.state)) {
         job.closeOccurrences(timeOfDayMs);
-        if (isFinal(job.state)) {
-          this.#state.logJobEnd(job);
-        }
+        if (isFinal(job.state)) this.#state.logJobEnd(job);
       }
     }
   }
--- a/packages/runtime/src/internal/node-metrics.ts
+++ b/packages/runtime/src/internal/node-metrics.ts
@@ -132,6 +132,10 @@
 
   readonly #objectives: Counter;
 
+  readonly #copies: Counter;
+
+  readonly #copiesWon: Counter;
+
   readonly #load = new Map<string, Gauge>();
 
   constructor(log: NodeLog, state: () => NodeState) {
@@ -181,6 +185,17 @@
       labelNames: ['queue', 'objective'],
       registers,
     });
+    this.#copies = new Counter({
+      name: 'redwingcrank_copies_total',
+      help: 'Second runs of tasks that were started, by reason.',
+      labelNames: ['reason'],
+      registers,
+    });
+    this.#copiesWon = new Counter({
+      name: 'redwingcrank_copies_won_total',
+      help: 'Second runs of tasks that succeeded before the first run ended.',
+      registers,
+    });
     for (const [field, { name, help }] of Object.entries(LOAD_GAUGES)) {
       this.#load.set(field, new Gauge({ name, help, registers }));
     }
@@ -200,6 +215,8 @@
     if (event === 'order') this.#orders.observe({ kind: String(fields.kind), outcome }, seconds);
     if (event === 'bound') this.#observeBound(fields);
     if (event === 'task-stop') this.#observeStop(fields);
+    if (event === 'copy-started') this.#copies.inc({ reason: String(fields.reason) });
+    if (event === 'copy-ended' && fields.first === 'copy') this.#copiesWon.inc();
     if (event === 'job-ended') this.#observeJobEnd(fields);
     if (event === 'term-load') this.#setLoad(fields);
     if (event === 'term-end') this.#setLoad({});
--- a/packages/runtime/src/test/scheduling-metrics_test.ts
+++ b/packages/runtime/src/test/scheduling-metrics_test.ts
@@ -25,3 +25,14 @@
   assert.match(text, /redwingcrank_job_objectives_total\{queue="q",objective="late"\} 1\n/);
   assert.doesNotMatch(text, /job_objectives_total\{queue="q",objective="undefined"/);
 });
+
+test('copies of tasks are counted by reason, and those that ended first', async () => {
+  const log = new NodeLog('n1', 'silent');
+  const metrics = new NodeMetrics(log, () => NODE_STATE);
+  log.emit('info', 'copy-started', { task: 'a.0.0.0', run: 2, reason: 'slow' });
+  log.emit('info', 'copy-ended', { task: 'a.0.0.0', run: 1, first: 'first-run' });
+  log.emit('info', 'copy-ended', { task: 'a.0.0.1', run: 2, first: 'copy' });
+  const text = await metrics.text();
+  assert.match(text, /redwingcrank_copies_total\{reason="slow"\} 1\n/);
+  assert.match(text, /redwingcrank_copies_won_total 1\n/);
+});
