Fuzz target copies: two runs at most, only of speculative steps, and no lost task

Ends that are held are logged (copy-end-held). The durations of ended tasks are kept by the list of their step's tasks, so that they need no pruning, and acknowledgements are computed in the reader, so that scheduler.ts does not grow.

--- a/packages/fuzz/src/jobs/jobs-world.ts
+++ b/packages/fuzz/src/jobs/jobs-world.ts
@@ -1,5 +1,5 @@
 import type { JobSpec, WorkerEntry } from '@redwingcrank/jobs';
-import { JobProgress, taskName } from '@redwingcrank/jobs';
+import { JobProgress, isFinal, taskName } from '@redwingcrank/jobs';
 import type { Coverage } from '../coverage.js';
 import { JobsOracle } from './jobs-oracle.js';
 import type { Removal } from './jobs-oracle.js';
@@ -52,7 +52,7 @@
 export class JobsWorld {
   readonly coverage: Coverage;
 
-  readonly oracle = new JobsOracle();
+  readonly oracle: JobsOracle;
 
   readonly workers: ModelWorker[] = [];
 
@@ -92,8 +92,9 @@
 
   #nowMs = 1_000;
 
-  constructor(coverage: Coverage) {
+  constructor(coverage: Coverage, oracle = new JobsOracle()) {
     this.coverage = coverage;
+    this.oracle = oracle;
     this.#nodes = NODE_NAMES.map((name) => new ModelNode(name, this.#nowMs));
     for (let i = 0; i < WORKER_COUNT; i += 1) this.#addWorker(`host${i}`);
     this.elect();
@@ -147,7 +148,18 @@
   }
 
   submit(width: number): void {
-    this.#submit(modelJob(`job${this.#jobs.size}`, width));
+    this.#submit(this.createJob(`job${this.#jobs.size}`, width));
+  }
+
+  /** Returns a job to be submitted whose tasks end. */
+  protected createJob(id: string, width: number): JobSpec {
+    return modelJob(id, width);
+  }
+
+  /** Whether the stored state of the job is final. */
+  hasEnded(id: string): boolean {
+    const stored = JobProgress.decodeState(this.#jobs.get(id)!, this.#progress.get(id) ?? '');
+    return stored !== undefined && isFinal(stored.state);
   }
 
   submitLongRunning(width: number): void {
@@ -390,7 +402,10 @@
     const claim = node.claim(this.#nowMs);
     this.#epoch = claim.epoch;
     this.#announce(claim);
-    const leader = new ModelLeader(claim, node, this.#nowMs);
+    const leader = new ModelLeader(claim, node, this.#nowMs, (event, fields) => {
+      if (event.startsWith('copy-'))
+        this.coverage.hit(`${event} ${fields.reason ?? fields.first ?? ''}`);
+    });
     for (const [id, spec] of this.#jobs) {
       const stored = this.#progress.get(id);
       leader.scheduler.addJob(stored ? JobProgress.decode(spec, stored) : new JobProgress(spec));
--- a/packages/fuzz/src/jobs/model-leader.ts
+++ b/packages/fuzz/src/jobs/model-leader.ts
@@ -1,4 +1,4 @@
-import type { Order, OrderOutcome, WorkerReport } from '@redwingcrank/jobs';
+import type { EventLogger, Order, OrderOutcome, WorkerReport } from '@redwingcrank/jobs';
 import { Scheduler } from '@redwingcrank/jobs';
 import type { LeaderRecord, SilentWorkers } from '@redwingcrank/runtime/leases';
 import {
@@ -111,7 +111,12 @@
   /** Workers whose newest renewal got no answer. */
   readonly #lostRenewals = new Set<string>();
 
-  constructor(claim: LeaderRecord, node: ModelNode, nowMs: number) {
+  constructor(
+    claim: LeaderRecord,
+    node: ModelNode,
+    nowMs: number,
+    logEvent: EventLogger = () => {},
+  ) {
     const { former } = node;
     this.epoch = claim.epoch;
     this.node = node;
@@ -152,7 +157,7 @@
         stopRetryMs: 1_000,
       },
       nowMs,
-      () => {},
+      logEvent,
     );
     this.scheduler.setQueues([QUEUE]);
   }
--- a/packages/fuzz/src/jobs/recovery-phase.ts
+++ b/packages/fuzz/src/jobs/recovery-phase.ts
@@ -57,8 +57,8 @@
     this.#startedMs = world.nowMs;
   }
 
-  /** Restores all connections but those of the worker at `cutIndex`, if there is such a worker. */
-  heal(cutIndex: number): void {
+  /** Restores the store and all connections but those of the worker at `cutIndex`, if there is one. */
+  restore(cutIndex: number): void {
     const world = this.#world;
     Object.assign(world, { isStoreUp: true });
     world.wakeNodes();
@@ -69,6 +69,12 @@
         world.currentLeader.unreachable.delete(worker.entry.id);
       }
     }
+  }
+
+  /** Restores the connections as `restore`, and waits until the long-running tasks run again. */
+  heal(cutIndex: number): void {
+    const world = this.#world;
+    this.restore(cutIndex);
     // Only long-running and crashing tasks remain, so there is capacity for them.
     for (const id of world.jobIds) {
       if (!world.isLongRunning(id) && !world.isCrashing(id)) world.cancel(id);
--- a/packages/fuzz/src/targets/index.ts
+++ b/packages/fuzz/src/targets/index.ts
@@ -1,4 +1,5 @@
 import type { FuzzTarget } from '../fuzz-target.js';
+import { Copies } from './copies.js';
 import { Evacuations } from './evacuations.js';
 import { ForeignRecords } from './foreign-records.js';
 import { Jobs } from './jobs.js';
@@ -23,5 +24,6 @@
   new ForeignRecords(),
   new Jobs(),
   new Evacuations(),
+  new Copies(),
   new StoreRecords(),
 ];
--- a/packages/fuzz/src/targets/jobs.ts
+++ b/packages/fuzz/src/targets/jobs.ts
@@ -2,6 +2,7 @@
 import type { Coverage } from '../coverage.js';
 import { FuzzTarget } from '../fuzz-target.js';
 import { RecoveryPhase } from '../jobs/recovery-phase.js';
+import type { Loss } from '../jobs/final-loss.js';
 import { FinalLoss, LOSSES } from '../jobs/final-loss.js';
 import { JobsScript } from '../jobs/jobs-script.js';
 import { JobsWorld } from '../jobs/jobs-world.js';
@@ -97,16 +98,25 @@
       fc.array(command, COMMANDS),
       ending,
       (commands, { loss, cut, workerIndex }) => {
-        const world = new JobsWorld(coverage);
+        const world = this.createWorld(coverage);
         const script = new JobsScript(world);
         for (const { kind, a, b } of commands) {
           coverage.step();
           script.run(kind, a, b);
         }
-        const recovery = new RecoveryPhase(world);
-        recovery.heal(cut);
-        new FinalLoss(world, recovery, workerIndex).run(loss);
+        this.finish(world, cut, workerIndex, loss);
       },
     );
   }
+
+  protected createWorld(coverage: Coverage): JobsWorld {
+    return new JobsWorld(coverage);
+  }
+
+  /** Ends a run: connections are restored but those of the worker at `cut`, and one failure occurs. */
+  protected finish(world: JobsWorld, cut: number, workerIndex: number, loss: Loss): void {
+    const recovery = new RecoveryPhase(world);
+    recovery.heal(cut);
+    new FinalLoss(world, recovery, workerIndex).run(loss);
+  }
 }
--- a/packages/jobs/src/internal/copy-ends.ts
+++ b/packages/jobs/src/internal/copy-ends.ts
@@ -45,6 +45,13 @@
     const other = otherRunOf(task, row.run);
     if (!isLast || !other || !this.#mayBegin(ref, other, nowMs)) return false;
     this.#held.push({ worker, row, ref });
+    this.#state.logEvent('copy-end-held', {
+      task: row.task,
+      run: row.run,
+      worker: worker.entry.id,
+      how: row.how,
+      otherWorker: other.worker,
+    });
     this.#stop(ref, other, nowMs);
     return true;
   }
--- a/packages/jobs/src/internal/report-reader.ts
+++ b/packages/jobs/src/internal/report-reader.ts
@@ -10,7 +10,7 @@
 import type { CrashSuspects } from './crash-suspects.js';
 import { choosePaces } from './pacing.js';
 import type { TailLatencyModel } from './tail-latency-model.js';
-import { findTask, newRun } from './runs.js';
+import { findTask, newRun, stepTasks } from './runs.js';
 import { isBoundTo } from './task-runs.js';
 import type { WorkerRun } from './worker-run.js';
 import type { WorkerState } from './worker-state.js';
@@ -74,9 +74,13 @@
     }
   }
 
-  /** Returns the number up to which a worker's ends may be acknowledged once changes are stored. */
-  ackableEnd(worker: WorkerState): number {
-    return this.#copyEnds.ackableEnd(worker);
+  /**
+   * Returns, for each worker with processed ends, the last one that may be acknowledged once the
+   * changes are stored.
+   */
+  acks(): Map<string, number> {
+    const workers = [...this.#state.endsProcessed];
+    return new Map(workers.map((worker) => [worker.entry.id, this.#copyEnds.ackableEnd(worker)]));
   }
 
   /** `besideMs`: for how long best-effort tasks have worked there since the report before. */
@@ -166,7 +170,6 @@
     if (isCurrent) worker.remove(row.task);
     if (run) this.#state.idleWaits.ended(capacityClassOf(worker.entry.pool, run.spec.fills), nowMs);
     if (row.how === 'done') worker.health.ended(true, nowMs);
-    if (row.how === 'done' && run && isCurrent) this.#state.durations.ended(run, nowMs);
     if (row.how === 'failed') worker.health.ended(false, nowMs);
     const job = this.#state.jobs.get(ref.jobId);
     const task = job && findTask(job, ref);
@@ -180,6 +183,8 @@
       ...(run && isCurrent && slowStartOf(run)),
     });
     if (!job || !task) return;
+    if (run && isCurrent && row.how === 'done')
+      this.#state.durations.ended(stepTasks(job, ref), run, nowMs);
     this.#crashSuspects.runWorked(job, task);
     const isHeld = isBoundRun && this.#copyEnds.holds(worker, row, ref, job, task, nowMs);
     if (!isHeld) this.#applyEnd(worker, row, job, ref, task, nowMs);
--- a/packages/jobs/src/internal/runs.ts
+++ b/packages/jobs/src/internal/runs.ts
@@ -17,6 +17,11 @@
   }
 }
 
+/** Returns the tasks of the step of a task; none if its occurrence has ended. */
+export function stepTasks(job: JobProgress, ref: TaskRef): readonly TaskProgress[] {
+  return job.occurrences.get(ref.occurrence)?.steps[ref.step] ?? [];
+}
+
 /** Returns the progress of one task; undefined if its occurrence has ended. */
 export function findTask(job: JobProgress, ref: TaskRef): TaskProgress | undefined {
   return job.occurrences.get(ref.occurrence)?.steps[ref.step]?.[ref.index];
--- a/packages/jobs/src/internal/task-copies.ts
+++ b/packages/jobs/src/internal/task-copies.ts
@@ -1,12 +1,13 @@
-import type { QueuePolicy } from '../job.js';
+import type { QueuePolicy, StepSpec } from '../job.js';
 import { isFinal } from '../job.js';
 import type { JobProgress, TaskProgress } from '../job-progress.js';
 import type { TaskRef } from '../task-ref.js';
 import { taskName } from '../task-ref.js';
 import type { ClusterState } from './cluster-state.js';
 import type { RoundCandidates } from './round-candidates.js';
-import { findTask, newRun } from './runs.js';
+import { findTask, newRun, stepTasks } from './runs.js';
 import { beganMsOf } from './step-durations.js';
+import { isBoundTo } from './task-runs.js';
 import type { WaitingStep } from './waiting-steps.js';
 import type { WorkerRun } from './worker-run.js';
 import type { WorkerState } from './worker-state.js';
@@ -95,7 +96,6 @@
     const sinceCheckMs = nowMs - this.#checkedMs;
     if (sinceCheckMs < CHECK_INTERVAL_MS || !this.#state.isFullyLoaded) return;
     this.#checkedMs = nowMs;
-    this.#state.durations.prune(this.#state.jobs);
     const pools = new Map<string, PoolUse>();
     const found = [...this.#candidates(pools, sinceCheckMs <= LATE_CHECK_MS, nowMs)];
     if (found.length === 0 || maxStarts <= 0) return;
@@ -132,24 +132,16 @@
       pools.set(pool, use);
       use.runs += worker.runs.size;
       for (const run of worker.runs.values()) {
-        const { spec, ref } = run;
-        const job =
-          spec.speculative && !spec.lasting && !spec.gang
-            ? this.#state.jobs.get(ref.jobId)
-            : undefined;
+        const { ref } = run;
+        const job = isCopied(run.spec) ? this.#state.jobs.get(ref.jobId) : undefined;
         const task = job && !isFinal(job.state) ? findTask(job, ref) : undefined;
-        if (job && task?.phase === 'bound') {
-          if (task.copy?.run === run.run && task.copy.worker === id) use.copies += 1;
-          const queue = this.#state.queues.get(job.spec.queue);
-          if (
-            queue &&
-            task.run === run.run &&
-            task.worker === id &&
-            this.#mayCopy(job, task, run)
-          ) {
+        if (job && task && isBoundTo(task, run.run, id)) {
+          if (task.run !== run.run) use.copies += 1;
+          else if (this.#mayCopy(job, task, run)) {
             const ratio = this.#ratio(job, run, peers, nowMs);
             const reason = this.#reason(worker, run, ratio, areAnswersRead, nowMs);
-            if (reason) yield { job, queue, ref, task, run, worker, reason, ratio };
+            const queue = reason && this.#state.queues.get(job.spec.queue);
+            if (queue) yield { job, queue, ref, task, run, worker, reason, ratio };
           }
         }
       }
@@ -187,13 +179,14 @@
     peers: Map<readonly TaskProgress[], number | undefined>,
     nowMs: number,
   ): number {
-    const tasks = job.occurrences.get(run.ref.occurrence)!.steps[run.ref.step]!;
-    if (!peers.has(tasks)) {
-      const doneCount = tasks.filter(({ phase }) => phase === 'done').length;
-      const isHalfDone = 2 * doneCount >= tasks.length;
-      peers.set(tasks, isHalfDone ? this.#state.durations.medianMs(run.ref) : undefined);
+    const tasks = stepTasks(job, run.ref);
+    let medianMs = peers.get(tasks);
+    if (medianMs === undefined && !peers.has(tasks)) {
+      medianMs = this.#state.durations.medianMs(tasks);
+      const doneCount = medianMs ? tasks.filter(({ phase }) => phase === 'done').length : 0;
+      if (2 * doneCount < tasks.length) medianMs = undefined;
+      peers.set(tasks, medianMs);
     }
-    const medianMs = peers.get(tasks);
     return medianMs ? (nowMs - beganMsOf(run, nowMs)) / medianMs : 0;
   }
 
@@ -227,6 +220,11 @@
   }
 }
 
+/** Returns whether tasks of the step may get copies. */
+function isCopied({ speculative, lasting, gang }: StepSpec): boolean {
+  return speculative && !lasting && !gang;
+}
+
 /** Returns, for each pool, the priority of the most urgent step with waiting tasks. */
 function waitingPrioritiesOf(waiting: readonly WaitingStep[]): ReadonlyMap<string, number> {
   const priorities = new Map<string, number>();
--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -301,12 +301,7 @@
     const decisions = {
       changed: [...this.#state.changed],
       orders: this.#state.orders,
-      acks: new Map(
-        [...this.#state.endsProcessed].map((worker) => [
-          worker.entry.id,
-          this.#reader.ackableEnd(worker),
-        ]),
-      ),
+      acks: this.#reader.acks(),
       isCutShort,
     };
     this.#state.changed.clear();
--- a/packages/jobs/src/test/task-copies_test.ts
+++ b/packages/jobs/src/test/task-copies_test.ts
@@ -6,6 +6,7 @@
 import type { EndedRow } from '../worker.js';
 import {
   JOB_ID,
+  QUEUE,
   SchedulerHarness,
   jobSpec,
   runningRow,
@@ -186,6 +187,27 @@
   assert.equal(harness.scheduler.jobs.get(JOB_ID)!.state, 'failed');
 });
 
+test('the number of a copy that was refused is not used again', () => {
+  // Guards against a run that its worker takes for the earlier one of the same number.
+  const [harness, first, copy] = slowTask();
+  harness.answer(copy, 'no-room');
+  report(harness, [], [[first, 'stopped']]);
+  assert.equal(harness.starts()[0]!.run, 3);
+});
+
+test('the failure that ends a job waits while the start of the other run may take effect', () => {
+  // Guards against a run that begins after the last failure was acknowledged: the operators may
+  // lower the number of attempts while a copy is on its way.
+  const [harness, first, copy] = slowTask();
+  harness.scheduler.setQueues([{ ...QUEUE, maxAttempts: 1 }]);
+  report(harness, [], [[first, 'failed']]);
+  harness.decide();
+  assert.equal(harness.scheduler.jobs.get(JOB_ID)!.state, 'running');
+  harness.answer(copy, 'too-late');
+  harness.decide();
+  assert.equal(harness.scheduler.jobs.get(JOB_ID)!.state, 'failed');
+});
+
 test('the next leader knows both runs, and a run that is absent is dropped', () => {
   // Guards against a third run after a takeover, and against a lost task if only one run is left.
   const [before, first, copy] = slowTask();
