--- a/packages/fuzz/src/jobs/model-leader.ts
+++ b/packages/fuzz/src/jobs/model-leader.ts
@@ -1,4 +1,11 @@
-import type { Decisions, Order, OrderOutcome, RoundLimits, WorkerReport } from '@redwingcrank/jobs';
+import type {
+  Decisions,
+  EventLogger,
+  Order,
+  OrderOutcome,
+  RoundLimits,
+  WorkerReport,
+} from '@redwingcrank/jobs';
 import { Scheduler } from '@redwingcrank/jobs';
 import type { LeaderRecord, SilentWorkers } from '@redwingcrank/runtime/leases';
 import {
@@ -116,7 +123,13 @@
   /** Workers whose newest renewal got no answer. */
   readonly #lostRenewals = new Set<string>();
 
-  constructor(claim: LeaderRecord, node: ModelNode, nowMs: number, bindsAhead: boolean) {
+  constructor(
+    claim: LeaderRecord,
+    node: ModelNode,
+    nowMs: number,
+    bindsAhead: boolean,
+    logEvent: EventLogger = () => {},
+  ) {
     this.#bindsAhead = bindsAhead;
     const { former } = node;
     this.epoch = claim.epoch;
@@ -158,7 +171,7 @@
         stopRetryMs: 1_000,
       },
       nowMs,
-      () => {},
+      logEvent,
     );
     this.scheduler.setQueues([QUEUE]);
   }
--- a/packages/fuzz/src/targets/index.ts
+++ b/packages/fuzz/src/targets/index.ts
@@ -1,5 +1,6 @@
 import type { FuzzTarget } from '../fuzz-target.js';
 import { AheadStarts } from './ahead-starts.js';
+import { Copies } from './copies.js';
 import { Evacuations } from './evacuations.js';
 import { ForeignRecords } from './foreign-records.js';
 import { Jobs } from './jobs.js';
@@ -25,5 +26,6 @@
   new Jobs(),
   new Evacuations(),
   new AheadStarts(),
+  new Copies(),
   new StoreRecords(),
 ];
--- a/packages/jobs/src/internal/stop-reason.ts
+++ b/packages/jobs/src/internal/stop-reason.ts
@@ -11,6 +11,7 @@
  * - `halted`: it must not work at all beside a serving task, and either its progress is saved or no
  *   other task of its job is running.
  * - `preempted`: it held memory that a task of a more urgent queue needs.
+ * - `copy-not-needed`: the other run of its task has ended first.
  */
 export type StopReason =
   | 'cancelled'
@@ -23,4 +24,5 @@
   | 'upkeep'
   | 'stands-still'
   | 'halted'
-  | 'preempted';
+  | 'preempted'
+  | 'copy-not-needed';
--- a/packages/jobs/src/internal/task-placer.ts
+++ b/packages/jobs/src/internal/task-placer.ts
@@ -10,7 +10,7 @@
 import { AheadBindings } from './ahead-bindings.js';
 import type { ClusterState } from './cluster-state.js';
 import type { HaltedRun } from './halted-runs.js';
-import { haltedRuns } from './halted-runs.js';
+import { canMove, haltedRuns } from './halted-runs.js';
 import { CapacityHold } from './capacity-hold.js';
 import { CountByPriority } from './count-by-priority.js';
 import { IdleJobs, STARVED_RANK, CATCH_UP_RANK } from './idle-jobs.js';
@@ -24,6 +24,7 @@
 import type { WaitCause } from './obstacle.js';
 import { isCapacityLack } from './obstacle.js';
 import { StepWaits } from './step-waits.js';
+import { TaskCopies } from './task-copies.js';
 import { UrgentCapacity } from './urgent-capacity.js';
 import type { WaitingStep } from './waiting-steps.js';
 import { IN_TIME_RANK, byUrgency, waitingStepsOf } from './waiting-steps.js';
@@ -40,11 +41,6 @@
 /** Below this reserved share of the processors, tasks that run slowly do not delay others. */
 const SLOW_PLACEMENT_BELOW = 0.5;
 
-/**
- * A job whose tasks have all been halted for this time is moved to another worker, in milliseconds.
- */
-const MOVE_HALTED_AFTER_MS = 1_000;
-
 /** Assigns waiting tasks to workers. */
 export class TaskPlacer {
   readonly #state: ClusterState;
@@ -61,6 +57,8 @@
 
   readonly #urgent: UrgentCapacity;
 
+  readonly #copies: TaskCopies;
+
   /** Steps of starved jobs that did not fit on any worker in this round, since the last start. */
   readonly #starvedUnplaced: WaitingStep[] = [];
 
@@ -90,6 +88,7 @@
     this.#state = state;
     this.#placement = placement;
     this.#urgent = new UrgentCapacity(state);
+    this.#copies = new TaskCopies(state);
     this.admission = new AdmissionControl(state, this.#idle, this.#idleByClass);
     this.ahead = new AheadBindings(state);
   }
@@ -103,10 +102,13 @@
     if (isCutShort)
       this.admission.cutShort(this.#startCount, this.#waitingTasks(), nowMs, limits.isNodeBusy);
     else this.admission.completed(this.#startCount, nowMs);
+    const startsLeft = limits.starts - this.#startCount;
     this.#startCount = 0;
     this.#starvedUnplaced.length = 0;
     this.#holdCapacity(nowMs);
     this.#updateAhead(nowMs, limits);
+    const candidatesNow = (): RoundCandidates => this.#roundCandidates(nowMs);
+    if (!isCutShort) this.#copies.start(this.#waiting, startsLeft, candidatesNow, nowMs);
     return isCutShort;
   }
 
@@ -174,12 +176,7 @@
     const budget = new RoundBudget(limits);
     this.#placeHeld(budget, nowMs);
     this.#roundCount += 1;
-    const roundCandidates = new RoundCandidates(
-      this.#availableWorkers(),
-      this.#placement,
-      nowMs,
-      this.#roundCount,
-    );
+    const roundCandidates = this.#roundCandidates(nowMs);
     const unplaced: WaitingStep[] = [];
     const hasAmpleCapacity =
       !this.#isCapacityShort && this.#state.reservedShare() < SLOW_PLACEMENT_BELOW;
@@ -253,6 +250,10 @@
     });
   }
 
+  #roundCandidates(nowMs: number): RoundCandidates {
+    return new RoundCandidates(this.#availableWorkers(), this.#placement, nowMs, this.#roundCount);
+  }
+
   /**
    * Yields the workers that may take tasks. It leaves out workers with runs of jobs that are not
    * yet loaded, because the capacity that these use is unknown, and the worker on which capacity is
@@ -485,18 +486,3 @@
 function nextRunOf({ run, ahead }: TaskProgress): number {
   return Math.max(run, ahead?.run ?? 0) + 1;
 }
-
-/** Returns whether a run that has been halted for some time can continue on another worker. */
-function canMove(
-  { worker, run }: HaltedRun,
-  roundCandidates: RoundCandidates,
-  pool: string,
-  nowMs: number,
-): boolean {
-  if (run.spec.gang || run.stopSentMs > 0 || nowMs - run.progressedMs < MOVE_HALTED_AFTER_MS)
-    return false;
-  const target = roundCandidates
-    .of(run.spec, pool, true)
-    .choose({ ...run, avoid: worker.entry.id });
-  return target !== undefined && target !== worker;
-}
--- a/packages/jobs/src/job-progress.ts
+++ b/packages/jobs/src/job-progress.ts
@@ -17,6 +17,17 @@
   readonly worker: string;
 }
 
+/** The second run of a task of a `speculative` step. */
+export interface TaskCopy {
+  /** Its run number, higher than that of the first run. */
+  readonly run: number;
+  /**
+   * The worker of the run; empty once the run has ended. Its number stays in use until the first run
+   * ends, because workers refuse a run number that they have seen end.
+   */
+  readonly worker: string;
+}
+
 /** The progress of one task. */
 export interface TaskProgress {
   phase: TaskPhase;
@@ -37,6 +48,8 @@
   crashWeight?: number;
   /** Absent unless the task waits and is bound ahead; its record shows it as bound then. */
   ahead?: AheadBinding;
+  /** A second run beside the one of `run` and `worker`; absent unless the task is bound. */
+  copy?: TaskCopy;
 }
 
 /** One execution of all steps of a job. */
@@ -240,10 +253,12 @@
   if (task.phase === 'done') return 1;
   const isBoundAhead = task.phase === 'waiting' && task.ahead !== undefined;
   if (task.phase === 'waiting' && task.run === 0 && !isBoundAhead) return 0;
-  const { failures, checkpoint, crashWeight } = task;
+  const { failures, checkpoint, crashWeight = 0, copy } = task;
   const { run, worker } = isBoundAhead ? task.ahead! : task;
-  const phase = isBoundAhead ? 'bound' : task.phase;
-  const tuple: TaskTuple = [PHASES.indexOf(phase), run, worker, failures, checkpoint];
+  const index = PHASES.indexOf(isBoundAhead ? 'bound' : task.phase);
+  if (task.phase === 'bound' && copy)
+    return [index, run, worker, failures, checkpoint, crashWeight, copy.run, copy.worker];
+  const tuple: TaskTuple = [index, run, worker, failures, checkpoint];
   if (crashWeight) tuple.push(crashWeight);
   return tuple;
 }
@@ -251,7 +266,9 @@
 function decodeTask(tuple: TaskTuple): TaskProgress {
   if (tuple === 0) return newTask();
   if (tuple === 1) return { ...newTask(), phase: 'done' };
-  const [phase, run, worker, failures, checkpoint, crashWeight] = tuple;
-  const task = { phase: PHASES[phase]!, run, worker, failures, checkpoint };
-  return crashWeight ? { ...task, crashWeight } : task;
+  const [phase, run, worker, failures, checkpoint, crashWeight, copyRun, copyWorker] = tuple;
+  const task: TaskProgress = { phase: PHASES[phase]!, run, worker, failures, checkpoint };
+  if (crashWeight) task.crashWeight = crashWeight;
+  if (copyRun !== undefined) task.copy = { run: copyRun, worker: copyWorker! };
+  return task;
 }
--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -17,7 +17,7 @@
 import type { RoundLimits } from './internal/round-limits.js';
 import { NO_LIMITS } from './internal/round-limits.js';
 import { ReportReader } from './internal/report-reader.js';
-import { boundTasks, newRun, unlistedEntry } from './internal/runs.js';
+import { boundRuns, newRun, unlistedEntry } from './internal/runs.js';
 import { StopRules } from './internal/stop-rules.js';
 import { TailLatencyModel } from './internal/tail-latency-model.js';
 import { TaskPlacer } from './internal/task-placer.js';
@@ -164,7 +164,7 @@
     this.#state.jobs.set(id, progress);
     this.#state.work.add(progress, this.#state.queues.get(progress.spec.queue));
     this.#placer.jobAdded(progress, changedMs);
-    for (const [ref, task] of boundTasks(progress)) this.#inherit(progress, ref, task);
+    for (const [ref, run] of boundRuns(progress)) this.#inherit(progress, ref, run);
   }
 
   /** Removes a job that has ended and whose record has been deleted. */
@@ -306,6 +306,7 @@
   decide(nowMs: number, timeOfDayMs: number, limits: RoundLimits = NO_LIMITS): Decisions {
     this.#state.timeOfDayMs = timeOfDayMs;
     this.#expireSilent(nowMs);
+    this.#reader.applyHeldEnds(nowMs);
     this.#openDue(timeOfDayMs);
     const isCutShort = this.#placer.placeAll(nowMs, limits);
     this.#stopUnwanted(nowMs);
@@ -314,9 +315,7 @@
     const decisions = {
       changed: [...this.#state.changed],
       orders: this.#state.orders,
-      acks: new Map(
-        [...this.#state.endsProcessed].map((worker) => [worker.entry.id, worker.processedEnd]),
-      ),
+      acks: this.#reader.acks(),
       isCutShort,
       ahead: this.#placer.ahead.takeUnstored(),
     };
@@ -498,9 +497,7 @@
     for (const job of this.#state.changed) {
       if (!isFinal(job.state)) {
         job.closeOccurrences(timeOfDayMs);
-        if (isFinal(job.state)) {
-          this.#state.logJobEnd(job);
-        }
+        if (isFinal(job.state)) this.#state.logJobEnd(job);
       }
     }
   }
