Oracle of stored bindings knows the second runs of speculative steps

The check that each start has a stored binding came with ahead bindings and looked at the first run of a task alone, so the target copies failed after two tests. It now checks second runs as well.

--- a/packages/fuzz/src/jobs/jobs-world.ts
+++ b/packages/fuzz/src/jobs/jobs-world.ts
@@ -454,9 +454,10 @@
     const { occurrences } = JobProgress.decode(this.#jobs.get(jobId)!, text);
     for (const { number: occurrence, steps } of occurrences.values()) {
       for (const [step, tasks] of steps.entries()) {
-        for (const [index, { phase, run, worker }] of tasks.entries()) {
+        for (const [index, { phase, run, worker, copy }] of tasks.entries()) {
           const name = taskName({ jobId, occurrence, step, index });
           if (phase === 'bound') this.oracle.bindingStored(name, run, worker);
+          if (phase === 'bound' && copy) this.oracle.bindingStored(name, copy.run, copy.worker);
         }
       }
     }
