Tasks wait for the rack of their data while that is shorter than their loss elsewhere

Placement only gave the rack a constant bonus: as soon as the rack was full, every further task ran remotely.

Change: RackPreference lets as many tasks wait for a full rack as it is expected to take, by the processors released there in the last 4 s, within (remoteFactor - 1) * estimateMs; the others are placed elsewhere in the same round.

--- a/packages/jobs/src/backlog.ts
+++ b/packages/jobs/src/backlog.ts
@@ -16,4 +16,6 @@
   readonly idleJobs: number;
   /** How long the longest-waiting job has been idle, in milliseconds; 0 if no job is idle. */
   readonly longestIdleMs: number;
+  /** How many tasks wait for the rack of their data. */
+  readonly rackWaitingTasks: number;
 }
--- a/packages/jobs/src/internal/cluster-state.ts
+++ b/packages/jobs/src/internal/cluster-state.ts
@@ -9,6 +9,7 @@
 import { findTask } from './runs.js';
 import type { StopReason } from './stop-reason.js';
 import { IdleWaitEstimator } from './idle-wait-estimator.js';
+import { RackPreference } from './rack-preference.js';
 import { objectiveMsOf, objectiveOutcomeOf } from './urgency.js';
 import type { WorkerRun } from './worker-run.js';
 import { lostCpuMs } from './worker-run.js';
@@ -59,6 +60,8 @@
 
   readonly idleWaits: IdleWaitEstimator;
 
+  readonly racks: RackPreference;
+
   /** False while jobs that were started earlier may not have been loaded yet. */
   isFullyLoaded = true;
 
@@ -67,6 +70,7 @@
     this.startedMs = startedMs;
     this.idleWaits = new IdleWaitEstimator(startedMs);
     this.logEvent = logEvent;
+    this.racks = new RackPreference(logEvent, startedMs);
   }
 
   /** Returns whether the job is unknown but may have been started earlier. */
--- a/packages/jobs/src/internal/halted-runs.ts
+++ b/packages/jobs/src/internal/halted-runs.ts
@@ -1,6 +1,12 @@
+import type { RoundCandidates } from './round-candidates.js';
 import type { WorkerRun } from './worker-run.js';
 import type { WorkerState } from './worker-state.js';
 
+/**
+ * A job whose tasks have all been halted for this time is moved to another worker, in milliseconds.
+ */
+const MOVE_HALTED_AFTER_MS = 1_000;
+
 /** A run that must not work on its worker: its task stays bound there and makes no progress. */
 export interface HaltedRun {
   readonly worker: WorkerState;
@@ -26,3 +32,18 @@
   }
   return byJob;
 }
+
+/** Returns whether a run that has been halted for some time can continue on another worker. */
+export function canMove(
+  { worker, run }: HaltedRun,
+  roundCandidates: RoundCandidates,
+  pool: string,
+  nowMs: number,
+): boolean {
+  if (run.spec.gang || run.stopSentMs > 0 || nowMs - run.progressedMs < MOVE_HALTED_AFTER_MS)
+    return false;
+  const target = roundCandidates
+    .of(run.spec, pool, true)
+    .choose({ ...run, avoid: worker.entry.id });
+  return target !== undefined && target !== worker;
+}
--- a/packages/jobs/src/internal/obstacle.ts
+++ b/packages/jobs/src/internal/obstacle.ts
@@ -19,11 +19,17 @@
   return score === 'room' || score === 'memory';
 }
 
+/** Whether an obstacle keeps only best-effort tasks away, and ended tasks may remove it. */
+export function isBestEffortLack(score: Obstacle): boolean {
+  return score === 'harmed' || score === 'processors' || score === 'slack';
+}
+
 /**
- * Why the tasks of a step wait: an obstacle, the `limits` of the rounds, no known cause, or, for new
- * long-running tasks, jobs in time that lack room (`yields`).
+ * Why the tasks of a step wait: an obstacle, the `limits` of the rounds, no known cause, the full
+ * rack of their data (`rack`), or, for new long-running tasks, jobs in time that lack room
+ * (`yields`).
  */
-export type WaitCause = Obstacle | 'limits' | 'yields' | 'none';
+export type WaitCause = Obstacle | 'limits' | 'rack' | 'yields' | 'none';
 
 /** Returns the most frequent obstacle; `closed` if there are no obstacles. */
 export function mostFrequent(obstacles: Iterable<Obstacle>): Obstacle {
--- a/packages/jobs/src/internal/report-reader.ts
+++ b/packages/jobs/src/internal/report-reader.ts
@@ -148,6 +148,7 @@
     const run = worker.runs.get(row.task);
     const isCurrent = run?.run === row.run;
     if (isCurrent) worker.remove(row.task);
+    if (run) this.#state.racks.ended(worker, run.spec, nowMs);
     if (run) this.#state.idleWaits.ended(capacityClassOf(worker.entry.pool, run.spec.fills), nowMs);
     if (row.how === 'done') worker.health.ended(true, nowMs);
     if (row.how === 'failed') worker.health.ended(false, nowMs);
--- a/packages/jobs/src/internal/round-candidates.ts
+++ b/packages/jobs/src/internal/round-candidates.ts
@@ -1,7 +1,7 @@
 import type { StepSpec } from '../job.js';
 import type { TaskRef } from '../task-ref.js';
 import type { PlacementPolicy } from './placement.js';
-import { isCapacityLack, mostFrequent } from './obstacle.js';
+import { isBestEffortLack, isCapacityLack, mostFrequent } from './obstacle.js';
 import type { Obstacle } from './obstacle.js';
 import { kindOf } from './placement.js';
 import type { WorkerState } from './worker-state.js';
@@ -95,6 +95,14 @@
     });
   }
 
+  /** Whether a worker that is large enough would take a task of the step once tasks there end. */
+  canOpenFor(spec: StepSpec): boolean {
+    if (this.lackRoomFor(spec)) return true;
+    return this.#candidates.some(
+      ({ score }) => typeof score !== 'number' && isBestEffortLack(score),
+    );
+  }
+
   /** Returns the number of workers by obstacle; those that would take a task count as `open`. */
   counts(): Record<string, number> {
     const counts: Record<string, number> = {};
@@ -125,6 +133,9 @@
   return maxPerWorker === 0 || worker.countOf(ref) < maxPerWorker;
 }
 
+/** Returns what is subtracted from the score of a worker for tasks of the step. */
+export type PlacementPenalty = (spec: StepSpec, worker: WorkerState, nowMs: number) => number;
+
 /**
  * The candidate workers for tasks within one round. During a round workers change only by
  * placements, so each worker is evaluated once for every kind of task, and again after a task was
@@ -134,15 +145,25 @@
 export class RoundCandidates {
   readonly #workersByPool = new Map<string, WorkerState[]>();
 
+  readonly #workersByRack = new Map<string, readonly WorkerState[]>();
+
   readonly #policy: PlacementPolicy;
 
   readonly #nowMs: number;
 
+  readonly #penaltyOf: PlacementPenalty;
+
   readonly #byKind = new Map<string, Candidates>();
 
-  constructor(workers: Iterable<WorkerState>, policy: PlacementPolicy, nowMs: number) {
+  constructor(
+    workers: Iterable<WorkerState>,
+    policy: PlacementPolicy,
+    nowMs: number,
+    penaltyOf: PlacementPenalty = () => 0,
+  ) {
     this.#policy = policy;
     this.#nowMs = nowMs;
+    this.#penaltyOf = penaltyOf;
     for (const worker of workers) {
       const pool = this.#workersByPool.get(worker.entry.pool);
       if (pool) pool.push(worker);
@@ -150,15 +171,31 @@
     }
   }
 
-  /** Returns the candidates for tasks of a step among the workers of a pool. */
-  of(spec: StepSpec, pool: string, isStarved: boolean): Candidates {
-    const key = `${kindOf(spec)} ${pool} ${isStarved}`;
+  /**
+   * Returns the candidates for tasks of a step among the workers of a pool, or among those of them
+   * that are in a rack.
+   */
+  of(spec: StepSpec, pool: string, isStarved: boolean, rack = ''): Candidates {
+    const key = `${kindOf(spec)} ${pool} ${isStarved} ${rack}`;
     const known = this.#byKind.get(key);
     if (known) return known;
-    const candidates = new Candidates(this.#workersByPool.get(pool) ?? [], (worker) =>
-      this.#policy.evaluate(spec, worker, this.#nowMs, isStarved),
-    );
+    const candidates = new Candidates(this.#workersOf(pool, rack), (worker) => {
+      const score = this.#policy.evaluate(spec, worker, this.#nowMs, isStarved);
+      return typeof score === 'number' ? score - this.#penaltyOf(spec, worker, this.#nowMs) : score;
+    });
     this.#byKind.set(key, candidates);
     return candidates;
   }
+
+  #workersOf(pool: string, rack: string): readonly WorkerState[] {
+    const workers = this.#workersByPool.get(pool) ?? [];
+    if (rack === '') return workers;
+    const key = `${pool} ${rack}`;
+    let inRack = this.#workersByRack.get(key);
+    if (!inRack) {
+      inRack = workers.filter(({ entry }) => entry.labels.includes(rack));
+      this.#workersByRack.set(key, inRack);
+    }
+    return inRack;
+  }
 }
--- a/packages/jobs/src/internal/step-waits.ts
+++ b/packages/jobs/src/internal/step-waits.ts
@@ -41,6 +41,12 @@
     if (wait) wait.cause = 'yields';
   }
 
+  /** Records that tasks of the step wait for the rack of their data. */
+  awaitsRack(tasks: readonly TaskProgress[]): void {
+    const wait = this.#waits.get(tasks);
+    if (wait) wait.cause = 'rack';
+  }
+
   /** Records that all tasks of the step have been placed. */
   placed(tasks: readonly TaskProgress[]): void {
     this.#waits.delete(tasks);
--- a/packages/jobs/src/internal/task-placer.ts
+++ b/packages/jobs/src/internal/task-placer.ts
@@ -8,11 +8,13 @@
 import { AdmissionControl } from './admission-control.js';
 import type { ClusterState } from './cluster-state.js';
 import type { HaltedRun } from './halted-runs.js';
-import { haltedRuns } from './halted-runs.js';
+import { canMove, haltedRuns } from './halted-runs.js';
 import { CapacityHold } from './capacity-hold.js';
 import { CountByPriority } from './count-by-priority.js';
 import { IdleJobs, STARVED_RANK, CATCH_UP_RANK } from './idle-jobs.js';
 import type { PlacementPolicy } from './placement.js';
+import { placeByRack } from './rack-placement.js';
+import type { StepOutcome } from './step-outcome.js';
 import { StepRotation } from './step-rotation.js';
 import type { Candidates } from './round-candidates.js';
 import { RoundCandidates } from './round-candidates.js';
@@ -23,25 +25,18 @@
 import { RoomShortage } from './room-shortage.js';
 import { StepWaits } from './step-waits.js';
 import type { WaitingStep } from './waiting-steps.js';
-import { IN_TIME_RANK, NEW_LONG_RUNNING_RANK, byUrgency, waitingStepsOf } from './waiting-steps.js';
+import {
+  IN_TIME_RANK,
+  NEW_LONG_RUNNING_RANK,
+  byUrgency,
+  isWaiting,
+  waitingStepsOf,
+} from './waiting-steps.js';
 import type { WorkerState } from './worker-state.js';
 
-/**
- * - `placed`: every task that can be started now has been placed.
- * - `placeless`: a task fits on no worker.
- * - `yielded`: its new long-running tasks leave the room to jobs in time.
- * - `cut-short`: the limits of the round ended placement.
- */
-type StepOutcome = 'placed' | 'placeless' | 'yielded' | 'cut-short';
-
 /** Below this reserved share of the processors, tasks that run slowly do not delay others. */
 const SLOW_PLACEMENT_BELOW = 0.5;
 
-/**
- * A job whose tasks have all been halted for this time is moved to another worker, in milliseconds.
- */
-const MOVE_HALTED_AFTER_MS = 1_000;
-
 /** Assigns waiting tasks to workers. */
 export class TaskPlacer {
   readonly #state: ClusterState;
@@ -119,7 +114,8 @@
       if (idleMs !== undefined) idleJobs += 1;
       longestIdleMs = Math.max(longestIdleMs, idleMs ?? 0);
     }
-    return { idleJobs, longestIdleMs, ...this.#state.usage() };
+    const rackWaitingTasks = this.#state.racks.waitingCount;
+    return { idleJobs, longestIdleMs, rackWaitingTasks, ...this.#state.usage() };
   }
 
   /** Returns how many tasks of the steps of the latest round still wait for a worker. */
@@ -127,8 +123,7 @@
     const waiting = new CountByPriority();
     for (const { tasks, maxTasks, queue } of this.#waiting) {
       // Steps with a limit are listed again without one.
-      if (maxTasks === Infinity)
-        waiting.add(queue.priority, tasks.filter(({ phase }) => phase === 'waiting').length);
+      if (maxTasks === Infinity) waiting.add(queue.priority, tasks.filter(isWaiting).length);
     }
     return waiting;
   }
@@ -140,8 +135,15 @@
     // The time limit applies from here on, because with thousands of waiting steps sorting takes a
     // while.
     const budget = new RoundBudget(limits);
+    const { racks } = this.#state;
+    racks.startRound(waiting, nowMs);
     this.#placeHeld(budget, nowMs);
-    const roundCandidates = new RoundCandidates(this.#availableWorkers(), this.#placement, nowMs);
+    const roundCandidates = new RoundCandidates(
+      this.#availableWorkers(),
+      this.#placement,
+      nowMs,
+      (spec, worker) => racks.penaltyOf(spec, worker, nowMs),
+    );
     const unplaced: WaitingStep[] = [];
     const hasAmpleCapacity =
       !this.#isCapacityShort && this.#state.reservedShare() < SLOW_PLACEMENT_BELOW;
@@ -155,13 +157,27 @@
         return this.#cutShort(budget, count, unplaced);
       }
       const mayRunSlowly = this.#mayRunSlowly(step, hasAmpleCapacity, nowMs);
-      const candidates = roundCandidates.of(step.spec, step.queue.pool, mayRunSlowly);
+      const candidatesIn = (rack?: string): Candidates =>
+        roundCandidates.of(step.spec, step.queue.pool, mayRunSlowly, rack);
       const outcome = this.#mustYield(step, nowMs)
         ? 'yielded'
-        : this.#placeStep(step, candidates, budget, nowMs);
+        : placeByRack(step, {
+            racks,
+            waitMs: () => this.#waits.of(step.tasks, nowMs).waitMs,
+            candidatesIn,
+            place: (part, candidates) => this.#placeStep(part, candidates, budget, nowMs),
+            hasStarts: () => budget.hasStarts,
+            nowMs,
+          });
       if (outcome === 'yielded') this.#waits.yielded(step.tasks);
       if (outcome === 'placed' && step.maxTasks === Infinity) this.#waits.placed(step.tasks);
+      if (outcome === 'awaits-rack') {
+        unplaced.push(step);
+        this.#waits.awaitsRack(step.tasks);
+        this.#logIdle(step.job, step.spec, candidatesIn(step.spec.dataRack), nowMs);
+      }
       if (outcome === 'placeless') {
+        const candidates = candidatesIn();
         unplaced.push(step);
         this.#isCapacityShort ||= step.rank === IN_TIME_RANK;
         if (step.rank === IN_TIME_RANK && candidates.lackRoomFor(step.spec))
@@ -442,18 +458,3 @@
     });
   }
 }
-
-/** Returns whether a run that has been halted for some time can continue on another worker. */
-function canMove(
-  { worker, run }: HaltedRun,
-  roundCandidates: RoundCandidates,
-  pool: string,
-  nowMs: number,
-): boolean {
-  if (run.spec.gang || run.stopSentMs > 0 || nowMs - run.progressedMs < MOVE_HALTED_AFTER_MS)
-    return false;
-  const target = roundCandidates
-    .of(run.spec, pool, true)
-    .choose({ ...run, avoid: worker.entry.id });
-  return target !== undefined && target !== worker;
-}
--- a/packages/jobs/src/internal/waiting-steps.ts
+++ b/packages/jobs/src/internal/waiting-steps.ts
@@ -55,7 +55,7 @@
   if (!queue) return;
   for (let step = 0; step < occurrence.steps.length; step += 1) {
     const tasks = occurrence.steps[step]!;
-    const hasWaiting = tasks.some(({ phase }) => phase === 'waiting');
+    const hasWaiting = tasks.some(isWaiting);
     if (hasWaiting && job.isStepReady(occurrence, step)) {
       const ref = { jobId: job.spec.id, occurrence: occurrence.number, step, index: 0 };
       const requestedMs = requestedMsOf(job, occurrence);
@@ -91,3 +91,8 @@
   if (a.rank !== b.rank) return a.rank - b.rank;
   return a.sortMs - b.sortMs;
 }
+
+/** Whether a task has yet to be started, for the first time or again. */
+export function isWaiting({ phase }: TaskProgress): boolean {
+  return phase === 'waiting';
+}
--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -131,6 +131,14 @@
     this.#state.evacuated.set(dataCentres, this.#state.workers.values(), nowMs);
   }
 
+  /**
+   * Sets how many times as long a task takes on another rack than that of its data; with 1 or less,
+   * as at the start, no task waits for a rack.
+   */
+  setRemoteFactor(remoteFactor: number): void {
+    this.#state.racks.remoteFactor = remoteFactor;
+  }
+
   /** Returns how many runs are left on workers in evacuated data centres. */
   evacuatedRuns(): number {
     let runs = 0;
--- a/packages/runtime/src/internal/leader-term.ts
+++ b/packages/runtime/src/internal/leader-term.ts
@@ -133,6 +133,7 @@
     this.#silence = new SilenceDetector(this.#inheritedEndsMs);
     const agesNow = (): LogFields => this.views.ages(steadyMs());
     this.#scheduler = createScheduler(log, this.#leaseMs, table.formerLeases, agesNow);
+    this.#scheduler.setRemoteFactor(settings.remoteFactor);
     const link = (id: string): void => {
       const worker = this.#scheduler.workers.get(id);
       if (worker) this.#links.open(worker);
--- a/packages/runtime/src/internal/node-metrics.ts
+++ b/packages/runtime/src/internal/node-metrics.ts
@@ -79,6 +79,11 @@
     name: 'redwingcrank_scheduler_longest_idle_seconds',
     help: 'For how long the job has been idle that waits longest.',
   },
+  rackWaitingTasks: {
+    name: 'redwingcrank_rack_waiting_tasks',
+    help: 'Tasks that wait for the rack of their data although another rack may have room.',
+    divisor: 1,
+  },
   reservedPercent: {
     name: 'redwingcrank_scheduler_reserved_ratio',
     help: "The part of the workers' processors that tasks have reserved.",
--- a/packages/runtime/src/internal/term-load.ts
+++ b/packages/runtime/src/internal/term-load.ts
@@ -153,6 +153,7 @@
       evacuatedRuns: view.evacuatedRuns,
       idleJobs: view.idleJobs,
       longestIdleMs: Math.round(view.longestIdleMs),
+      rackWaitingTasks: view.rackWaitingTasks,
       reservedPercent: view.reservedPercent,
       longRunningPercent: view.longRunningPercent,
       bestEffortPercent: view.bestEffortPercent,
--- a/packages/runtime/src/node-settings.ts
+++ b/packages/runtime/src/node-settings.ts
@@ -24,6 +24,8 @@
   readonly evacuateMs: number;
   /** How long after a change of the configuration every node must apply it, in milliseconds. */
   readonly configApplyMs: number;
+  /** How many times as long a task takes on another rack than that of its data. */
+  readonly remoteFactor: number;
   /** How long the final state of a job must be kept, in milliseconds. */
   readonly keepStateMs: number;
   /** How long after SIGTERM the process is killed, in milliseconds. */
--- a/packages/runtime/src/test/fixtures.ts
+++ b/packages/runtime/src/test/fixtures.ts
@@ -51,6 +51,7 @@
     cancelMs: 3_000,
     evacuateMs: 5_000,
     configApplyMs: 2_000,
+    remoteFactor: 1.5,
     keepStateMs: 120_000,
     graceMs: 6_000,
   };
--- a/packages/runtime/src/test/term-load_test.ts
+++ b/packages/runtime/src/test/term-load_test.ts
@@ -16,6 +16,7 @@
   evacuatedRuns: 4,
   idleJobs: 2,
   longestIdleMs: 4_200.3,
+  rackWaitingTasks: 3,
   reservedPercent: 45,
   longRunningPercent: 40,
   bestEffortPercent: 30,
