Steps of queues with advice start on approved workers only, with a ticket

Cause: a queue may have advice: only some workers may run a step, the advice service alone knows which, and workers reject a start without a valid ticket. The service was not asked, so every start was rejected.

Change: PlacementAdvice holds what is known of each step (approved workers with tickets, refused workers); AdvisedSteps finds the steps that need a query, also ahead of their start; Adviser makes the calls on the leader, one at a time, and pauses 200 ms to 2 s after a failure. Placement considers workers with a ticket valid for START_WINDOW_MS only, the start carries the ticket, and one whose ticket has expired is not sent. A rejected ticket (outcome no-ticket) counts as never run and is requested again. Events advice, advice-none, advice-missing; metrics redwingcrank_advice_calls_total and redwingcrank_advice_waiting_steps.

--- a/packages/jobs/src/backlog.ts
+++ b/packages/jobs/src/backlog.ts
@@ -18,4 +18,6 @@
   readonly longestIdleMs: number;
   /** How many tasks wait for the rack of their data. */
   readonly rackWaitingTasks: number;
+  /** How many steps of queues with advice have tasks to start and no worker with a valid ticket. */
+  readonly adviceWaitingSteps: number;
 }
--- a/packages/jobs/src/index.ts
+++ b/packages/jobs/src/index.ts
@@ -1,3 +1,4 @@
+export * from './advice.js';
 export * from './job.js';
 export * from './task-ref.js';
 export * from './job-progress.js';
--- a/packages/jobs/src/internal/cluster-state.ts
+++ b/packages/jobs/src/internal/cluster-state.ts
@@ -9,6 +9,7 @@
 import { findTask } from './runs.js';
 import type { StopReason } from './stop-reason.js';
 import { IdleWaitEstimator } from './idle-wait-estimator.js';
+import { PlacementAdvice } from './placement-advice.js';
 import { RackPreference } from './rack-preference.js';
 import { objectiveMsOf, objectiveOutcomeOf } from './urgency.js';
 import type { WorkerRun } from './worker-run.js';
@@ -62,6 +63,11 @@
 
   readonly racks: RackPreference;
 
+  readonly advice = new PlacementAdvice();
+
+  /** Whether any queue has steps that only approved workers may run. */
+  hasAdvice = false;
+
   /** False while jobs that were started earlier may not have been loaded yet. */
   isFullyLoaded = true;
 
--- a/packages/jobs/src/internal/obstacle.ts
+++ b/packages/jobs/src/internal/obstacle.ts
@@ -1,6 +1,7 @@
 /**
  * Why a worker cannot take a task.
  *
+ * - `advice`: it has no valid ticket for the step.
  * - `closed`: the worker takes no tasks now: it is leaving, does not answer, is suspected, or has
  *   just rejected a start for lack of capacity.
  * - `evacuated`: its data centre is evacuated, or was until a moment ago.
@@ -12,7 +13,15 @@
  * - `slack`: the serving tasks there have no latency headroom for one more best-effort task.
  */
 export type Obstacle =
-  'closed' | 'evacuated' | 'label' | 'room' | 'memory' | 'harmed' | 'processors' | 'slack';
+  | 'advice'
+  | 'closed'
+  | 'evacuated'
+  | 'label'
+  | 'room'
+  | 'memory'
+  | 'harmed'
+  | 'processors'
+  | 'slack';
 
 /** Whether a score of a worker is an obstacle that its ended tasks may remove. */
 export function isCapacityLack(score: number | Obstacle): boolean {
--- a/packages/jobs/src/internal/round-candidates.ts
+++ b/packages/jobs/src/internal/round-candidates.ts
@@ -38,13 +38,18 @@
 
   #isExhausted = false;
 
+  /** The obstacle if there are no workers at all. */
+  readonly #obstacleOfNone: Obstacle;
+
   /** Cached until a candidate is evaluated again. */
   #obstacle: Obstacle | undefined;
 
   constructor(
     workers: readonly WorkerState[],
     evaluate: (worker: WorkerState) => number | Obstacle,
+    obstacleOfNone: Obstacle = 'closed',
   ) {
+    this.#obstacleOfNone = obstacleOfNone;
     this.#evaluate = evaluate;
     this.#candidates = workers.map((worker) => ({
       worker,
@@ -77,11 +82,17 @@
     return best;
   }
 
+  /** Whether the step lacks not capacity but a worker with a ticket. */
+  get lacksTicket(): boolean {
+    return this.#obstacleOfNone === 'advice' && this.#candidates.length === 0;
+  }
+
   /** The obstacle that most workers have. */
   get obstacle(): Obstacle {
     if (this.#obstacle === undefined) {
       const scores = this.#candidates.map(({ score }) => score);
-      this.#obstacle = mostFrequent(scores.filter((score) => typeof score !== 'number'));
+      const obstacles = scores.filter((score) => typeof score !== 'number');
+      this.#obstacle = scores.length > 0 ? mostFrequent(obstacles) : this.#obstacleOfNone;
     }
     return this.#obstacle;
   }
@@ -133,6 +144,9 @@
   return maxPerWorker === 0 || worker.countOf(ref) < maxPerWorker;
 }
 
+/** Shared by all steps without a ticket: thousands of them may wait. */
+const NONE_WITH_TICKET = new Candidates([], () => 'advice', 'advice');
+
 /** Returns what is subtracted from the score of a worker for tasks of the step. */
 export type PlacementPenalty = (spec: StepSpec, worker: WorkerState, nowMs: number) => number;
 
@@ -145,11 +159,15 @@
 export class RoundCandidates {
   readonly #workersByPool = new Map<string, WorkerState[]>();
 
+  /** Built when it is first needed in the round. */
+  #workersById: Map<string, WorkerState> | undefined;
+
   readonly #workersByRack = new Map<string, readonly WorkerState[]>();
 
   readonly #policy: PlacementPolicy;
 
-  readonly #nowMs: number;
+  /** The time of the round. */
+  readonly nowMs: number;
 
   readonly #penaltyOf: PlacementPenalty;
 
@@ -162,7 +180,7 @@
     penaltyOf: PlacementPenalty = () => 0,
   ) {
     this.#policy = policy;
-    this.#nowMs = nowMs;
+    this.nowMs = nowMs;
     this.#penaltyOf = penaltyOf;
     for (const worker of workers) {
       const pool = this.#workersByPool.get(worker.entry.pool);
@@ -179,14 +197,46 @@
     const key = `${kindOf(spec)} ${pool} ${isStarved} ${rack}`;
     const known = this.#byKind.get(key);
     if (known) return known;
-    const candidates = new Candidates(this.#workersOf(pool, rack), (worker) => {
-      const score = this.#policy.evaluate(spec, worker, this.#nowMs, isStarved);
-      return typeof score === 'number' ? score - this.#penaltyOf(spec, worker, this.#nowMs) : score;
-    });
+    const candidates = new Candidates(this.#workersOf(pool, rack), (worker) =>
+      this.#evaluate(spec, worker, isStarved),
+    );
     this.#byKind.set(key, candidates);
     return candidates;
   }
 
+  /** Returns the candidates for tasks of a step among workers with a ticket, as `of` does. */
+  withTicket(
+    spec: StepSpec,
+    pool: string,
+    isStarved: boolean,
+    rack: string,
+    ids: Iterable<string>,
+  ): Candidates {
+    const workers: WorkerState[] = [];
+    for (const id of ids) {
+      const worker = this.#workerById(id);
+      const isInRack = rack === '' || worker?.entry.labels.includes(rack);
+      if (worker?.entry.pool === pool && isInRack) workers.push(worker);
+    }
+    if (workers.length === 0) return NONE_WITH_TICKET;
+    const evaluate = (worker: WorkerState): number | Obstacle =>
+      this.#evaluate(spec, worker, isStarved);
+    return new Candidates(workers, evaluate, 'advice');
+  }
+
+  #workerById(id: string): WorkerState | undefined {
+    if (!this.#workersById) {
+      const workers = [...this.#workersByPool.values()].flat();
+      this.#workersById = new Map(workers.map((worker) => [worker.entry.id, worker]));
+    }
+    return this.#workersById.get(id);
+  }
+
+  #evaluate(spec: StepSpec, worker: WorkerState, isStarved: boolean): number | Obstacle {
+    const score = this.#policy.evaluate(spec, worker, this.nowMs, isStarved);
+    return typeof score === 'number' ? score - this.#penaltyOf(spec, worker, this.nowMs) : score;
+  }
+
   #workersOf(pool: string, rack: string): readonly WorkerState[] {
     const workers = this.#workersByPool.get(pool) ?? [];
     if (rack === '') return workers;
--- a/packages/jobs/src/internal/task-placer.ts
+++ b/packages/jobs/src/internal/task-placer.ts
@@ -5,6 +5,7 @@
 import type { StepSpec } from '../job.js';
 import type { TaskRef } from '../task-ref.js';
 import { taskName } from '../task-ref.js';
+import { AdvisedSteps } from './advised-steps.js';
 import { AdmissionControl } from './admission-control.js';
 import type { ClusterState } from './cluster-state.js';
 import type { HaltedRun } from './halted-runs.js';
@@ -65,6 +66,9 @@
   /** Determines which jobs can be accepted, as of the latest round. */
   readonly admission: AdmissionControl;
 
+  /** The steps that need advice, as of the latest round. */
+  readonly advised: AdvisedSteps;
+
   /** The steps that the latest round had to place. */
   #waiting: readonly WaitingStep[] = [];
 
@@ -77,6 +81,7 @@
   constructor(state: ClusterState, placement: PlacementPolicy) {
     this.#state = state;
     this.#placement = placement;
+    this.advised = new AdvisedSteps(state, placement);
     this.admission = new AdmissionControl(state, this.#idle, this.#idleByClass);
   }
 
@@ -90,6 +95,7 @@
     if (isCutShort)
       this.admission.cutShort(this.#startCount, this.#waitingTasks(), nowMs, limits.isNodeBusy);
     else this.admission.completed(this.#startCount, nowMs);
+    this.advised.update(this.#waiting, nowMs);
     this.#starvedUnplaced.length = 0;
     this.#holdCapacity(nowMs);
     return isCutShort;
@@ -115,7 +121,14 @@
       longestIdleMs = Math.max(longestIdleMs, idleMs ?? 0);
     }
     const rackWaitingTasks = this.#state.racks.waitingCount;
-    return { idleJobs, longestIdleMs, rackWaitingTasks, ...this.#state.usage() };
+    const adviceWaitingSteps = this.advised.waitingCount(nowMs);
+    return {
+      idleJobs,
+      longestIdleMs,
+      rackWaitingTasks,
+      adviceWaitingSteps,
+      ...this.#state.usage(),
+    };
   }
 
   /** Returns how many tasks of the steps of the latest round still wait for a worker. */
@@ -158,7 +171,7 @@
       }
       const mayRunSlowly = this.#mayRunSlowly(step, hasAmpleCapacity, nowMs);
       const candidatesIn = (rack?: string): Candidates =>
-        roundCandidates.of(step.spec, step.queue.pool, mayRunSlowly, rack);
+        this.advised.candidatesOf(step, roundCandidates, mayRunSlowly, rack);
       const outcome = this.#mustYield(step, nowMs)
         ? 'yielded'
         : placeByRack(step, {
@@ -179,7 +192,7 @@
       if (outcome === 'placeless') {
         const candidates = candidatesIn();
         unplaced.push(step);
-        this.#isCapacityShort ||= step.rank === IN_TIME_RANK;
+        this.#isCapacityShort ||= step.rank === IN_TIME_RANK && !candidates.lacksTicket;
         if (step.rank === IN_TIME_RANK && candidates.lackRoomFor(step.spec))
           this.#shortage.found(step.queue, nowMs);
         if (step.rank === STARVED_RANK) this.#starvedUnplaced.push(step);
@@ -247,9 +260,9 @@
     this.#idle.started(step.job, step.rank === STARVED_RANK);
     for (const other of this.#starvedUnplaced.splice(0)) {
       this.#idle.passedOver(other.job, nowMs);
-      // No capacity is held for best-effort tasks, which reserve no processors, or for gangs, which
-      // need several workers.
-      if (!other.spec.gang && !other.spec.fills) this.#hold.add(other);
+      // No capacity is held for best-effort tasks, which reserve no processors, for gangs, which need
+      // several workers, or for steps that only some workers may run.
+      if (!other.spec.gang && !other.spec.fills && !other.queue.advice) this.#hold.add(other);
     }
   }
 
@@ -447,6 +460,7 @@
       priority: queue.priority,
       payload: job.spec.payload,
       checkpoint: task.checkpoint,
+      ...this.advised.ticketOf(queue, ref, worker, nowMs),
     });
     this.#state.logEvent('bound', {
       task: taskName(ref),
--- a/packages/jobs/src/internal/waiting-steps.ts
+++ b/packages/jobs/src/internal/waiting-steps.ts
@@ -77,7 +77,7 @@
  * Returns when the work of an occurrence was requested: at its due time, or when the job was
  * accepted.
  */
-function requestedMsOf({ spec }: JobProgress, { number }: Occurrence): number {
+export function requestedMsOf({ spec }: JobProgress, { number }: Occurrence): number {
   const { schedule, acceptedMs } = spec;
   return schedule ? schedule.firstDueMs + number * schedule.intervalMs : acceptedMs;
 }
--- a/packages/jobs/src/job.ts
+++ b/packages/jobs/src/job.ts
@@ -1,3 +1,5 @@
+import type { AdvicePolicy } from './advice.js';
+
 /** One step of a job: a number of tasks that are alike. */
 export interface StepSpec {
   readonly taskCount: number;
@@ -106,6 +108,8 @@
   /** The objective of a job is `stretch` times its critical path plus `targetLatencyMs`. */
   readonly stretch: number;
   readonly targetLatencyMs: number;
+  /** Present if only workers that the advice service approves may run its steps. */
+  readonly advice?: AdvicePolicy;
 }
 
 /** Returns whether a job never leaves this state. */
--- a/packages/jobs/src/order.ts
+++ b/packages/jobs/src/order.ts
@@ -11,6 +11,8 @@
       readonly priority: number;
       readonly payload: string;
       readonly checkpoint: string;
+      /** The ticket with which the worker accepts the task; absent for queues without advice. */
+      readonly ticket?: string;
     }
   | { readonly kind: 'stop'; readonly worker: string; readonly task: TaskRef; readonly run: number }
   | {
@@ -28,6 +30,7 @@
  * - `fenced`: another node has used a higher fencing token at the worker.
  * - `superseded`: the run was stopped or has ended at the worker.
  * - `too-late`: the deadline of the order had passed.
+ * - `no-ticket`: the worker did nothing, as the start had no valid ticket.
  * - `no-room`, `unhealthy`, `invalid`: the worker did nothing.
  * - `other-life`: the worker process that was meant has ended; another one has its address.
  * - `unknown`: no answer; the order may have been carried out, or may yet be.
@@ -37,6 +40,7 @@
   | 'fenced'
   | 'superseded'
   | 'too-late'
+  | 'no-ticket'
   | 'no-room'
   | 'unhealthy'
   | 'invalid'
--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -1,3 +1,4 @@
+import type { AdviceAnswer, AdviceQuery } from './advice.js';
 import type { QueuePolicy } from './job.js';
 import { isFinal } from './job.js';
 import type { RetryAfter } from './admission.js';
@@ -5,7 +6,7 @@
 import type { JobProgress, TaskProgress } from './job-progress.js';
 import type { Order, OrderOutcome } from './order.js';
 import type { TaskRef } from './task-ref.js';
-import { taskName } from './task-ref.js';
+import { stepName, taskName } from './task-ref.js';
 import type { WorkerEntry, WorkerReport } from './worker.js';
 import { ClusterState } from './internal/cluster-state.js';
 import type { EventLogger, SchedulerTiming } from './internal/cluster-state.js';
@@ -139,6 +140,21 @@
     this.#state.racks.remoteFactor = remoteFactor;
   }
 
+  /** Sets for how long a ticket must still be valid to be used for a start, in milliseconds. */
+  setTicketMargin(minValidityMs: number): void {
+    this.#state.advice.minValidityMs = minValidityMs;
+  }
+
+  /** Returns what the advice service is to be asked next; undefined if no step needs advice. */
+  nextAdviceQuery(nowMs: number): AdviceQuery | undefined {
+    return this.#placer.advised.nextQuery(nowMs);
+  }
+
+  /** Applies the answer to a query that was sent at `sentMs`. */
+  adviceAnswered(query: AdviceQuery, answer: AdviceAnswer, sentMs: number, nowMs: number): void {
+    this.#state.advice.answered(query, answer, sentMs, nowMs);
+  }
+
   /** Returns how many runs are left on workers in evacuated data centres. */
   evacuatedRuns(): number {
     let runs = 0;
@@ -149,6 +165,7 @@
 
   setQueues(queues: Iterable<QueuePolicy>): void {
     for (const queue of queues) this.#state.queues.set(queue.name, queue);
+    this.#state.hasAdvice = [...this.#state.queues.values()].some(({ advice }) => advice);
   }
 
   /**
@@ -254,11 +271,15 @@
    * Returns whether an order must still be sent. A start waits until its binding is stored and it
    * is next to be sent, which may take seconds. By then its job may have been cancelled, the data
    * centre evacuated, or its worker may have announced that it is leaving; if the worker is no longer
-   * listed, its announcement may never have been read. An order that was never sent can be answered with
+   * listed, its announcement may never have been read. Its ticket may have expired. An order that was never sent can be answered with
    * `too-late`.
    */
-  shouldSend(order: Order): boolean {
+  shouldSend(order: Order, nowMs = -Infinity): boolean {
     if (order.kind !== 'start') return true;
+    const { advice } = this.#state;
+    const { ticket } = order;
+    if (ticket !== undefined && advice.isVoid(stepName(order.task), order.worker, ticket, nowMs))
+      return false;
     const worker = this.#state.workers.get(order.worker);
     const run = worker?.runs.get(taskName(order.task));
     if (!worker || run?.run !== order.run) return false;
@@ -419,6 +440,8 @@
     }
     if (outcome === 'no-room') worker.fullUntilMs = nowMs + FULL_WORKER_PAUSE_MS;
     if (outcome === 'unhealthy') worker.health.stalled(nowMs);
+    if (outcome === 'no-ticket')
+      this.#state.advice.ticketRejected(stepName(order.task), order.worker, order.ticket ?? '');
     this.#state.releaseRun(worker, key, run);
   }
 
--- a/packages/jobs/src/task-ref.ts
+++ b/packages/jobs/src/task-ref.ts
@@ -11,6 +11,11 @@
   return `${jobId}.${occurrence}.${step}.${index}`;
 }
 
+/** Returns the name of the task's step, which begins the names of all of its tasks. */
+export function stepName({ jobId, occurrence, step }: TaskRef): string {
+  return `${jobId}.${occurrence}.${step}`;
+}
+
 /** Parses a task's name; returns undefined if the text is not one. */
 export function parseTaskName(name: string): TaskRef | undefined {
   const [jobId, ...rest] = name.split('.');
--- a/packages/jobs/src/test/rack-preference_test.ts
+++ b/packages/jobs/src/test/rack-preference_test.ts
@@ -15,7 +15,7 @@
 
 const ROUND_MS = 50;
 
-const REMOTE_FACTOR = 3;
+const ELSEWHERE_FACTOR = 3;
 
 /** A task that fills half of a worker; elsewhere than on its rack it loses 800 ms. */
 const LOCAL = stepSpec({ cpuMilli: 4_000, estimateMs: 400, dataRack: 'r1' });
@@ -33,7 +33,7 @@
   /** For each ended task with data: how long it took from its submission, in milliseconds. */
   readonly tookMs: number[] = [];
 
-  constructor(remoteFactor = REMOTE_FACTOR) {
+  constructor(remoteFactor = ELSEWHERE_FACTOR) {
     this.harness.scheduler.setRemoteFactor(remoteFactor);
     for (const priority of [0, 1])
       this.harness.scheduler.setQueues([{ ...QUEUE, name: `q${priority}`, priority }]);
@@ -53,7 +53,7 @@
     for (const [i, start] of starts.entries()) {
       const { estimateMs, dataRack, lasting } = harness.scheduler.jobs.get(start.task.jobId)!.spec
         .steps[0]!;
-      const factor = dataRack && dataRack !== racks[i] ? REMOTE_FACTOR : 1;
+      const factor = dataRack && dataRack !== racks[i] ? ELSEWHERE_FACTOR : 1;
       const endMs = harness.nowMs + (lasting ? Infinity : estimateMs * factor);
       harness.answer(start, 'done');
       this.#running.push({ start, endMs });
@@ -104,7 +104,7 @@
 test('tasks wait for a contended rack where they end earlier than elsewhere, and only there', () => {
   // Guards against tasks that run three times as long on another rack although theirs has room soon,
   // and against tasks that queue for a rack beyond what they lose elsewhere.
-  const [preferring, indifferent] = [meanTookMs(REMOTE_FACTOR), meanTookMs(1)];
+  const [preferring, indifferent] = [meanTookMs(ELSEWHERE_FACTOR), meanTookMs(1)];
   assert.ok(preferring < 0.85 * indifferent, `${preferring} ms, without preference ${indifferent}`);
 });
 
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -1,4 +1,5 @@
 export * from './record-fault.js';
+export * from './advice-port.js';
 export * from './keyed-log.js';
 export * from './task-workers.js';
 export * from './cluster-config.js';
--- a/packages/runtime/src/internal/leader-term.ts
+++ b/packages/runtime/src/internal/leader-term.ts
@@ -4,6 +4,7 @@
 import type { LogFields, NodeLog } from '../node-log.js';
 import type { NodeSettings } from '../node-settings.js';
 import type { PlatformPort } from '../platform-port.js';
+import { Adviser } from './adviser.js';
 import { steadyMs } from './delay.js';
 import { FaultLog } from './fault-log.js';
 import { Housekeeping } from './housekeeping.js';
@@ -79,6 +80,8 @@
 
   readonly #pacing = new RoundPacing(this.#stopping.signal, (order) => this.#send(order));
 
+  readonly #adviser: Adviser;
+
   #isResigning = false;
 
   /** Whether all started jobs are loaded, and with them the workers that may run them. */
@@ -134,6 +137,13 @@
     const agesNow = (): LogFields => this.views.ages(steadyMs());
     this.#scheduler = createScheduler(log, this.#leaseMs, table.formerLeases, agesNow);
     this.#scheduler.setRemoteFactor(settings.remoteFactor);
+    this.#adviser = new Adviser({
+      service: port.advice,
+      scheduler: this.#scheduler,
+      log,
+      signal: this.#stopping.signal,
+      onAnswer: () => this.#pacing.wake(),
+    });
     const link = (id: string): void => {
       const worker = this.#scheduler.workers.get(id);
       if (worker) this.#links.open(worker);
@@ -181,6 +191,7 @@
       this.#config.evacuations.changes$.subscribe(() => this.#applyEvacuations()),
     );
     this.#workerList.run().catch((err) => this.#failed('worker-list', err));
+    this.#adviser.run().catch((err) => this.#failed('adviser', err));
     this.#load
       .run(() => this.#loadView(), this.#stopping.signal)
       .catch((err) => this.#failed('term-load', err));
@@ -236,7 +247,7 @@
   }
 
   isDue(order: Order): boolean {
-    return this.#scheduler.shouldSend(order);
+    return this.#scheduler.shouldSend(order, steadyMs());
   }
 
   reported(worker: string, report: WorkerReport, askedMs: number): void {
@@ -279,6 +290,7 @@
     const limits =
       this.views.windowMs(startedMs) > 0 ? { ...this.#pacing.limits, isNodeBusy } : NO_STARTS;
     const decisions = this.#scheduler.decide(startedMs, Date.now(), limits);
+    this.#adviser.wake();
     this.#load.decided(steadyMs() - startedMs, decisions.isCutShort);
     const writes: KeyedWrite[] = decisions.changed.map((job) => ({
       key: progressKey(job.spec.id),
@@ -438,6 +450,7 @@
     const config = this.#config.current;
     if (!config) return;
     this.#scheduler.setQueues(config.queues);
+    this.#adviser.setQueues(config.queues);
     this.#pacing.wake();
   }
 
--- a/packages/runtime/src/internal/node-metrics.ts
+++ b/packages/runtime/src/internal/node-metrics.ts
@@ -84,6 +84,11 @@
     help: 'Tasks that wait for the rack of their data although another rack may have room.',
     divisor: 1,
   },
+  adviceWaitingSteps: {
+    name: 'redwingcrank_advice_waiting_steps',
+    help: 'Steps of queues with advice that have tasks to start and no worker with a valid ticket.',
+    divisor: 1,
+  },
   reservedPercent: {
     name: 'redwingcrank_scheduler_reserved_ratio',
     help: "The part of the workers' processors that tasks have reserved.",
@@ -137,6 +142,8 @@
 
   readonly #objectives: Counter;
 
+  readonly #adviceCalls: Counter;
+
   readonly #load = new Map<string, Gauge>();
 
   constructor(log: NodeLog, state: () => NodeState) {
@@ -186,6 +193,12 @@
       labelNames: ['queue', 'objective'],
       registers,
     });
+    this.#adviceCalls = new Counter({
+      name: 'redwingcrank_advice_calls_total',
+      help: 'Calls to the advice service, by outcome.',
+      labelNames: ['outcome'],
+      registers,
+    });
     for (const [field, { name, help }] of Object.entries(LOAD_GAUGES)) {
       this.#load.set(field, new Gauge({ name, help, registers }));
     }
@@ -208,6 +221,7 @@
     if (event === 'job-ended') this.#observeJobEnd(fields);
     if (event === 'term-load') this.#setLoad(fields);
     if (event === 'term-end') this.#setLoad({});
+    if (event === 'advice') this.#adviceCalls.inc({ outcome });
     if (event === 'submit') this.#submits.observe({ outcome }, seconds);
   }
 
--- a/packages/runtime/src/internal/term-load.ts
+++ b/packages/runtime/src/internal/term-load.ts
@@ -154,6 +154,7 @@
       idleJobs: view.idleJobs,
       longestIdleMs: Math.round(view.longestIdleMs),
       rackWaitingTasks: view.rackWaitingTasks,
+      adviceWaitingSteps: view.adviceWaitingSteps,
       reservedPercent: view.reservedPercent,
       longRunningPercent: view.longRunningPercent,
       bestEffortPercent: view.bestEffortPercent,
--- a/packages/runtime/src/platform-port.ts
+++ b/packages/runtime/src/platform-port.ts
@@ -1,4 +1,5 @@
 import type { WorkerEntry } from '@redwingcrank/jobs';
+import type { AdvicePort } from './advice-port.js';
 import type { ClusterConfig, EvacuationRecord } from './cluster-config.js';
 import type { KeyedLog, KeyedRecord } from './keyed-log.js';
 import type { PeerPort } from './peer-port.js';
@@ -24,6 +25,8 @@
    * store.
    */
   readonly peers?: PeerPort;
+  /** The advice service; absent if the platform has none. */
+  readonly advice?: AdvicePort;
 
   /** Returns the id of the worker whose entry this record is; undefined for other records. */
   workerIdOf(rec: KeyedRecord): string | undefined;
--- a/packages/runtime/src/test/term-load_test.ts
+++ b/packages/runtime/src/test/term-load_test.ts
@@ -17,6 +17,7 @@
   idleJobs: 2,
   longestIdleMs: 4_200.3,
   rackWaitingTasks: 3,
+  adviceWaitingSteps: 2,
   reservedPercent: 45,
   longRunningPercent: 40,
   bestEffortPercent: 30,
