--- a/packages/jobs/src/internal/advised-steps.ts
+++ b/packages/jobs/src/internal/advised-steps.ts
@@ -20,8 +20,9 @@
 const LOOK_AHEAD_INTERVAL_MS = 200;
 
 /**
- * How long a step is passed over after there was nothing to ask for it, in milliseconds: with a
- * thousand steps whose approved workers are full, comparing each with all workers takes 5 ms.
+ * How long a step is passed over after there was nothing to ask for it, in milliseconds:
+ * thousands of steps whose approved workers are full would each be compared with all workers in
+ * every round.
  */
 const SETTLED_MS = 500;
 
