--- a/packages/jobs/src/internal/ahead-bindings.ts
+++ b/packages/jobs/src/internal/ahead-bindings.ts
@@ -231,8 +231,9 @@
  * steps with several copies of a task are placed with regard to their other tasks; long-running tasks
  * hold their capacity for minutes, and their placement matters more than the seconds of a silence.
  */
-function isEligible({ spec, maxTasks }: WaitingStep): boolean {
-  return maxTasks === Infinity && isPlain(spec);
+function isEligible({ spec, queue, maxTasks }: WaitingStep): boolean {
+  // A ticket may expire before the start.
+  return maxTasks === Infinity && isPlain(spec) && !queue.advice;
 }
 
 function isPlain({ gang, lasting, speculative, maxPerWorker }: StepSpec): boolean {
--- a/packages/jobs/src/internal/cluster-state.ts
+++ b/packages/jobs/src/internal/cluster-state.ts
@@ -12,6 +12,8 @@
 import { IdleWaitEstimator } from './idle-wait-estimator.js';
 import { WorkBacklog } from './work-backlog.js';
 import { dropRun, isBoundTo } from './task-runs.js';
+import { PlacementAdvice } from './placement-advice.js';
+import { RackPreference } from './rack-preference.js';
 import { objectiveMsOf, objectiveOutcomeOf } from './urgency.js';
 import { UrgentReserve } from './urgent-reserve.js';
 import type { WorkerRun } from './worker-run.js';
@@ -69,8 +71,16 @@
   readonly work: WorkBacklog;
 
   readonly urgentReserve = new UrgentReserve();
+
   readonly durations = new StepDurations();
 
+  readonly racks: RackPreference;
+
+  readonly advice = new PlacementAdvice();
+
+  /** Whether any queue has steps that only approved workers may run. */
+  hasAdvice = false;
+
   /** False while jobs that were started earlier may not have been loaded yet. */
   isFullyLoaded = true;
 
@@ -80,6 +90,7 @@
     this.idleWaits = new IdleWaitEstimator(startedMs);
     this.work = new WorkBacklog(startedMs);
     this.logEvent = logEvent;
+    this.racks = new RackPreference(logEvent, startedMs);
   }
 
   /** Returns whether the job is unknown but may have been started earlier. */
--- a/packages/jobs/src/internal/round-candidates.ts
+++ b/packages/jobs/src/internal/round-candidates.ts
@@ -1,7 +1,7 @@
 import type { StepSpec } from '../job.js';
 import type { TaskRef } from '../task-ref.js';
 import type { PlacementPolicy } from './placement.js';
-import { isCapacityLack, mostFrequent } from './obstacle.js';
+import { isBestEffortLack, isCapacityLack, mostFrequent } from './obstacle.js';
 import type { Obstacle } from './obstacle.js';
 import { kindOf } from './placement.js';
 import type { WorkerState } from './worker-state.js';
@@ -68,14 +68,19 @@
   /** The rule that no worker passes for the rest of the round, as capacity only decreases in it. */
   #unmetRule: WorkerRule | undefined;
 
+  /** The obstacle if there are no workers at all. */
+  readonly #obstacleOfNone: Obstacle;
+
   /** Cached until a candidate is evaluated again. */
   #obstacle: Obstacle | undefined;
 
   constructor(
     workers: readonly WorkerState[],
     evaluate: (worker: WorkerState) => number | Obstacle,
+    obstacleOfNone: Obstacle = 'closed',
   ) {
     this.#workers = workers;
+    this.#obstacleOfNone = obstacleOfNone;
     this.#evaluate = evaluate;
     this.#evaluateBlock();
   }
@@ -149,11 +154,17 @@
     return { worker: best, isSuitable: bestScore > -AVOID_PENALTY / 2, isExhausted, isLimited };
   }
 
+  /** Whether the step lacks not capacity but a worker with a ticket. */
+  get lacksTicket(): boolean {
+    return this.#obstacleOfNone === 'advice' && this.#candidates.length === 0;
+  }
+
   /** The obstacle that most workers have. */
   get obstacle(): Obstacle {
     if (this.#obstacle === undefined) {
       const scores = this.#candidates.map(({ score }) => score);
-      this.#obstacle = mostFrequent(scores.filter((score) => typeof score !== 'number'));
+      const obstacles = scores.filter((score) => typeof score !== 'number');
+      this.#obstacle = scores.length > 0 ? mostFrequent(obstacles) : this.#obstacleOfNone;
     }
     return this.#obstacle;
   }
@@ -172,6 +183,14 @@
     for (const { score, worker } of this.#candidates) if (score === 'memory') yield worker;
   }
 
+  /** Whether a worker that is large enough would take a task of the step once tasks there end. */
+  canOpenFor(spec: StepSpec): boolean {
+    if (this.lackRoomFor(spec)) return true;
+    return this.#candidates.some(
+      ({ score }) => typeof score !== 'number' && isBestEffortLack(score),
+    );
+  }
+
   /** Returns the number of workers by obstacle; those that would take a task count as `open`. */
   counts(): Record<string, number> {
     const counts: Record<string, number> = {};
@@ -203,6 +222,12 @@
   return maxPerWorker === 0 || worker.countOf(ref) < maxPerWorker;
 }
 
+/** Shared by all steps without a ticket: thousands of them may wait. */
+const NONE_WITH_TICKET = new Candidates([], () => 'advice', 'advice');
+
+/** Returns what is subtracted from the score of a worker for tasks of the step. */
+export type PlacementPenalty = (spec: StepSpec, worker: WorkerState, nowMs: number) => number;
+
 /**
  * The candidate workers for tasks within one round. During a round workers change only by
  * placements, so each worker is evaluated once for every kind of task, and again after a task was
@@ -212,19 +237,37 @@
 export class RoundCandidates {
   readonly #workersByPool = new Map<string, WorkerState[]>();
 
+  /** Built when it is first needed in the round. */
+  #workersById: Map<string, WorkerState> | undefined;
+
+  readonly #workersByRack = new Map<string, readonly WorkerState[]>();
+
   readonly #policy: PlacementPolicy;
 
-  readonly #nowMs: number;
+  /** The time of the round. */
+  readonly nowMs: number;
+
+  readonly #penaltyOf: PlacementPenalty;
 
   readonly #byKind = new Map<string, Candidates>();
 
   readonly #round: number;
 
-  /** `round`: the number of the round, which determines where the search of a large pool begins. */
-  constructor(workers: Iterable<WorkerState>, policy: PlacementPolicy, nowMs: number, round = 0) {
+  /**
+   * `round`: the number of the round, which determines where the search of a large pool begins.
+   * `penaltyOf`: what is taken from the score of a worker.
+   */
+  constructor(
+    workers: Iterable<WorkerState>,
+    policy: PlacementPolicy,
+    nowMs: number,
+    round = 0,
+    penaltyOf: PlacementPenalty = () => 0,
+  ) {
     this.#policy = policy;
-    this.#nowMs = nowMs;
+    this.nowMs = nowMs;
     this.#round = round;
+    this.#penaltyOf = penaltyOf;
     for (const worker of workers) {
       const pool = this.#workersByPool.get(worker.entry.pool);
       if (pool) pool.push(worker);
@@ -237,25 +280,28 @@
     return this.#workersByPool.get(pool) ?? [];
   }
 
-  /** Returns the candidates for tasks of a step among the workers of a pool. */
-  of(spec: StepSpec, pool: string, isStarved: boolean): Candidates {
-    const key = `${kindOf(spec)} ${pool} ${isStarved}`;
+  /**
+   * Returns the candidates for tasks of a step among the workers of a pool, or among those of them
+   * that are in a rack.
+   */
+  of(spec: StepSpec, pool: string, isStarved: boolean, rack = ''): Candidates {
+    const key = `${kindOf(spec)} ${pool} ${isStarved} ${rack}`;
     const known = this.#byKind.get(key);
     if (known) return known;
-    const candidates = new Candidates(this.#inSearchOrder(spec, pool), (worker) =>
-      this.#policy.evaluate(spec, worker, this.#nowMs, isStarved),
+    const candidates = new Candidates(this.#inSearchOrder(spec, pool, rack), (worker) =>
+      this.#evaluate(spec, worker, isStarved),
     );
     this.#byKind.set(key, candidates);
     return candidates;
   }
 
   /**
-   * Returns the workers of a pool in the order in which they are searched for tasks of the step. In a
-   * large pool each round begins with another block, so that all blocks are filled alike, and those in
-   * the rack with the step's data go first.
+   * Returns the workers of a pool, or of a rack in it, in the order in which they are searched for tasks
+   * of the step. In a large pool each round begins with another block, so that all blocks are filled
+   * alike, and those in the rack with the step's data go first.
    */
-  #inSearchOrder({ dataRack }: StepSpec, pool: string): readonly WorkerState[] {
-    const workers = this.workersOf(pool);
+  #inSearchOrder({ dataRack }: StepSpec, pool: string, rack: string): readonly WorkerState[] {
+    const workers = this.#workersIn(pool, rack);
     if (workers.length <= BLOCK_SIZE) return workers;
     const begin = (this.#round * BLOCK_SIZE) % workers.length;
     const rotated = [...workers.slice(begin), ...workers.slice(0, begin)];
@@ -263,4 +309,49 @@
     const isNear = ({ entry }: WorkerState): boolean => entry.labels.includes(dataRack);
     return [...rotated.filter(isNear), ...rotated.filter((worker) => !isNear(worker))];
   }
+
+  /** Returns the candidates for tasks of a step among workers with a ticket, as `of` does. */
+  withTicket(
+    spec: StepSpec,
+    pool: string,
+    isStarved: boolean,
+    rack: string,
+    ids: Iterable<string>,
+  ): Candidates {
+    const workers: WorkerState[] = [];
+    for (const id of ids) {
+      const worker = this.#workerById(id);
+      const isInRack = rack === '' || worker?.entry.labels.includes(rack);
+      if (worker?.entry.pool === pool && isInRack) workers.push(worker);
+    }
+    if (workers.length === 0) return NONE_WITH_TICKET;
+    const evaluate = (worker: WorkerState): number | Obstacle =>
+      this.#evaluate(spec, worker, isStarved);
+    return new Candidates(workers, evaluate, 'advice');
+  }
+
+  #workerById(id: string): WorkerState | undefined {
+    if (!this.#workersById) {
+      const workers = [...this.#workersByPool.values()].flat();
+      this.#workersById = new Map(workers.map((worker) => [worker.entry.id, worker]));
+    }
+    return this.#workersById.get(id);
+  }
+
+  #evaluate(spec: StepSpec, worker: WorkerState, isStarved: boolean): number | Obstacle {
+    const score = this.#policy.evaluate(spec, worker, this.nowMs, isStarved);
+    return typeof score === 'number' ? score - this.#penaltyOf(spec, worker, this.nowMs) : score;
+  }
+
+  #workersIn(pool: string, rack: string): readonly WorkerState[] {
+    const workers = this.workersOf(pool);
+    if (rack === '') return workers;
+    const key = `${pool} ${rack}`;
+    let inRack = this.#workersByRack.get(key);
+    if (!inRack) {
+      inRack = workers.filter(({ entry }) => entry.labels.includes(rack));
+      this.#workersByRack.set(key, inRack);
+    }
+    return inRack;
+  }
 }
--- a/packages/jobs/src/internal/task-copies.ts
+++ b/packages/jobs/src/internal/task-copies.ts
@@ -141,7 +141,8 @@
             const ratio = this.#ratio(job, run, peers, nowMs);
             const reason = this.#reason(worker, run, ratio, areAnswersRead, nowMs);
             const queue = reason && this.#state.queues.get(job.spec.queue);
-            if (queue) yield { job, queue, ref, task, run, worker, reason, ratio };
+            // The worker of a copy would need a ticket of its own.
+            if (queue && !queue.advice) yield { job, queue, ref, task, run, worker, reason, ratio };
           }
         }
       }
--- a/packages/jobs/src/internal/task-placer.ts
+++ b/packages/jobs/src/internal/task-placer.ts
@@ -5,6 +5,7 @@
 import type { StepSpec } from '../job.js';
 import type { TaskRef } from '../task-ref.js';
 import { taskName } from '../task-ref.js';
+import { AdvisedSteps } from './advised-steps.js';
 import { AdmissionControl } from './admission-control.js';
 import type { AheadTask } from './ahead-bindings.js';
 import { AheadBindings } from './ahead-bindings.js';
@@ -15,6 +16,8 @@
 import { CountByPriority } from './count-by-priority.js';
 import { IdleJobs, STARVED_RANK, CATCH_UP_RANK } from './idle-jobs.js';
 import type { PlacementPolicy } from './placement.js';
+import { placeByRack } from './rack-placement.js';
+import type { StepOutcome } from './step-outcome.js';
 import { StepRotation } from './step-rotation.js';
 import type { Candidates } from './round-candidates.js';
 import { RoundCandidates } from './round-candidates.js';
@@ -27,17 +30,9 @@
 import { TaskCopies } from './task-copies.js';
 import { UrgentCapacity } from './urgent-capacity.js';
 import type { WaitingStep } from './waiting-steps.js';
-import { IN_TIME_RANK, byUrgency, waitingStepsOf } from './waiting-steps.js';
+import { IN_TIME_RANK, byUrgency, isWaiting, waitingStepsOf } from './waiting-steps.js';
 import type { WorkerState } from './worker-state.js';
 
-/**
- * - `placed`: every task that can be started now has been placed.
- * - `placeless`: a task fits on no worker.
- * - `yielded`: its new long-running tasks leave the room to jobs in time.
- * - `cut-short`: the limits of the round ended placement.
- */
-type StepOutcome = 'placed' | 'placeless' | 'yielded' | 'cut-short';
-
 /** Below this reserved share of the processors, tasks that run slowly do not delay others. */
 const SLOW_PLACEMENT_BELOW = 0.5;
 
@@ -73,6 +68,9 @@
 
   readonly ahead: AheadBindings;
 
+  /** The steps that need advice, as of the latest round. */
+  readonly advised: AdvisedSteps;
+
   /** The steps that the latest round had to place. */
   #waiting: readonly WaitingStep[] = [];
 
@@ -89,6 +87,7 @@
     this.#placement = placement;
     this.#urgent = new UrgentCapacity(state);
     this.#copies = new TaskCopies(state);
+    this.advised = new AdvisedSteps(state, placement);
     this.admission = new AdmissionControl(state, this.#idle, this.#idleByClass);
     this.ahead = new AheadBindings(state);
   }
@@ -104,6 +103,7 @@
     else this.admission.completed(this.#startCount, nowMs);
     const startsLeft = limits.starts - this.#startCount;
     this.#startCount = 0;
+    this.advised.update(this.#waiting, nowMs);
     this.#starvedUnplaced.length = 0;
     this.#holdCapacity(nowMs);
     this.#updateAhead(nowMs, limits);
@@ -142,7 +142,15 @@
       if (idleMs !== undefined) idleJobs += 1;
       longestIdleMs = Math.max(longestIdleMs, idleMs ?? 0);
     }
-    return { idleJobs, longestIdleMs, ...this.#state.usage() };
+    const rackWaitingTasks = this.#state.racks.waitingCount;
+    const adviceWaitingSteps = this.advised.waitingCount(nowMs);
+    return {
+      idleJobs,
+      longestIdleMs,
+      rackWaitingTasks,
+      adviceWaitingSteps,
+      ...this.#state.usage(),
+    };
   }
 
   /**
@@ -161,8 +169,7 @@
     const waiting = new CountByPriority();
     for (const { tasks, maxTasks, queue } of this.#waiting) {
       // Steps with a limit are listed again without one.
-      if (maxTasks === Infinity)
-        waiting.add(queue.priority, tasks.filter(({ phase }) => phase === 'waiting').length);
+      if (maxTasks === Infinity) waiting.add(queue.priority, tasks.filter(isWaiting).length);
     }
     return waiting;
   }
@@ -174,6 +181,8 @@
     // The time limit applies from here on, because with thousands of waiting steps sorting takes a
     // while.
     const budget = new RoundBudget(limits);
+    const { racks } = this.#state;
+    racks.startRound(waiting, nowMs);
     this.#placeHeld(budget, nowMs);
     this.#roundCount += 1;
     const roundCandidates = this.#roundCandidates(nowMs);
@@ -192,16 +201,35 @@
         return this.#cutShort(budget, count, unplaced);
       }
       const mayRunSlowly = this.#mayRunSlowly(step, hasAmpleCapacity, nowMs);
-      const candidates = roundCandidates.of(step.spec, step.queue.pool, mayRunSlowly);
       const waitMs = step.spec.lasting ? this.#waits.of(step.tasks, nowMs).waitMs : 0;
       const mustYield = this.#urgent.mustYield(step, waitMs, nowMs);
-      candidates.rule = mustYield ? undefined : this.#urgent.ruleFor(step, waitMs, nowMs);
-      const outcome = mustYield ? 'yielded' : this.#placeStep(step, candidates, budget, nowMs);
+      const rule = mustYield ? undefined : this.#urgent.ruleFor(step, waitMs, nowMs);
+      const candidatesIn = (rack?: string): Candidates => {
+        const candidates = this.advised.candidatesOf(step, roundCandidates, mayRunSlowly, rack);
+        candidates.rule = rule;
+        return candidates;
+      };
+      const outcome = mustYield
+        ? 'yielded'
+        : placeByRack(step, {
+            racks,
+            waitMs: () => this.#waits.of(step.tasks, nowMs).waitMs,
+            candidatesIn,
+            place: (part, candidates) => this.#placeStep(part, candidates, budget, nowMs),
+            hasStarts: () => budget.hasStarts,
+            nowMs,
+          });
       if (outcome === 'yielded') this.#waits.yielded(step.tasks);
       if (outcome === 'placed' && step.maxTasks === Infinity) this.#waits.placed(step.tasks);
+      if (outcome === 'awaits-rack') {
+        unplaced.push(step);
+        this.#waits.awaitsRack(step.tasks);
+        this.#logIdle(step.job, step.spec, candidatesIn(step.spec.dataRack), nowMs);
+      }
       if (outcome === 'placeless') {
+        const candidates = candidatesIn();
         unplaced.push(step);
-        this.#isCapacityShort ||= step.rank === IN_TIME_RANK;
+        this.#isCapacityShort ||= step.rank === IN_TIME_RANK && !candidates.lacksTicket;
         this.#urgent.unplaced(step, candidates, nowMs);
         if (step.rank === STARVED_RANK) this.#starvedUnplaced.push(step);
         this.#waits.unplaced(step.tasks, () => candidates.obstacle, nowMs);
@@ -251,7 +279,13 @@
   }
 
   #roundCandidates(nowMs: number): RoundCandidates {
-    return new RoundCandidates(this.#availableWorkers(), this.#placement, nowMs, this.#roundCount);
+    return new RoundCandidates(
+      this.#availableWorkers(),
+      this.#placement,
+      nowMs,
+      this.#roundCount,
+      (spec, worker) => this.#state.racks.penaltyOf(spec, worker, nowMs),
+    );
   }
 
   /**
@@ -272,9 +306,9 @@
     this.#idle.started(step.job, step.rank === STARVED_RANK);
     for (const other of this.#starvedUnplaced.splice(0)) {
       this.#idle.passedOver(other.job, nowMs);
-      // No capacity is held for best-effort tasks, which reserve no processors, or for gangs, which
-      // need several workers.
-      if (!other.spec.gang && !other.spec.fills) this.#hold.add(other);
+      // No capacity is held for best-effort tasks, which reserve no processors, for gangs, which need
+      // several workers, or for steps that only some workers may run.
+      if (!other.spec.gang && !other.spec.fills && !other.queue.advice) this.#hold.add(other);
     }
   }
 
@@ -468,6 +502,7 @@
       priority: queue.priority,
       payload: job.spec.payload,
       checkpoint: task.checkpoint,
+      ...this.advised.ticketOf(queue, ref, worker, nowMs),
     });
     const wait = this.#waits.of(tasks, nowMs);
     this.#state.work.started(queue, spec, wait.waitMs, wait.keptBy);
--- a/packages/runtime/src/internal/node-metrics.ts
+++ b/packages/runtime/src/internal/node-metrics.ts
@@ -90,6 +90,16 @@
     name: 'redwingcrank_scheduler_longest_idle_seconds',
     help: 'For how long the job has been idle that waits longest.',
   },
+  rackWaitingTasks: {
+    name: 'redwingcrank_rack_waiting_tasks',
+    help: 'Tasks that wait for the rack of their data although another rack may have room.',
+    divisor: 1,
+  },
+  adviceWaitingSteps: {
+    name: 'redwingcrank_advice_waiting_steps',
+    help: 'Steps of queues with advice that have tasks to start and no worker with a valid ticket.',
+    divisor: 1,
+  },
   reservedPercent: {
     name: 'redwingcrank_scheduler_reserved_ratio',
     help: "The part of the workers' processors that tasks have reserved.",
@@ -161,6 +171,8 @@
 
   readonly #copiesWon: Counter;
 
+  readonly #adviceCalls: Counter;
+
   readonly #load = new Map<string, Gauge>();
 
   constructor(log: NodeLog, state: () => NodeState) {
@@ -256,6 +268,12 @@
       help: 'Second runs of tasks that succeeded before the first run ended.',
       registers,
     });
+    this.#adviceCalls = new Counter({
+      name: 'redwingcrank_advice_calls_total',
+      help: 'Calls to the advice service, by outcome.',
+      labelNames: ['outcome'],
+      registers,
+    });
     for (const [field, { name, help }] of Object.entries(LOAD_GAUGES)) {
       this.#load.set(field, new Gauge({ name, help, registers }));
     }
@@ -290,6 +308,7 @@
     }
     if (event === 'started-ahead') this.#aheadStarts.inc(Number(fields.count));
     if (event === 'urgent-reserve') this.#setReserve(fields);
+    if (event === 'advice') this.#adviceCalls.inc({ outcome });
     if (event === 'submit') this.#submits.observe({ outcome }, seconds);
   }
 
--- a/packages/runtime/src/internal/term-load.ts
+++ b/packages/runtime/src/internal/term-load.ts
@@ -159,6 +159,8 @@
       leaseGrants: view.leaseGrants,
       idleJobs: view.idleJobs,
       longestIdleMs: Math.round(view.longestIdleMs),
+      rackWaitingTasks: view.rackWaitingTasks,
+      adviceWaitingSteps: view.adviceWaitingSteps,
       reservedPercent: view.reservedPercent,
       longRunningPercent: view.longRunningPercent,
       bestEffortPercent: view.bestEffortPercent,
--- a/packages/runtime/src/node-settings.ts
+++ b/packages/runtime/src/node-settings.ts
@@ -37,6 +37,8 @@
   readonly machineCallsPerS: number;
   /** How many calls for the list of machines all nodes together may make in a second. */
   readonly machineReadsPerS: number;
+  /** How many times as long a task takes on another rack than that of its data. */
+  readonly remoteFactor: number;
   /** How long the final state of a job must be kept, in milliseconds. */
   readonly keepStateMs: number;
   /** How long after SIGTERM the process is killed, in milliseconds. */
--- a/packages/runtime/src/platform-port.ts
+++ b/packages/runtime/src/platform-port.ts
@@ -1,4 +1,5 @@
 import type { WorkerEntry } from '@redwingcrank/jobs';
+import type { AdvicePort } from './advice-port.js';
 import type { ClusterConfig, EvacuationRecord } from './cluster-config.js';
 import type { KeyedLog, KeyedRecord } from './keyed-log.js';
 import type { WavePort } from './machine-port.js';
@@ -25,6 +26,8 @@
    * store.
    */
   readonly peers?: PeerPort;
+  /** The advice service; absent if the platform has none. */
+  readonly advice?: AdvicePort;
 
   /** Waves of maintenance; absent if the platform has none. */
   readonly waves?: WavePort;
--- a/packages/runtime/src/test/fixtures.ts
+++ b/packages/runtime/src/test/fixtures.ts
@@ -57,6 +57,7 @@
     machineLeaseMs: 3_000,
     machineCallsPerS: 60,
     machineReadsPerS: 60,
+    remoteFactor: 1.5,
     keepStateMs: 120_000,
     graceMs: 6_000,
   };
