A record read back confirms only the append that carries it

Cause: with more than 100 silent workers, not every append has the leader's own record. If the record of the append before it is read back late, while an append without one is in flight, that append counted as confirmed although the store may not have it, and its starts were sent.

Change: the writer takes a read-back for a confirmation only of an append with the leader's record.

Test: "reading back a record does not confirm a later append without a record of the leader" fails without the change.

--- a/packages/runtime/src/internal/leader-writer.ts
+++ b/packages/runtime/src/internal/leader-writer.ts
@@ -1,6 +1,7 @@
 import type { AppendResult, KeyedLog, KeyedWrite, WriterStamp } from '../keyed-log.js';
 import type { NodeLog } from '../node-log.js';
 import { delay, steadyMs } from './delay.js';
+import { leaderKey } from './work-records.js';
 
 /** The writer name under which the store keeps the epoch of the leader. */
 export const LEADER_WRITER = 'scheduler';
@@ -54,9 +55,10 @@
   }
 
   /**
-   * Called when the last record of the newest append, sent at `sentMs`, was read back: all of it is
-   * stored, even if its answer is lost. The next append need not wait for that answer: all that may
-   * still arrive at the store is a repeat, which the store rejects after a later append.
+   * Called when the leader's own record, the last of an append that was sent at `sentMs`, was read
+   * back: all of it is stored, even if its answer is lost. The next append need not wait for that
+   * answer: all that may still arrive at the store is a repeat, which the store rejects after a later
+   * append.
    */
   readBack(sentMs: number): void {
     this.#confirmedMs = Math.max(this.#confirmedMs, sentMs);
@@ -78,8 +80,13 @@
   async #writePart(records: readonly KeyedWrite[]): Promise<boolean> {
     this.#sequence += 1;
     const stamp = { writer: LEADER_WRITER, epoch: this.#epoch, sequence: this.#sequence };
+    // With many silent workers, an append may come without the leader's own record. Reading back the
+    // record of the append before it does not show that it is stored.
+    const hasOwnRecord = records.some(({ key }) => key === leaderKey());
     const readBack = new Promise<AppendResult>((resolve) => {
-      this.#confirmInFlight = () => resolve({ outcome: 'appended', reason: 'read-back' });
+      this.#confirmInFlight = hasOwnRecord
+        ? () => resolve({ outcome: 'appended', reason: 'read-back' })
+        : undefined;
     });
     // Others may have read the first attempt although its answer was lost.
     const sentMs = steadyMs();
--- a/packages/runtime/src/test/leader-term_test.ts
+++ b/packages/runtime/src/test/leader-term_test.ts
@@ -8,7 +8,7 @@
 import { LeaderTerm } from '../internal/leader-term.js';
 import { LeaderWriter } from '../internal/leader-writer.js';
 import { steadyMs } from '../internal/delay.js';
-import { encodeLeader, leaderKey } from '../internal/work-records.js';
+import { encodeLeader, leaderKey, progressKey } from '../internal/work-records.js';
 import { WorkTable } from '../internal/work-table.js';
 import { UP_TO_DATE_JOBS, nodeSettings } from './fixtures.js';
 import { leaderRecord } from './leader-record.js';
@@ -146,3 +146,17 @@
   assert.equal(await Promise.race([writer.write(records), waiting]), 'waits');
   writer.stop();
 });
+
+test('reading back a record does not confirm a later append without a record of the leader', async () => {
+  // With many silent workers not every append has the leader's own record. Guards against taking the
+  // record of the append before it, which is read back late, for a confirmation: starts would be sent
+  // before their bindings are stored.
+  const log = new FirstNeverAnsweredLog();
+  const writer = new LeaderWriter(log, LOG, { epoch: 1, sequence: 7, sentMs: -Infinity });
+  const sentMs = steadyMs();
+  const stored = writer.write([{ key: progressKey('job'), value: 'x' }]);
+  writer.readBack(sentMs);
+  const waiting = pause(100).then(() => 'waits');
+  assert.equal(await Promise.race([stored, waiting]), 'waits');
+  writer.stop();
+});
