A leader with less than half a core binds no tasks ahead

Change: choosing and storing bindings ahead takes processor time that such a leader lacks; it binds nothing ahead.

--- a/packages/runtime/src/internal/leader-term.ts
+++ b/packages/runtime/src/internal/leader-term.ts
@@ -39,6 +39,12 @@
 import type { WorkChange, WorkTable } from './work-table.js';
 import { WorkerList } from './worker-list.js';
 
+/**
+ * A leader with less processor time than this, in cores, binds no tasks ahead: choosing the tasks and
+ * storing their bindings takes time that its rounds and renewals need.
+ */
+const MIN_AHEAD_CORES = 0.5;
+
 /** One term of this node as leader: from its claim until it resigns or is replaced. */
 export class LeaderTerm implements LinkListener {
   readonly #record: LeaderRecord;
@@ -330,7 +336,8 @@
     // again later.
     const { isNodeBusy } = this.#load;
     const upkeepWrites = this.#upkeep?.round(startedMs) ?? [];
-    const ahead: AheadMode = this.#isResigning ? 'release' : 'plan';
+    const mayBindAhead = (this.#settings.cores ?? Infinity) >= MIN_AHEAD_CORES;
+    const ahead: AheadMode = this.#isResigning || !mayBindAhead ? 'release' : 'plan';
     const limits =
       this.views.windowMs(startedMs) > 0
         ? { ...this.#pacing.limits, isNodeBusy, ahead }
