--- a/review/standins/minion.mjs
+++ b/review/standins/minion.mjs
@@ -4,7 +4,7 @@
  * a line of JSON for each start, each end, and each end that is forgotten because it was acknowledged.
  *
  * The payload of a task says what its runs do: a number is their duration in milliseconds, `last`
- * is a task that lasts.
+ * is a task that lasts, `fail` one that can never be done.
  */
 
 import http from 'node:http';
@@ -18,6 +18,9 @@
 /** How long a task that lasts takes to be at work. */
 const STARTUP_MS = 300;
 
+/** How long a run of a task that can never be done takes. */
+const FAILS_AFTER_MS = 100;
+
 const { id, port, capacity, maxHoldMs, born } = JSON.parse(process.argv[2]);
 
 const startedMs = performance.now();
@@ -102,8 +105,10 @@
   if (run <= (newestEndedRun.get(task) ?? 0)) return refuse('old');
   if (running.size >= capacity) return refuse('room');
   const [kind, saves] = spec.split(' ');
-  const workMs = kind === 'last' ? undefined : Number(kind);
-  const timer = workMs === undefined ? undefined : setTimeout(() => endRun(key, 'done'), workMs);
+  const isHopeless = kind === 'fail';
+  const workMs = kind === 'last' ? undefined : Number(isHopeless ? FAILS_AFTER_MS : kind);
+  const how = isHopeless ? 'failed' : 'done';
+  const timer = workMs === undefined ? undefined : setTimeout(() => endRun(key, how), workMs);
   const saved = { checkpoint, saves: saves === 'saves' };
   running.set(key, { task, run, timer, workMs, startMs: clockMs(), ...saved });
   print({ event: 'start', task, run });
--- a/review/standins/platform.mjs
+++ b/review/standins/platform.mjs
@@ -190,8 +190,7 @@
   async start() {
     const { minions, nodes, routes } = this.options;
     await this.store.start();
-    const services = [{ name: 'pool', rejects_overload: true }];
-    this.store.put('keyed.op', 'config', { version: 1, routes, services, limits: {} });
+    this.configure(1, routes);
     for (let number = 1; number <= minions; number += 1) {
       const minion = new Minion(this, number);
       this.minions.push(minion);
@@ -217,6 +216,17 @@
     rmSync(this.#directory, { recursive: true });
   }
 
+  /** Writes a version of the configuration, as the operator does. */
+  configure(version, routes) {
+    const services = [{ name: 'pool', rejects_overload: true }];
+    this.store.put('keyed.op', 'config', { version, routes, services, limits: {} });
+  }
+
+  /** The numbers of the nodes whose processes run. */
+  get liveNodes() {
+    return [...this.nodes.keys()].filter((node) => this.nodes[node].process.signalCode === null);
+  }
+
   /** Sends a call as a consumer does; the status is 0 if there was no answer. */
   async call(node, method, target, body) {
     const { address } = this.nodes[node];
