--- a/review/standins/platform.mjs
+++ b/review/standins/platform.mjs
@@ -74,6 +74,8 @@
 
   life = 0;
 
+  isSilent = false;
+
   #number;
 
   #platform;
@@ -129,6 +131,13 @@
     await ended;
   }
 
+  /** Ends all that the minion does and answers, as a loss of its power does. */
+  fallSilent() {
+    this.#platform.record.add(`minion ${this.id} life ${this.life}: silent from now on`);
+    this.isSilent = true;
+    this.#process.kill('SIGSTOP');
+  }
+
   async stop() {
     if (this.#process) await this.crash();
   }
@@ -138,7 +147,8 @@
     const { store, options } = this.#platform;
     const { id, port } = this;
     const child = this.#process;
-    for (let sequence = 1; this.#process === child && !this.#platform.isStopping; sequence += 1) {
+    const isAlive = () => this.#process === child && !this.isSilent && !this.#platform.isStopping;
+    for (let sequence = 1; isAlive(); sequence += 1) {
       this.#upMs = performance.now();
       store.put('keyed.servers', id, {
         ...(born !== undefined && { born }),
@@ -158,7 +168,7 @@
     }
     const leftMs = this.#upMs + MISSED_HEARTBEATS * HEARTBEAT_MS - performance.now();
     await sleep(Math.max(0, leftMs), undefined, { ref: false });
-    const isReplaced = this.id === id && this.#process !== undefined;
+    const isReplaced = this.id === id && this.isUp && !this.isSilent;
     if (!isReplaced && !this.#platform.isStopping) store.put('keyed.servers', id, undefined);
   }
 }
