--- a/review/standins/platform.mjs
+++ b/review/standins/platform.mjs
@@ -1,6 +1,7 @@
 /** A small deployment on loopback addresses: the project's nodes, and stand-ins for all else. */
 
 import { spawn } from 'node:child_process';
+import { randomInt } from 'node:crypto';
 import { appendFileSync, mkdtempSync, rmSync, writeFileSync } from 'node:fs';
 import http from 'node:http';
 import net from 'node:net';
@@ -33,17 +34,26 @@
 
 const CALL_TIMEOUT_MS = 5_000;
 
-/** Returns a port that was free just now. */
-export async function freePort() {
+/**
+ * The ports to choose from: below those that a system gives to outgoing connections, so that none of
+ * them takes a port while its minion is down.
+ */
+const PORTS = { from: 20_000, to: 30_000 };
+
+function isFree(port) {
   const server = net.createServer();
-  await new Promise((resolve) => {
-    server.listen(0, '127.0.0.1', resolve);
-  });
-  const { port } = server.address();
-  await new Promise((resolve) => {
-    server.close(resolve);
+  return new Promise((resolve) => {
+    server.once('error', () => resolve(false));
+    server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)));
   });
-  return port;
+}
+
+/** Returns a port that was free just now. */
+async function freePort() {
+  for (;;) {
+    const port = randomInt(PORTS.from, PORTS.to);
+    if (await isFree(port)) return port;
+  }
 }
 
 /** What was sent, answered and run, one line for each event, with its time in milliseconds. */
