--- a/review/standins/platform.mjs
+++ b/review/standins/platform.mjs
@@ -152,6 +152,11 @@
     if (this.#process) await this.crash();
   }
 
+  /** Ends the process without waiting for its end. */
+  kill() {
+    this.#process?.kill('SIGKILL');
+  }
+
   /** Writes the entry now and after each interval, until some intervals after the process has ended. */
   async #register(born) {
     const { store, options } = this.#platform;
@@ -205,6 +210,9 @@
   constructor(record, options) {
     this.record = record;
     this.options = options;
+    // However the script ends, nothing that it started stays, silent minions included.
+    process.once('SIGTERM', () => process.exit(2));
+    process.once('exit', () => this.#killAll());
   }
 
   async start() {
@@ -259,6 +267,12 @@
     return result;
   }
 
+  #killAll() {
+    for (const { process: child } of this.nodes) child.kill('SIGKILL');
+    for (const minion of this.minions) minion.kill();
+    rmSync(this.#directory, { recursive: true, force: true });
+  }
+
   async #startNode(name) {
     const [front, ready, admin, peers, control, metrics] = await freePorts(6);
     const file = path.join(this.#directory, `${name}.conf`);
