A machine that returns from maintenance under its worker's id opens at once

A machine whose worker starts again under the id that it had takes no tasks for 10 s after its maintenance call; it is late, and nothing runs twice.

Cause: a machine counts as up again when the list shows another worker. The id is the same, so the 10 s for maintenance that had been done before applied.

Fix: the call keeps the incarnation of the worker. Once the maintenance time has passed and the list shows the machine up, another incarnation is enough. That time is waited for, so neither a list that lags nor a crash before the call was carried out opens the machine too early.

The simulated machines can keep their ids; no check of the other tests has changed.

--- a/packages/jobs/src/internal/upkeep-planner.ts
+++ b/packages/jobs/src/internal/upkeep-planner.ts
@@ -121,7 +121,7 @@
       this.#noteMissing(waves, list);
       for (const { progress } of waves) {
         for (const id of progress.endedWorkers(list)) if (input.workers.has(id)) ended.add(id);
-        progress.listed(list, maintenanceMs);
+        progress.listed(list, maintenanceMs, (id) => input.workers.get(id)?.incarnation);
       }
     }
     for (const { request, progress } of waves)
--- a/packages/jobs/src/test/upkeep-cluster.ts
+++ b/packages/jobs/src/test/upkeep-cluster.ts
@@ -39,6 +39,8 @@
 
 interface SimulatedMachine {
   readonly name: string;
+  /** Whether its workers have the same id in each life, and state which process answers. */
+  readonly keepsId: boolean;
   state: MachineState;
   life: number;
   upMs: number;
@@ -93,8 +95,12 @@
   /** When each long-running task stopped to be at work, and whether the system was the cause. */
   readonly #absent = new Map<string, { readonly sinceMs: number; isOurs: boolean }>();
 
-  constructor(machineCount: number, limited: Partial<StepSpec>, isFull = true) {
-    this.machines = Array.from({ length: machineCount }, (_, i) => newMachine(`m${i}`));
+  constructor(
+    machineCount: number,
+    limited: Partial<StepSpec>,
+    { isFull = true, keepsIds = false } = {},
+  ) {
+    this.machines = Array.from({ length: machineCount }, (_, i) => newMachine(`m${i}`, keepsIds));
     this.harness = new SchedulerHarness(this.machines.map(entryOf));
     const step = stepSpec({ lasting: true, cpuMilli: 3_000, maxPerWorker: 1, ...limited });
     this.harness.submit(jobSpec([step], { id: 'watch' }));
@@ -202,7 +208,8 @@
     const { nowMs } = this.harness;
     const { progress } = this.waves.find(({ number }) => number === call.wave)!;
     const machine = this.machines.find(({ name }) => name === call.machine)!;
-    progress.call(call.machine, call.worker, 1);
+    const { incarnation } = this.harness.scheduler.workers.get(call.worker) ?? {};
+    progress.call(call.machine, call.worker, 1, incarnation);
     this.calls.push(call);
     const fate = this.fateOf(call);
     let [isCarriedOut, outcome] = fate;
@@ -277,20 +284,26 @@
       return runningRow(start, { percent: isAtWork ? 100 : 50 });
     });
     const ends = ended.map(([, { start }]) => harness.end(start, 'done'));
-    harness.report(idOf(machine), { running, ended: ends });
+    const stated = machine.keepsId ? { incarnation: incarnationOf(machine) } : {};
+    harness.report(idOf(machine), { ...stated, running, ended: ends });
   }
 }
 
-function newMachine(name: string): SimulatedMachine {
+function newMachine(name: string, keepsId: boolean): SimulatedMachine {
   const runs = new Map<string, SimulatedRun>();
-  return { name, state: 'up', life: 0, upMs: 0, maintainedFor: new Set(), runs };
+  return { name, keepsId, state: 'up', life: 0, upMs: 0, maintainedFor: new Set(), runs };
 }
 
-function idOf({ name, life }: SimulatedMachine): string {
-  return `${name}-${life}`;
+function idOf({ name, keepsId, life }: SimulatedMachine): string {
+  return keepsId ? name : `${name}-${life}`;
+}
+
+function incarnationOf({ life }: SimulatedMachine): number {
+  return life + 1;
 }
 
 function entryOf(machine: SimulatedMachine): ReturnType<typeof workerEntry> {
   const dataCentre = Number(machine.name.slice(1)) % 2 === 0 ? 'a' : 'b';
-  return workerEntry(idOf(machine), { dataCentre });
+  const stated = machine.keepsId ? { incarnation: incarnationOf(machine) } : {};
+  return workerEntry(idOf(machine), { dataCentre, ...stated });
 }
--- a/packages/jobs/src/test/upkeep_test.ts
+++ b/packages/jobs/src/test/upkeep_test.ts
@@ -159,7 +159,8 @@
 
 test('a limit on unavailable tasks outlasts the deadline of a wave', () => {
   // Each machine has a task of the step, and there is room for none elsewhere.
-  const cluster = new UpkeepCluster(4, { taskCount: 4, maxUnavailable: 1, cpuMilli: 8_000 }, false);
+  const limited = { taskCount: 4, maxUnavailable: 1, cpuMilli: 8_000 };
+  const cluster = new UpkeepCluster(4, limited, { isFull: false });
   cluster.wave(1, names(0, 4), 3_000, 4);
   const tookMs = cluster.run(60_000);
   assert.ok(tookMs > 3 * 3_000, `took ${tookMs} ms`);
@@ -180,3 +181,16 @@
   cluster.isListAway = false;
   cluster.run(20_000);
 });
+
+test('a machine that returns from maintenance under the id of its worker takes tasks at once', () => {
+  // Guards against a worker that counts as down for ten seconds because its id is the former one.
+  const cluster = new UpkeepCluster(8, { taskCount: 1 }, { keepsIds: true });
+  cluster.wave(1, ['m1'], 4_000, 1);
+  const machine = cluster.machines.find(({ name }) => name === 'm1')!;
+  while (machine.life === 0 || machine.state !== 'up') cluster.step();
+  const upMs = cluster.harness.nowMs;
+  while (machine.runs.size === 0) cluster.step();
+  const closedMs = cluster.harness.nowMs - upMs;
+  assert.ok(closedMs <= 1_000, `closed for ${closedMs} ms, the list is read every 500 ms`);
+  assert.equal(cluster.calls.length, 1);
+});
--- a/packages/jobs/src/wave-progress.ts
+++ b/packages/jobs/src/wave-progress.ts
@@ -24,6 +24,8 @@
   readonly worker: string;
   /** The worker of the machine at its newest call. */
   readonly lastWorker: string;
+  /** The process of that worker; undefined if it has not stated which it is. */
+  readonly incarnation: number | undefined;
   /** The fencing token of its newest call. */
   readonly token: number;
   isInFlight: boolean;
@@ -76,7 +78,13 @@
     this.#dropped = new Set(dropped);
     for (const [machine, worker, lastWorker, token] of called) {
       const isUnsure = !this.#done.has(machine);
-      const state = { isInFlight: false, isUnsure, isUp: false, endedMs: nowMs };
+      const state = {
+        incarnation: undefined,
+        isInFlight: false,
+        isUnsure,
+        isUp: false,
+        endedMs: nowMs,
+      };
       this.#calls.set(machine, { worker, lastWorker, token, ...state });
     }
   }
@@ -122,12 +130,16 @@
     return this.#retries.get(machine)?.isForeign ?? false;
   }
 
-  /** Records that a call is about to be made, under a fencing token; `worker` is there now. */
-  call(machine: string, worker: string, token: number): void {
+  /**
+   * Records that a call is about to be made, under a fencing token; `worker` is there now, with this
+   * incarnation.
+   */
+  call(machine: string, worker: string, token: number, incarnation?: number): void {
     const before = this.#calls.get(machine);
     this.#calls.set(machine, {
       worker: before?.worker ?? worker,
       lastWorker: worker,
+      incarnation,
       token,
       isInFlight: true,
       isUnsure: before?.isUnsure ?? false,
@@ -155,15 +167,24 @@
     this.#notCarriedOut(machine, nowMs);
   }
 
-  /** Applies a list: machines that are up again with another worker no longer count as down. */
-  listed({ machines, askedMs }: MachineList, maintenanceMs: number): void {
+  /**
+   * Applies a list: machines that are up again with another worker, or another process of theirs, no
+   * longer count as down. `incarnationOf` returns the present process of a worker.
+   */
+  listed(
+    { machines, askedMs }: MachineList,
+    maintenanceMs: number,
+    incarnationOf: (worker: string) => number | undefined,
+  ): void {
     for (const [name, call] of this.#calls) {
       const machine = machines.get(name);
       const isUp = machine?.state === 'up' && machine.worker !== '' && askedMs > call.endedMs;
       if (isUp) {
         const sinceMs = askedMs - call.endedMs;
         const hadNewWorker = call.worker !== call.lastWorker;
-        const unchangedMs = hadNewWorker ? maintenanceMs : UNCHANGED_WORKER_MS;
+        const hasRestarted =
+          call.incarnation !== undefined && incarnationOf(call.lastWorker) !== call.incarnation;
+        const unchangedMs = hadNewWorker || hasRestarted ? maintenanceMs : UNCHANGED_WORKER_MS;
         const isUnchanged = this.isDone(name) && sinceMs >= unchangedMs;
         if (machine.worker !== call.lastWorker || isUnchanged) call.isUp = true;
         if (call.isUp && this.isDone(name)) this.#calls.delete(name);
--- a/packages/runtime/src/internal/upkeep.ts
+++ b/packages/runtime/src/internal/upkeep.ts
@@ -258,7 +258,9 @@
     this.#isClosing = true;
     scheduler.applyUpkeep(plan, nowMs);
     for (const { wave, machine, worker } of plan.calls)
-      this.#progress.get(wave)!.call(machine, worker, token);
+      this.#progress
+        .get(wave)!
+        .call(machine, worker, token, scheduler.workers.get(worker)?.incarnation);
     this.#recorded = plan.calls;
     this.#logHeld(plan.held);
     for (const { request, progress } of plan.complete) progress.complete(request.machines);
