A start that a restarted worker may have taken holds its task for a lease's time

On a worker that restarts under its id within two renewals and is cut off at once, the leader starts the task elsewhere up to two seconds before its run there has ended: two runs of one task.

Cause: a start is accounted with its window of 1.5 s, as its deadline is on the worker's clock. The clock of the new process starts anew, so the deadline lies far ahead there, and the platform grants the longest lease. Until the process reports, the leader goes by the renewals that it sent to the former one.

Fix: on workers that state an incarnation, a run whose start was sent and that no report has listed is released a whole lease after that sending. A report that lists the run, or lists it no more, settles it as before. Runs that were reported are released as before, so long-running tasks on a silent worker wait no longer.

Test: `a start that a restarted worker may have taken holds its task for as long as a lease` failed before: the second start came 1 s before the lease's end. Other tests only pass the time of the sending.

--- a/packages/fuzz/src/jobs/model-leader.ts
+++ b/packages/fuzz/src/jobs/model-leader.ts
@@ -336,7 +336,7 @@
         return;
       }
       this.#silence.contacted(worker);
-      this.scheduler.startSent(order, nowMs + withClockDrift(windowMs));
+      this.scheduler.startSent(order, nowMs + withClockDrift(windowMs), nowMs);
     }
     this.inFlight.push(sent);
   }
--- a/packages/jobs/src/internal/report-reader.ts
+++ b/packages/jobs/src/internal/report-reader.ts
@@ -90,7 +90,7 @@
       this.#addOrphanedRun(worker, row, nowMs);
       return;
     }
-    run.confirmed = true;
+    Object.assign(run, { confirmed: true, unreportedLeaseEndMs: -Infinity });
     this.#crashSuspects.reported(run, nowMs);
     if (row.checkpoint !== run.checkpoint) run.checkpointedMs = nowMs;
     run.checkpoint = row.checkpoint;
--- a/packages/jobs/src/internal/runs.ts
+++ b/packages/jobs/src/internal/runs.ts
@@ -41,6 +41,7 @@
     startedMs: nowMs,
     sendCompletedMs: Infinity,
     sendCount: 0,
+    unreportedLeaseEndMs: -Infinity,
     confirmed: false,
     isHarmless: false,
     isSuspect: crashWeight > 0,
--- a/packages/jobs/src/internal/worker-run.ts
+++ b/packages/jobs/src/internal/worker-run.ts
@@ -15,6 +15,12 @@
   sendCompletedMs: number;
   /** How many attempts to start it may have reached the worker. */
   sendCount: number;
+  /**
+   * Until when the run may hold a lease if a process that has not reported since has taken its start:
+   * a worker that restarts under its id counts the deadline of the start on another clock. -Infinity
+   * once a report lists the run, and for workers that never restart under their ids.
+   */
+  unreportedLeaseEndMs: number;
   /** Whether the worker has confirmed that the run is, or was, there. */
   confirmed: boolean;
   /**
--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -268,10 +268,13 @@
    * Records that a start is being sent, for each attempt. It may take effect, and its run hold a
    * lease, until `leaseEndMs`.
    */
-  startSent(order: Order, leaseEndMs: number): void {
+  startSent(order: Order, leaseEndMs: number, nowMs: number): void {
     this.leaseSent(order.worker, leaseEndMs);
     const run = this.#runOf(order);
-    if (run) run.sendCount += 1;
+    if (!run) return;
+    run.sendCount += 1;
+    const mayRestart = this.#state.workers.get(order.worker)?.incarnation !== undefined;
+    if (mayRestart) run.unreportedLeaseEndMs = nowMs + this.#state.timing.leaseMs;
   }
 
   /**
@@ -518,33 +521,28 @@
     for (const worker of this.#state.workers.values()) {
       const isSilent =
         nowMs > worker.leaseEndMs && nowMs - worker.answeredMs > this.#state.timing.leaseMs;
-      if (isSilent && (worker.runs.size > 0 || !worker.listed)) {
+      const expired = isSilent ? [...worker.runs].filter(([, run]) => hasExpired(run, nowMs)) : [];
+      if (expired.length > 0 || (isSilent && !worker.listed && worker.runs.size === 0)) {
         this.#state.logEvent('leases-over', {
           worker: worker.entry.id,
-          runs: worker.runs.size,
+          runs: expired.length,
           hasAnswered: worker.fenced,
           silentMs: Math.round(nowMs - Math.max(worker.answeredMs, this.#state.startedMs)),
         });
-        this.#releaseSent(worker);
+        this.#releaseExpired(worker, expired);
         if (!worker.listed && worker.runs.size === 0) this.#state.workers.delete(worker.entry.id);
       }
     }
   }
 
-  /**
-   * Releases all runs except those whose start may still be sent again. If this node stalled for
-   * seconds, such a start might run a task that has also been started elsewhere. The answer to it
-   * arrives soon.
-   */
-  #releaseSent(worker: WorkerState): void {
-    const sent = [...worker.runs].filter(([, { sendCompletedMs }]) => sendCompletedMs < Infinity);
+  #releaseExpired(worker: WorkerState, expired: readonly (readonly [string, WorkerRun])[]): void {
     if (!worker.isClosedForUpkeep) {
       this.#crashSuspects.workerSilent(
         worker,
-        sent.map(([, run]) => run),
+        expired.map(([, run]) => run),
       );
     }
-    for (const [key, run] of sent) this.#state.releaseRun(worker, key, run);
+    for (const [key, run] of expired) this.#state.releaseRun(worker, key, run);
   }
 
   #closeCompleted(timeOfDayMs: number): void {
@@ -574,3 +572,12 @@
     }
   }
 }
+
+/**
+ * Returns whether a run on a worker whose leases have expired may be released. If this node stalled
+ * for seconds, a start that may still be sent again might run a task that has also been started
+ * elsewhere; the answer to it arrives soon.
+ */
+function hasExpired({ sendCompletedMs, unreportedLeaseEndMs }: WorkerRun, nowMs: number): boolean {
+  return sendCompletedMs < Infinity && nowMs > unreportedLeaseEndMs;
+}
--- a/packages/jobs/src/test/crashing-tasks_test.ts
+++ b/packages/jobs/src/test/crashing-tasks_test.ts
@@ -69,7 +69,7 @@
 function crashUnanswered(harness: SchedulerHarness): void {
   const starts = harness.starts();
   assert.equal(starts.length, 1);
-  harness.scheduler.startSent(starts[0]!, harness.nowMs + 1_600);
+  harness.scheduler.startSent(starts[0]!, harness.nowMs + 1_600, harness.nowMs);
   crash(harness, starts[0]!.worker);
 }
 
@@ -178,7 +178,7 @@
   const harness = threeWorkers();
   const job = harness.submit(jobSpec([stepSpec()]));
   const [start] = harness.starts();
-  harness.scheduler.startSent(start!, harness.nowMs + 1_600);
+  harness.scheduler.startSent(start!, harness.nowMs + 1_600, harness.nowMs);
   workOn(harness, start!.worker, CRASH_SUSPECT_MS / 2);
   crash(harness, start!.worker);
   assert.equal(firstTask(job).crashWeight, 2);
@@ -272,7 +272,7 @@
   const harness = threeWorkers();
   const job = harness.submit(jobSpec([stepSpec()]));
   const [start] = harness.starts();
-  harness.scheduler.startSent(start!, harness.nowMs + 1_600);
+  harness.scheduler.startSent(start!, harness.nowMs + 1_600, harness.nowMs);
   harness.answer(start!, 'unknown');
   harness.scheduler.unlistWorker(start!.worker);
   harness.nowMs += TIMING.inheritedLeaseMs;
@@ -353,7 +353,7 @@
     }
     const starts = harness.starts();
     for (const start of starts) {
-      harness.scheduler.startSent(start, harness.nowMs + 1_600);
+      harness.scheduler.startSent(start, harness.nowMs + 1_600, harness.nowMs);
       if (start.task.jobId !== crashing.spec.id) harness.answer(start, 'done');
     }
     const start = starts.find(({ task }) => task.jobId === crashing.spec.id);
@@ -477,19 +477,19 @@
   crash(harness, notSent!.worker);
 
   const [refused] = harness.starts();
-  harness.scheduler.startSent(refused!, harness.nowMs + 1_600);
+  harness.scheduler.startSent(refused!, harness.nowMs + 1_600, harness.nowMs);
   harness.answer(refused!, 'other-life');
 
   const [over] = harness.starts();
-  harness.scheduler.startSent(over!, harness.nowMs + 1_600);
+  harness.scheduler.startSent(over!, harness.nowMs + 1_600, harness.nowMs);
   harness.answer(over!, 'superseded');
   crash(harness, over!.worker);
   assert.deepEqual(suspects(harness), []);
 
   // An earlier attempt without an answer may have been carried out.
   const [resent] = harness.starts();
-  harness.scheduler.startSent(resent!, harness.nowMs + 1_600);
-  harness.scheduler.startSent(resent!, harness.nowMs + 1_600);
+  harness.scheduler.startSent(resent!, harness.nowMs + 1_600, harness.nowMs);
+  harness.scheduler.startSent(resent!, harness.nowMs + 1_600, harness.nowMs);
   harness.answer(resent!, 'other-life');
   assert.equal(firstTask(job).crashWeight, 1);
 });
--- a/packages/jobs/src/test/restarted-workers_test.ts
+++ b/packages/jobs/src/test/restarted-workers_test.ts
@@ -4,6 +4,7 @@
 import {
   JOB_ID,
   SchedulerHarness,
+  TIMING,
   jobSpec,
   runningRow,
   stepSpec,
@@ -44,7 +45,8 @@
   const harness = new SchedulerHarness([workerEntry('w1', { incarnation: FORMER })]);
   harness.submit(jobSpec([stepSpec({ taskCount })]));
   const starts = harness.starts();
-  for (const start of starts) harness.scheduler.startSent(start, harness.nowMs + 1_500);
+  for (const start of starts)
+    harness.scheduler.startSent(start, harness.nowMs + 1_500, harness.nowMs);
   return [harness, starts];
 }
 
@@ -152,3 +154,27 @@
   assert.equal(harness.scheduler.shouldSend(start!), false);
   assert.deepEqual(harness.starts(), []);
 });
+
+test('a start that a restarted worker may have taken holds its task for as long as a lease', () => {
+  // Guards against a second run beside one that a new process of the worker has begun unnoticed: the
+  // start's deadline is on the former clock, so the platform grants the longest lease.
+  const harness = new SchedulerHarness([workerEntry('w1', { incarnation: FORMER })]);
+  harness.report('w1', { incarnation: FORMER });
+  harness.scheduler.leaseSent('w1', harness.nowMs + TIMING.leaseMs);
+  harness.nowMs += 1_000;
+  harness.submit(jobSpec([stepSpec()]));
+  const [start] = harness.starts();
+  const sentMs = harness.nowMs;
+  harness.scheduler.startSent(start!, sentMs + 1_500, sentMs);
+  harness.answer(start!, 'unknown', sentMs + 1_500);
+  addWorker(harness, 'w2');
+  harness.nowMs = sentMs + TIMING.leaseMs - 1;
+  harness.report('w2');
+  assert.deepEqual(harness.starts(), []);
+  harness.nowMs = sentMs + TIMING.leaseMs + 1;
+  harness.report('w2');
+  assert.deepEqual(
+    harness.starts().map(({ worker, run }) => [worker, run]),
+    [['w2', 2]],
+  );
+});
--- a/packages/jobs/src/test/task-copies_test.ts
+++ b/packages/jobs/src/test/task-copies_test.ts
@@ -95,7 +95,7 @@
     const harness = new SchedulerHarness(WORKERS);
     harness.submit(jobSpec([{ ...STEP, taskCount: 6, ...changes }]));
     for (const start of harness.starts()) {
-      harness.scheduler.startSent(start, harness.nowMs + 1_500);
+      harness.scheduler.startSent(start, harness.nowMs + 1_500, harness.nowMs);
       harness.answer(start, 'unknown', harness.nowMs + 1_500);
     }
     const id = '00000000000000bb';
@@ -149,7 +149,7 @@
 test('an end waits while the start of the other run may take effect', () => {
   // Guards against a copy that begins after the end of its task was stored and acknowledged.
   const [harness, first, copy] = slowTask();
-  harness.scheduler.startSent(copy, harness.nowMs + 1_500);
+  harness.scheduler.startSent(copy, harness.nowMs + 1_500, harness.nowMs);
   report(harness, [], [[first, 'done']]);
   const held = harness.decide();
   assert.deepEqual(stopsIn(held.orders), [[copy.worker, 2]]);
--- a/packages/runtime/src/internal/leader-term.ts
+++ b/packages/runtime/src/internal/leader-term.ts
@@ -290,7 +290,7 @@
 
   startSent(order: Order, windowEndMs: number): void {
     this.#silence.contacted(order.worker);
-    this.#scheduler.startSent(order, windowEndMs);
+    this.#scheduler.startSent(order, windowEndMs, steadyMs());
     this.#load.startSent(this.views.ages(steadyMs()), this.#scheduler.waitedMs(order, steadyMs()));
   }
 
