A job counts as running once a task of it has begun, not once one is bound

Cause: a decision was stored and shown as its effect. Binding a task set the job's state to `running`, in the same record, before the start was sent. A start may be refused, be lost, wait behind an append, or be late, and its leader may end between the two. `pending`, the state that a caller reads and the number of queued jobs in the metrics all come from that record.

Fix: a job is running when an answer, a report or an end shows that a worker has begun a task of it; a gang, when all members are at their workers. The state goes out with the job's next record, or after a second without one, so that a short job needs no record more and the count is within the two seconds that it may be old. The next leader finds out from the workers' reports. Weighed and left: taking `running` back when a start fails, which shows callers a state that goes back and costs most records when starts are lost; and a count published by the leader beside its record, which is missing while leadership changes.

One assertion has changed: `a task whose workers end before they answer its start is given up` expects the job to be queued, not running, before it is given up, as no start was ever confirmed.

--- a/packages/fuzz/src/jobs/jobs-oracle.ts
+++ b/packages/fuzz/src/jobs/jobs-oracle.ts
@@ -25,6 +25,8 @@
 export interface TaskFacts {
   /** Workers on which the task runs now. */
   readonly runningOn: Set<string>;
+  /** Whether a worker has ever started it. */
+  hasBegun: boolean;
   isDone: boolean;
   /** A successful end was acknowledged, so the task must not start again. */
   isEndAcknowledged: boolean;
@@ -188,6 +190,7 @@
     expect(load <= worker.capacity.cpuMilli, `${worker.id} is over its capacity`);
     this.#load.set(worker.id, load);
     facts.runningOn.add(worker.id);
+    facts.hasBegun = true;
   }
 
   /** Returns how many runs of a task of the job may run at once. */
@@ -242,6 +245,14 @@
     if (facts.runningOn.size === 0) facts.downSinceMs = this.nowMs;
   }
 
+  /** Checks that a worker has started a task of a job that is shown as running. */
+  shownRunning(jobId: string): void {
+    const hasBegun = [...this.#tasks].some(
+      ([name, facts]) => parseTaskName(name)?.jobId === jobId && facts.hasBegun,
+    );
+    expect(hasBegun, `${jobId} is shown as running, and no task of it has begun`);
+  }
+
   /** Checks that every task of a job shown as completed has ended successfully. */
   completed(jobId: string): void {
     for (const [name, facts] of this.#tasks) {
@@ -256,6 +267,7 @@
     if (!facts) {
       facts = {
         runningOn: new Set(),
+        hasBegun: false,
         isDone: false,
         isEndAcknowledged: false,
         acknowledgedFailures: 0,
--- a/packages/fuzz/src/jobs/jobs-world.ts
+++ b/packages/fuzz/src/jobs/jobs-world.ts
@@ -503,6 +503,7 @@
       this.#progress.set(id, text);
       this.#recordBindings(id, text);
       const stored = JobProgress.decodeState(this.#jobs.get(id)!, text);
+      if (stored!.state === 'running') this.oracle.shownRunning(id);
       if (stored!.state === 'completed') this.oracle.completed(id);
       if (stored!.state === 'failed') this.oracle.failed(id);
     }
--- a/packages/fuzz/src/targets/jobs.ts
+++ b/packages/fuzz/src/targets/jobs.ts
@@ -48,7 +48,7 @@
  * after its successful end was acknowledged, before the step it depends on has ended, after its
  * last attempt, without a stored binding, on a worker that announced long before that it leaves, or in a data centre that was
  * evacuated long before, even if the leader's views lack that. No worker exceeds its capacity, and no unfinished job is shown as completed. A job is
- * shown as failed only if a task of it has used up its attempts, or two workers have crashed under
+ * shown as running only after a task of it has begun. A job is shown as failed only if a task of it has used up its attempts, or two workers have crashed under
  * one. A task that crashes each worker that starts it gets fewer than three starts after three
  * crashed workers.
  *
--- a/packages/jobs/src/internal/report-reader.ts
+++ b/packages/jobs/src/internal/report-reader.ts
@@ -5,6 +5,7 @@
 import type { TaskRef } from '../task-ref.js';
 import { parseTaskName, taskName } from '../task-ref.js';
 import type { EndedRow, RunningRow, WorkerReport } from '../worker.js';
+import type { BegunJobs } from './begun-jobs.js';
 import type { ClusterState } from './cluster-state.js';
 import { CopyEnds } from './copy-ends.js';
 import type { CrashSuspects } from './crash-suspects.js';
@@ -41,12 +42,20 @@
 
   readonly #crashSuspects: CrashSuspects;
 
+  readonly #begunJobs: BegunJobs;
+
   readonly #copyEnds: CopyEnds;
 
-  constructor(state: ClusterState, model: TailLatencyModel, crashSuspects: CrashSuspects) {
+  constructor(
+    state: ClusterState,
+    model: TailLatencyModel,
+    crashSuspects: CrashSuspects,
+    begunJobs: BegunJobs,
+  ) {
     this.#state = state;
     this.#model = model;
     this.#crashSuspects = crashSuspects;
+    this.#begunJobs = begunJobs;
     this.#copyEnds = new CopyEnds(state);
   }
 
@@ -100,7 +109,7 @@
     run.percent = row.percent;
     const job = this.#state.jobs.get(run.ref.jobId);
     const task = job && findTask(job, run.ref);
-    if (job?.state === 'queued') this.#markRunning(job);
+    if (job) this.#begunJobs.taskBegan(job, run.ref, nowMs);
     const isLong = nowMs - run.startedMs >= MIN_STORED_RUN_MS;
     if (task?.phase === 'bound' && row.checkpoint && isLong) task.checkpoint = row.checkpoint;
     const idleMs = nowMs - run.progressedMs;
@@ -116,15 +125,6 @@
     }
   }
 
-  /**
-   * An earlier leader has started the task under an ahead binding, and could not store that the job
-   * is running.
-   */
-  #markRunning(job: JobProgress): void {
-    job.markRunning();
-    this.#state.changed.add(job);
-  }
-
   #updateMissedTarget(worker: WorkerState, run: WorkerRun, nowMs: number, besideMs: number): void {
     const { spec, measure, missedTargetSinceMs: sinceMs } = run;
     const isMissed = spec.targetMs > 0 && measure > spec.targetMs;
@@ -197,6 +197,7 @@
       ...(run && isCurrent && slowStartOf(run)),
     });
     if (!job || !task) return;
+    this.#begunJobs.taskEnded(job, ref, row.how, nowMs);
     if (run && isCurrent && row.how === 'done') {
       const queue = this.#state.queues.get(job.spec.queue);
       this.#state.urgentReserve.ended(queue, run.spec, nowMs - run.startedMs);
--- a/packages/jobs/src/internal/task-placer.ts
+++ b/packages/jobs/src/internal/task-placer.ts
@@ -492,7 +492,6 @@
     delete task.ahead;
     Object.assign(task, { phase: 'bound', run, worker: worker.entry.id });
     worker.add(taskName(ref), newRun(ref, task, spec, nowMs));
-    job.markRunning();
     this.#state.changed.add(job);
     this.#state.orders.push({
       kind: 'start',
--- a/packages/jobs/src/job-progress.ts
+++ b/packages/jobs/src/job-progress.ts
@@ -117,6 +117,7 @@
     this.#endedMs = timeOfDayMs;
   }
 
+  /** Records that a task of the job has begun. */
   markRunning(): void {
     if (this.#state === 'queued') this.#state = 'running';
   }
--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -9,6 +9,7 @@
 import type { TaskRef } from './task-ref.js';
 import { stepName, taskName } from './task-ref.js';
 import type { WorkerEntry, WorkerReport } from './worker.js';
+import { BegunJobs } from './internal/begun-jobs.js';
 import { ClusterState } from './internal/cluster-state.js';
 import type { EventLogger, SchedulerTiming } from './internal/cluster-state.js';
 import { CrashSuspects } from './internal/crash-suspects.js';
@@ -74,6 +75,8 @@
 
   readonly #crashSuspects: CrashSuspects;
 
+  readonly #begunJobs: BegunJobs;
+
   readonly #restarts: WorkerRestarts;
 
   readonly #model: TailLatencyModel;
@@ -95,7 +98,8 @@
     this.#model = model;
     this.#crashSuspects = new CrashSuspects(this.#state);
     this.#restarts = new WorkerRestarts(this.#state, this.#crashSuspects);
-    this.#reader = new ReportReader(this.#state, model, this.#crashSuspects);
+    this.#begunJobs = new BegunJobs(this.#state);
+    this.#reader = new ReportReader(this.#state, model, this.#crashSuspects, this.#begunJobs);
     this.#placer = new TaskPlacer(this.#state, placement);
     this.#stopRules = new StopRules(this.#state);
   }
@@ -201,6 +205,8 @@
 
   /** Removes a job that has ended and whose record has been deleted. */
   dropJob(id: string): void {
+    const job = this.#state.jobs.get(id);
+    if (job) this.#begunJobs.storing([job]);
     this.#state.jobs.delete(id);
     this.#state.work.remove(id);
   }
@@ -363,7 +369,9 @@
     const isCutShort = this.#placer.placeAll(nowMs, limits);
     this.#stopUnwanted(nowMs);
     this.#state.work.roundDone(this.#state, isCutShort, nowMs);
+    this.#begunJobs.storeDue(nowMs);
     this.#closeCompleted(timeOfDayMs);
+    this.#begunJobs.storing(this.#state.changed);
     const decisions = {
       changed: [...this.#state.changed],
       orders: this.#state.orders,
@@ -496,7 +504,7 @@
     if (!run || run.run !== order.run) return;
     // The worker's next report may come two seconds later, and by then it may have announced that
     // it is leaving.
-    if (outcome === 'done') run.confirmed = true;
+    if (outcome === 'done') this.#startConfirmed(order, run, nowMs);
     if (outcome === 'superseded') run.isHarmless = true;
     // A run that is over at the worker may have succeeded: only the worker's reports show this.
     if (outcome === 'done' || outcome === 'unknown' || outcome === 'superseded') {
@@ -510,6 +518,12 @@
     this.#state.releaseRun(worker, key, run);
   }
 
+  #startConfirmed({ task: ref }: Order, run: WorkerRun, nowMs: number): void {
+    run.confirmed = true;
+    const job = this.#state.jobs.get(ref.jobId);
+    if (job) this.#begunJobs.taskBegan(job, ref, nowMs);
+  }
+
   /** After a stop was answered, the worker refuses starts of its run that arrive late. */
   #stopAnswered(order: Order, nowMs: number): void {
     const run = this.#runOf(order);
--- a/packages/jobs/src/test/crashing-tasks_test.ts
+++ b/packages/jobs/src/test/crashing-tasks_test.ts
@@ -139,7 +139,7 @@
   for (let count = 1; count < MAX_STARTS; count += 1) {
     crashUnanswered(harness);
     assert.equal(firstTask(job).crashWeight, count);
-    assert.equal(job.state, 'running');
+    assert.equal(job.state, 'queued');
   }
   crashUnanswered(harness);
   assert.deepEqual(harness.starts(), []);
