A job whose start never arrived has been idle since before it was bound

A job's idle time began anew with each of its starts that was lost, so it lost its place among the jobs that have waited for long.

`IdleJobs` ended the idle time at the binding, and measured from the release of the run when the start had come to nothing.

Fix: the idle time of a job whose task is bound is kept until a worker shows that a task of it has begun, and goes on if the run is released before that.

Test: `a job whose start never arrived has been idle since before it was bound` failed before with 0 ms in place of 4,000 ms.

--- a/packages/jobs/src/internal/begun-jobs.ts
+++ b/packages/jobs/src/internal/begun-jobs.ts
@@ -19,15 +19,20 @@
 export class BegunJobs {
   readonly #state: ClusterState;
 
+  readonly #onBegan: (job: JobProgress) => void;
+
   /** The jobs whose stored state is out of date, in the order in which they began. */
   readonly #beganMs = new Map<JobProgress, number>();
 
-  constructor(state: ClusterState) {
+  /** `onBegan` is called for each task that has begun, also again. */
+  constructor(state: ClusterState, onBegan: (job: JobProgress) => void) {
     this.#state = state;
+    this.#onBegan = onBegan;
   }
 
   /** Records that a worker has started this task, or reports it as running. */
   taskBegan(job: JobProgress, ref: TaskRef, nowMs: number): void {
+    this.#onBegan(job);
     if (job.state !== 'queued') return;
     const isWaiting = job.spec.steps[ref.step]!.gang && !this.#isGangComplete(job, ref);
     if (!isWaiting) this.#began(job, nowMs);
@@ -35,6 +40,7 @@
 
   /** Records that a run of this task has ended: it may not have been reported while it ran. */
   taskEnded(job: JobProgress, ref: TaskRef, how: EndKind, nowMs: number): void {
+    this.#onBegan(job);
     if (job.state !== 'queued') return;
     // A member of a gang may have waited for the others in vain.
     const hasBegun = !job.spec.steps[ref.step]!.gang || how === 'done' || how === 'failed';
--- a/packages/jobs/src/internal/idle-jobs.ts
+++ b/packages/jobs/src/internal/idle-jobs.ts
@@ -70,6 +70,9 @@
 export class IdleJobs {
   readonly #idle = new WeakMap<JobProgress, IdleJob>();
 
+  /** Jobs with a task that was bound and may never begin: since when they were idle before. */
+  readonly #formerSinceMs = new WeakMap<JobProgress, number>();
+
   #allowance = ALLOWANCE_WHEN_FULL;
 
   #startCredit = 0;
@@ -85,7 +88,7 @@
    */
   update(job: JobProgress, haltedCount: number, nowMs: number): void {
     if (job.boundCount(haltedCount + 1) > haltedCount) this.#idle.delete(job);
-    else if (!this.#idle.has(job)) this.markIdle(job, nowMs);
+    else if (!this.#idle.has(job)) this.markIdle(job, this.#formerSinceMs.get(job) ?? nowMs);
   }
 
   /** Records that the job has been idle since the given time. */
@@ -158,8 +161,15 @@
     if (idle) idle.queuedSinceMs = nowMs;
   }
 
-  /** Records the start of a task, either as a priority start or in the usual order. */
+  /** Records that a task of the job has begun. Until then, the job counts as idle all the while. */
+  began(job: JobProgress): void {
+    this.#formerSinceMs.delete(job);
+  }
+
+  /** Records that a task is bound, either as a priority start or in the usual order. */
   started(job: JobProgress, isPriorityStart: boolean): void {
+    const idle = this.#idle.get(job);
+    if (idle) this.#formerSinceMs.set(job, idle.sinceMs);
     this.#idle.delete(job);
     const credit = this.#startCredit + this.#allowance.share - (isPriorityStart ? 1 : 0);
     this.#startCredit = Math.max(0, Math.min(MAX_START_CREDIT, credit));
--- a/packages/jobs/src/internal/task-placer.ts
+++ b/packages/jobs/src/internal/task-placer.ts
@@ -133,6 +133,11 @@
     if (sinceMs < Infinity && hasWork && !job.hasBoundTasks()) this.#idle.markIdle(job, sinceMs);
   }
 
+  /** Records that a task of the job has begun on its worker. */
+  jobBegan(job: JobProgress): void {
+    this.#idle.began(job);
+  }
+
   /** Returns the idle jobs and the use of the workers, as of the latest round. */
   backlog(nowMs: number): Backlog {
     let idleJobs = 0;
--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -98,7 +98,7 @@
     this.#model = model;
     this.#crashSuspects = new CrashSuspects(this.#state);
     this.#restarts = new WorkerRestarts(this.#state, this.#crashSuspects);
-    this.#begunJobs = new BegunJobs(this.#state);
+    this.#begunJobs = new BegunJobs(this.#state, (job) => this.#placer.jobBegan(job));
     this.#reader = new ReportReader(this.#state, model, this.#crashSuspects, this.#begunJobs);
     this.#placer = new TaskPlacer(this.#state, placement);
     this.#stopRules = new StopRules(this.#state);
--- a/packages/jobs/src/test/begun-jobs_test.ts
+++ b/packages/jobs/src/test/begun-jobs_test.ts
@@ -132,3 +132,21 @@
   harness.decide();
   assert.equal(storedState(loaded), 'running');
 });
+
+test('a job whose start never arrived has been idle since before it was bound', () => {
+  // Guards against jobs that lose their place among those that have waited for long with each start
+  // that is lost.
+  const harness = new SchedulerHarness([]);
+  harness.submit(jobSpec([stepSpec()]));
+  harness.decide();
+  harness.nowMs += 3_000;
+  harness.scheduler.listWorker(workerEntry('w1'), harness.nowMs);
+  harness.report('w1');
+  const [start] = harness.starts();
+  harness.answer(start!, 'unknown');
+  harness.nowMs += 1_000;
+  harness.scheduler.unlistWorker('w1');
+  harness.report('w1');
+  harness.decide();
+  assert.equal(harness.scheduler.backlog(harness.nowMs).longestIdleMs, 4_000);
+});
