--- a/packages/jobs/src/internal/begun-jobs.ts
+++ b/packages/jobs/src/internal/begun-jobs.ts
@@ -47,7 +47,7 @@
     if (hasBegun) this.#began(job, nowMs);
   }
 
-  /** Has the jobs stored that must show by now that they have begun. */
+  /** Adds the jobs to the changed ones whose stored state must show by now that they have begun. */
   storeDue(nowMs: number): void {
     for (const [job, beganMs] of this.#beganMs) {
       if (nowMs - beganMs < MAX_UNSTORED_MS) return;
--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -272,7 +272,8 @@
 
   /**
    * Records that a start is being sent, for each attempt. It may take effect, and its run hold a
-   * lease, until `leaseEndMs`.
+   * lease, until `leaseEndMs`; longer at a process that has restarted under the worker's id and
+   * counts the deadline on its own clock.
    */
   startSent(order: Order, leaseEndMs: number, nowMs: number): void {
     this.leaseSent(order.worker, leaseEndMs);
