Log: whether the tasks that wait lack a worker or a round

What an operator could not see: term-load states how many tasks have yet to be started, with those of later steps among them, but not what keeps those that could start.

Change: unplacedTasks, untriedTasks, and both for best-effort tasks. A step counts as unplaced for a second after a round has found no worker for it. No decision depends on it yet.

--- a/packages/jobs/src/backlog.ts
+++ b/packages/jobs/src/backlog.ts
@@ -20,4 +20,12 @@
   readonly rackWaitingTasks: number;
   /** How many steps of queues with advice have tasks to start and no worker with a valid ticket. */
   readonly adviceWaitingSteps: number;
+  /** How many reserving tasks could start but found no worker in recent rounds. */
+  readonly unplacedTasks: number;
+  /** How many reserving tasks could start but were left out by the limits of the rounds. */
+  readonly untriedTasks: number;
+  /** `unplacedTasks` of best-effort tasks. */
+  readonly unplacedBestEffort: number;
+  /** `untriedTasks` of best-effort tasks. */
+  readonly untriedBestEffort: number;
 }
--- a/packages/jobs/src/internal/admission-control.ts
+++ b/packages/jobs/src/internal/admission-control.ts
@@ -6,6 +6,7 @@
 import type { IdleJobs } from './idle-jobs.js';
 import { AMPLE_CAPACITY_BELOW } from './idle-jobs.js';
 import { StartBacklog } from './start-backlog.js';
+import type { WaitingTasks } from './waiting-tasks.js';
 
 /**
  * When callers may retry a job that only workers in evacuated data centres could run, in
@@ -47,11 +48,11 @@
   }
 
   /** Records a round that was cut short before it had tried to place these tasks. */
-  cutShort(starts: number, waitingTasks: CountByPriority, nowMs: number, isNodeBusy = false): void {
+  cutShort(starts: number, { byPriority }: WaitingTasks, nowMs: number, isNodeBusy = false): void {
     const hasAmpleCapacity = this.#state.reservedShare() < AMPLE_CAPACITY_BELOW;
     const busyLimit = hasAmpleCapacity ? 'leader' : 'workers';
     const limit = isNodeBusy ? busyLimit : 'other';
-    this.#startBacklog.cutShort(starts, waitingTasks, nowMs, limit);
+    this.#startBacklog.cutShort(starts, byPriority, nowMs, limit);
   }
 
   /**
--- a/packages/jobs/src/internal/task-placer.ts
+++ b/packages/jobs/src/internal/task-placer.ts
@@ -30,7 +30,8 @@
 import { TaskCopies } from './task-copies.js';
 import { UrgentCapacity } from './urgent-capacity.js';
 import type { WaitingStep } from './waiting-steps.js';
-import { IN_TIME_RANK, byUrgency, isWaiting, waitingStepsOf } from './waiting-steps.js';
+import { IN_TIME_RANK, byUrgency, waitingStepsOf } from './waiting-steps.js';
+import { WaitingTasks } from './waiting-tasks.js';
 import type { WorkerState } from './worker-state.js';
 
 /** Below this reserved share of the processors, tasks that run slowly do not delay others. */
@@ -99,7 +100,12 @@
   placeAll(nowMs: number, limits: RoundLimits): boolean {
     const isCutShort = this.#placeWaiting(nowMs, limits);
     if (isCutShort)
-      this.admission.cutShort(this.#startCount, this.#waitingTasks(), nowMs, limits.isNodeBusy);
+      this.admission.cutShort(
+        this.#startCount,
+        this.#waitingTasks(nowMs),
+        nowMs,
+        limits.isNodeBusy,
+      );
     else this.admission.completed(this.#startCount, nowMs);
     const startsLeft = limits.starts - this.#startCount;
     this.#startCount = 0;
@@ -149,11 +155,16 @@
     }
     const rackWaitingTasks = this.#state.racks.waitingCount;
     const adviceWaitingSteps = this.advised.waitingCount(nowMs);
+    const { reserved, bestEffort } = this.#waitingTasks(nowMs);
     return {
       idleJobs,
       longestIdleMs,
       rackWaitingTasks,
       adviceWaitingSteps,
+      unplacedTasks: reserved.unplaced,
+      untriedTasks: reserved.untried,
+      unplacedBestEffort: bestEffort.unplaced,
+      untriedBestEffort: bestEffort.untried,
       ...this.#state.usage(),
     };
   }
@@ -169,14 +180,9 @@
     this.ahead.update(mode, this.#waiting, causeOf, nowMs);
   }
 
-  /** Returns how many tasks of the steps of the latest round still wait for a worker. */
-  #waitingTasks(): CountByPriority {
-    const waiting = new CountByPriority();
-    for (const { tasks, maxTasks, queue } of this.#waiting) {
-      // Steps with a limit are listed again without one.
-      if (maxTasks === Infinity) waiting.add(queue.priority, tasks.filter(isWaiting).length);
-    }
-    return waiting;
+  /** Returns the tasks of the steps of the latest round that still wait for a worker. */
+  #waitingTasks(nowMs: number): WaitingTasks {
+    return new WaitingTasks(this.#waiting, this.#waits, nowMs);
   }
 
   #placeWaiting(nowMs: number, limits: RoundLimits): boolean {
@@ -224,11 +230,11 @@
             hasStarts: () => budget.hasStarts,
             nowMs,
           });
-      if (outcome === 'yielded') this.#waits.yielded(step.tasks);
+      if (outcome === 'yielded') this.#waits.yielded(step.tasks, nowMs);
       if (outcome === 'placed' && step.maxTasks === Infinity) this.#waits.placed(step.tasks);
       if (outcome === 'awaits-rack') {
         unplaced.push(step);
-        this.#waits.awaitsRack(step.tasks);
+        this.#waits.awaitsRack(step.tasks, nowMs);
         this.#logIdle(step.job, step.spec, candidatesIn(step.spec.dataRack), nowMs);
       }
       if (outcome === 'placeless') {
@@ -241,6 +247,7 @@
         this.#logIdle(step.job, step.spec, candidates, nowMs);
       }
       if (outcome === 'cut-short') {
+        this.#waits.cutShort(step.tasks);
         this.#cutShort(budget, count, unplaced);
         return true;
       }
