Admission: a busy leader is the limit while its rounds do not get to what waits

Cause: the leader counted as the limit only while under 60 % of the processors are reserved. There long-running tasks alone reserve over 80 %, and best-effort tasks reserve none, so that share says nothing about whether they find a worker. All jobs are accepted and all end late together.

Change: what keeps the tasks that wait decides, not what is reserved. The workers are the limit while most of them have found no worker in the last second, the leader while the rounds have left most of them out.

--- a/packages/jobs/src/internal/admission-control.ts
+++ b/packages/jobs/src/internal/admission-control.ts
@@ -4,7 +4,6 @@
 import type { ClusterState } from './cluster-state.js';
 import type { CountByPriority } from './count-by-priority.js';
 import type { IdleJobs } from './idle-jobs.js';
-import { AMPLE_CAPACITY_BELOW } from './idle-jobs.js';
 import { StartBacklog } from './start-backlog.js';
 import type { WaitingTasks } from './waiting-tasks.js';
 
@@ -48,11 +47,11 @@
   }
 
   /** Records a round that was cut short before it had tried to place these tasks. */
-  cutShort(starts: number, { byPriority }: WaitingTasks, nowMs: number, isNodeBusy = false): void {
-    const hasAmpleCapacity = this.#state.reservedShare() < AMPLE_CAPACITY_BELOW;
-    const busyLimit = hasAmpleCapacity ? 'leader' : 'workers';
+  cutShort(starts: number, waiting: WaitingTasks, nowMs: number, isNodeBusy = false): void {
+    // The reserved share of the processors would not tell: best-effort tasks reserve none.
+    const busyLimit = waiting.areMostUntried ? 'leader' : 'workers';
     const limit = isNodeBusy ? busyLimit : 'other';
-    this.#startBacklog.cutShort(starts, byPriority, nowMs, limit);
+    this.#startBacklog.cutShort(starts, waiting.byPriority, nowMs, limit);
   }
 
   /**
--- a/packages/jobs/src/internal/start-backlog.ts
+++ b/packages/jobs/src/internal/start-backlog.ts
@@ -44,8 +44,9 @@
 /**
  * What limits the starts of a round that is cut short.
  *
- * - `leader`: its node has no processor time left, and the workers have free capacity.
- * - `workers`: its node has no processor time left, but the workers have little capacity either.
+ * - `leader`: its node has no processor time left, and most of the waiting tasks were not tried.
+ * - `workers`: its node has no processor time left, but most of the waiting tasks found no worker
+ *   either.
  * - `other`: the node waits, for example for the store. The starts say nothing about it.
  */
 export type StartLimit = 'leader' | 'workers' | 'other';
--- a/packages/runtime/src/test/start-backlog_test.ts
+++ b/packages/runtime/src/test/start-backlog_test.ts
@@ -2,6 +2,7 @@
 import { test } from 'node:test';
 import { MAX_BACKLOG_MS } from '@redwingcrank/jobs';
 import {
+  BEST_EFFORT_QUEUE,
   STARTS_PER_SECOND,
   SlowLeaderFleet,
   TASKS_PER_JOB,
@@ -15,6 +16,12 @@
 /** Urgent jobs, with a quarter of the tasks that the leader can start. */
 const URGENT_PER_SECOND = 1;
 
+/** Best-effort jobs, with twice the tasks that the leader can start. */
+const BEST_EFFORT_PER_SECOND = 16;
+
+/** The least share of its worth that the users want each kind of job to earn on a day of high load. */
+const LEAST_SHARE = 0.2;
+
 /** How long it takes at first until the leader has stated its rate and started what came before. */
 const RATE_KNOWN_MS = 20_000;
 
@@ -96,3 +103,17 @@
   assert.deepEqual(fleet.late(URGENT_QUEUE), []);
   assert.deepEqual(fleet.unfinished(), []);
 });
+
+test('best-effort jobs beside long-running tasks end in time while the leader cannot start them all', async (t) => {
+  // Guards against taking the workers for the limit because long-running tasks reserve their processors:
+  // all best-effort jobs would be accepted, and all would end late beside free capacity.
+  const fleet = new SlowLeaderFleet(new VirtualTime(t), {
+    isUrgentConfigured: true,
+    hasLongRunning: true,
+  });
+  await fleet.play(SUBMITTING_MS, BEST_EFFORT_PER_SECOND, URGENT_PER_SECOND);
+  await fleet.play(FINISH_MS, 0);
+  const share = fleet.shareInTime(BEST_EFFORT_QUEUE);
+  assert.ok(share >= LEAST_SHARE, `${share} of the best-effort jobs ended in time`);
+  assert.deepEqual(fleet.unfinished(), []);
+});
