Admission: a leader with processor time left states a higher start rate

Change: once a second the starts and the busy share of the same second show how many more the node could send; the rate goes half of the way up, never down. Below a share of 0.3 the starts say too little. A leader that waits for the store starts little, so the rate does not rise then (test).

Tests: start-rate_test, two cases; there is no such input before, so the first cannot run on the code before.

--- a/packages/jobs/src/internal/admission-control.ts
+++ b/packages/jobs/src/internal/admission-control.ts
@@ -92,6 +92,11 @@
     return this.#state.idleWaits.retryAfterMs(capacityClass, idleJobs, allowance, nowMs) ?? 0;
   }
 
+  /** Records the starts of the last second, in which the node was busy for this share of the time. */
+  loadMeasured(startsPerSecond: number, busyShare: number): void {
+    this.#startBacklog.loadMeasured(startsPerSecond, busyShare);
+  }
+
   /** Restores the rate of starts that an earlier leader stated. */
   restoreStartRate(startsPerSecond: number): void {
     this.#startBacklog.restoreRate(startsPerSecond);
--- a/packages/jobs/src/internal/start-backlog.ts
+++ b/packages/jobs/src/internal/start-backlog.ts
@@ -35,6 +35,15 @@
  */
 const RATE_DOUBLING_MS = 4_000;
 
+/**
+ * In a second in which the node was busy for a smaller share of the time, its starts say too little
+ * about how many it could send.
+ */
+const MIN_BUSY_SHARE = 0.3;
+
+/** Weight of the newest second in the rate of a leader that has processor time left. */
+const SPARE_TIME_WEIGHT = 0.5;
+
 /** After how long without an overload the rate is forgotten, in milliseconds. */
 const RATE_LIFETIME_MS = 20_000;
 
@@ -112,6 +121,17 @@
     this.restoreRate(former + NEWEST_WEIGHT * (measured - former));
   }
 
+  /**
+   * Records the starts of the last second, in which the node was busy for this share of the time.
+   * While few jobs are accepted because of the rate, the starts alone would never show that the
+   * leader can do more, for example once it has taken over all work of an earlier leader.
+   */
+  loadMeasured(startsPerSecond: number, busyShare: number): void {
+    if (this.#rate === undefined || busyShare < MIN_BUSY_SHARE) return;
+    const excess = clampedStartRate(startsPerSecond / busyShare) - this.#rate;
+    this.#rate += SPARE_TIME_WEIGHT * Math.max(0, excess);
+  }
+
   /** Sets the rate, for example to the one that an earlier leader stated. */
   restoreRate(startsPerSecond: number): void {
     this.#rate = clampedStartRate(startsPerSecond);
--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -443,6 +443,11 @@
     this.#placer.admission.restoreStartRate(startsPerSecond);
   }
 
+  /** Records the starts of the last second, in which the node was busy for this share of the time. */
+  loadMeasured(startsPerSecond: number, busyShare: number): void {
+    this.#placer.admission.loadMeasured(startsPerSecond, busyShare);
+  }
+
   /**
    * Returns how many tasks a second this leader can start; undefined if it was not overloaded
    * recently.
--- a/packages/jobs/src/test/start-rate_test.ts
+++ b/packages/jobs/src/test/start-rate_test.ts
@@ -44,6 +44,11 @@
     this.run(ROUND_MS, false, Infinity);
   }
 
+  /** Records the starts of a second in which the node was busy for this share of the time. */
+  loadMeasured(starts: number, busyShare: number): void {
+    this.#harness.scheduler.loadMeasured(starts, busyShare);
+  }
+
   get startsPerSecond(): number | undefined {
     return this.#harness.scheduler.startsPerSecond();
   }
@@ -147,3 +152,27 @@
   const rate = (1_000 * STARTS_PER_ROUND) / ROUND_MS;
   assert.ok(Math.abs(leader.startsPerSecond! - rate) < 0.1 * rate, `${leader.startsPerSecond}`);
 });
+
+test('a leader with processor time left states a higher start rate', () => {
+  // Guards against a rate of the first seconds of a term, in which a leader takes over the workers, that
+  // keeps callers away from a leader which could start their jobs.
+  const leader = new BusyLeader();
+  leader.run(3_000, true);
+  const rate = leader.startsPerSecond!;
+  leader.cancel();
+  for (let second = 0; second < 4; second += 1) {
+    leader.loadMeasured(rate, 0.5);
+    leader.run(1_000, false);
+  }
+  const stated = leader.startsPerSecond!;
+  assert.ok(stated > 1.8 * rate && stated <= 2 * rate, `${stated} after ${rate}`);
+});
+
+test('a leader that waits for the store states no higher start rate', () => {
+  // Guards against a rate that rises while nothing can be started.
+  const leader = new BusyLeader();
+  leader.run(3_000, true);
+  const rate = leader.startsPerSecond!;
+  for (const busyShare of [0, 0.05, 0.6]) leader.loadMeasured(0.1 * rate, busyShare);
+  assert.equal(leader.startsPerSecond, rate);
+});
--- a/packages/runtime/src/internal/leader-term.ts
+++ b/packages/runtime/src/internal/leader-term.ts
@@ -157,7 +157,9 @@
       },
     });
     this.#startDelays = new StartDelayReport(log);
-    this.#load = new TermLoad(log, record.epoch);
+    this.#load = new TermLoad(log, record.epoch, (startsPerSecond, busyShare) =>
+      this.#scheduler.loadMeasured(startsPerSecond, busyShare),
+    );
     this.#leases = new TermLeases(record, this.#writer, table.formerLeases);
     this.#inheritedEndsMs = table.formerLeases.namedEndMs;
     this.#silence = new SilenceDetector(this.#inheritedEndsMs);
--- a/packages/runtime/src/internal/term-load.ts
+++ b/packages/runtime/src/internal/term-load.ts
@@ -24,6 +24,9 @@
   readonly quietMs: number;
 }
 
+/** Called with the starts a second, and the share of the time in which the node was busy. */
+export type LoadListener = (startsPerSecond: number, busyShare: number) => void;
+
 /** State of the term that is read for each report. */
 export interface TermView extends Reachability, Backlog {
   readonly jobs: number;
@@ -51,6 +54,8 @@
 
   readonly #epoch: number;
 
+  readonly #onMeasured: LoadListener;
+
   #rounds = 0;
 
   #roundsCutShort = 0;
@@ -76,9 +81,11 @@
    */
   #oldest = NO_STARTS_SENT;
 
-  constructor(log: NodeLog, epoch: number) {
+  /** `onMeasured` is called once per second. */
+  constructor(log: NodeLog, epoch: number, onMeasured: LoadListener = () => {}) {
     this.#log = log;
     this.#epoch = epoch;
+    this.#onMeasured = onMeasured;
   }
 
   /** Whether the node had no processor time left when its load was last reported. */
@@ -129,7 +136,10 @@
       const utilization = performance.eventLoopUtilization();
       await delay(REPORT_INTERVAL_MS, signal);
       this.#busyShare = performance.eventLoopUtilization(utilization).utilization;
-      if (!signal.aborted) this.#report(sinceMs, usage, view());
+      if (!signal.aborted) {
+        this.#onMeasured((1_000 * this.#starts) / (steadyMs() - sinceMs), this.#busyShare);
+        this.#report(sinceMs, usage, view());
+      }
     }
   }
 
