--- a/review/standins-2/rig.mjs
+++ b/review/standins-2/rig.mjs
@@ -18,6 +18,9 @@
 
 const CALL_TIMEOUT_MS = 3_000;
 
+/** How soon the platform starts a node again that has ended by itself, in milliseconds. */
+const RESTART_MS = 300;
+
 const MINION_BEAT_MS = 1_500;
 
 export const HOST = 'jobs.example';
@@ -33,6 +36,9 @@
 
   nodes = [];
 
+  /** How often nodes have ended by themselves; the platform starts them again. */
+  ownEnds = 0;
+
   #directory = mkdtempSync(path.join(tmpdir(), 'redwingcrank-review-'));
 
   /** Each rig has a loopback network of its own, so that the ports of a machine are free there. */
@@ -40,6 +46,8 @@
 
   #recordFile;
 
+  #leader;
+
   #startMs = performance.now();
 
   #sequence = 0;
@@ -64,11 +72,22 @@
 
   async startStore(routes) {
     await this.store.start(`${this.#network}.2`);
-    const services = [{ name: 'pool' }];
-    this.store.put('keyed.op', 'config', { version: 1, routes, services, limits: {} });
+    this.configure(1, routes);
     this.#beat = setInterval(() => this.#writeEntries(), MINION_BEAT_MS);
   }
 
+  /** Writes a version of the configuration, as the operator does. */
+  configure(version, routes) {
+    const services = [{ name: 'pool' }];
+    this.record('config', { version, routes: routes.map(({ name }) => name) });
+    this.store.put('keyed.op', 'config', { version, routes, services, limits: {} });
+  }
+
+  /** The node that began the latest term; undefined before the first one. */
+  get leader() {
+    return this.#leader;
+  }
+
   async addMinion(minion, port) {
     await minion.start(`${this.#network}.3`, port);
     this.minions.add(minion);
@@ -191,11 +210,19 @@
       stdio: ['ignore', 'pipe', 'pipe'],
     });
     const log = (data) => {
-      for (const line of String(data).split('\n')) if (isNotable(line)) this.record(name, line);
+      for (const line of String(data).split('\n')) {
+        if (isNotable(line)) this.record(name, line);
+        if (line.includes('event=term-start')) this.#leader = node;
+      }
     };
     child.stdout.on('data', log);
     child.stderr.on('data', log);
-    child.once('exit', (code, signal) => this.record('exit', { node: name, code, signal }));
+    child.once('exit', (code, signal) => {
+      this.record('exit', { node: name, code, signal });
+      if (node.isDown) return;
+      this.ownEnds += 1;
+      setTimeout(() => this.#spawn(node), RESTART_MS);
+    });
     return Object.assign(node, { child });
   }
 
@@ -243,7 +270,7 @@
 
 /** Whether a log line of a node tells who leads, what it could not store, or why it has ended. */
 function isNotable(line) {
-  return /event=(claim|term-|leader-replaced|store-lost|store-regained|job-ended|worker-crash|worker-restarted|part-failed)|rror|FATAL/.test(
+  return /event=(claim|term-|leader-replaced|store-lost|store-regained|job-ended|worker-crash|worker-restarted|part-failed)|level=error|FATAL/.test(
     line,
   );
 }
