runtime: leave out a record that the store rejects for good

Cause: one append carries the records of many jobs. The store answered it with 413, as one record was larger than it takes, and LeaderWriter repeated it each 100 ms as in an outage. It wrote nothing else, counted as silent after a second, and its successor did the same.

Fix: an append that the store will never accept (400, 413) has the outcome 'rejected'. Its records are appended in smaller parts, under the same sequence number, since the store has not counted the rejected one. The record that is rejected alone is logged (record-rejected, with its key and size; counted in redwingcrank_events_total by its kind) and, for the progress of a job, replaced by one that shows the job as failed: its runs are stopped, and its queued starts are not sent. The replacement is stored before anything that rests on the round is acknowledged. The leader's own record is never left out, because leases rest on it.

This mends that one record stops the others.

--- a/packages/jobs/src/job-progress.ts
+++ b/packages/jobs/src/job-progress.ts
@@ -154,6 +154,15 @@
     return encodeCompact(rec);
   }
 
+  /**
+   * Encodes the state of an ended job without its runs, for a job whose runs make its record too large.
+   * A later leader stops the runs that workers report, as an ended job needs none.
+   */
+  encodeEnd(): string {
+    const { state: s } = this;
+    return encodeCompact({ s, e: this.#endedMs, b: this.#nextOccurrence, o: [] });
+  }
+
   hasBoundTasks(): boolean {
     for (const { steps } of this.occurrences.values()) {
       if (steps.some((tasks) => tasks.some(({ phase }) => phase === 'bound'))) return true;
--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -225,6 +225,16 @@
     this.#state.endJob(job, 'cancelled', timeOfDayMs);
   }
 
+  /**
+   * Fails a job whose progress cannot be stored, unless it has ended; returns undefined if it is not
+   * known.
+   */
+  failJob(id: string, timeOfDayMs: number): JobProgress | undefined {
+    const job = this.#state.jobs.get(id);
+    if (job && !isFinal(job.state)) this.#state.endJob(job, 'failed', timeOfDayMs);
+    return job;
+  }
+
   /**
    * Adds or updates a worker that the store lists. Its entry was written at `writtenMs` or later. An
    * entry of a former process with this id lists nothing.
--- a/packages/runtime/src/internal/claim-backoff.ts
+++ b/packages/runtime/src/internal/claim-backoff.ts
@@ -17,6 +17,7 @@
   moved: 500,
   unknown: 700,
   refused: 500,
+  rejected: 500,
 };
 
 /**
--- a/packages/runtime/src/internal/leader-term.ts
+++ b/packages/runtime/src/internal/leader-term.ts
@@ -35,7 +35,7 @@
 import type { LinkListener } from './worker-link.js';
 import { WorkerLinks } from './worker-links.js';
 import type { LeaderRecord } from './work-records.js';
-import { encodeLeader, leaderKey, progressKey } from './work-records.js';
+import { encodeLeader, leaderKey, parseKey, progressKey } from './work-records.js';
 import type { WorkChange, WorkTable } from './work-table.js';
 import { WorkerList } from './worker-list.js';
 
@@ -136,7 +136,7 @@
     this.#log = log;
     this.#table = table;
     this.#config = config;
-    this.#writer = new LeaderWriter(port.workLog, log, claim);
+    this.#writer = new LeaderWriter(port.workLog, log, claim, (rec) => this.#replacementFor(rec));
     this.#housekeeping = new Housekeeping(table, port.jobLog, settings.keepStateMs);
     this.#leaseMs = Math.min(LEASE_MS, settings.maxLeaseMs);
     this.#links = new WorkerLinks({
@@ -434,6 +434,16 @@
     }
   }
 
+  /**
+   * Fails the job whose progress the store rejects, and returns the record that shows it as failed.
+   * Its runs are stopped, and starts of it that are queued are not sent.
+   */
+  #replacementFor({ key }: KeyedWrite): KeyedWrite | undefined {
+    const { kind, id } = parseKey(key) ?? {};
+    const job = kind === 'progress' ? this.#scheduler.failJob(id!, Date.now()) : undefined;
+    return job && { key, value: job.encodeEnd() };
+  }
+
   /** Sends the starts that are bound ahead; the append that was sent at `sentMs` is unanswered. */
   #sendAhead(sentMs: number): void {
     const nowMs = steadyMs();
--- a/packages/runtime/src/internal/leader-writer.ts
+++ b/packages/runtime/src/internal/leader-writer.ts
@@ -1,7 +1,7 @@
 import type { AppendResult, KeyedLog, KeyedWrite, WriterStamp } from '../keyed-log.js';
 import type { NodeLog } from '../node-log.js';
 import { delay, steadyMs } from './delay.js';
-import { leaderKey } from './work-records.js';
+import { leaderKey, parseKey } from './work-records.js';
 
 /** The writer name under which the store keeps the epoch of the leader. */
 export const LEADER_WRITER = 'scheduler';
@@ -12,6 +12,12 @@
 /** Maximum size of one append in bytes, well below the limit of the store. */
 const MAX_BYTES = 512 * 1024;
 
+/**
+ * Called with a record that the store rejects. Returns the record to store in its place; undefined if
+ * there is none.
+ */
+export type ReplacementFinder = (rec: KeyedWrite) => KeyedWrite | undefined;
+
 /** The append with which the leader has claimed leadership. */
 export interface StoredClaim {
   readonly epoch: number;
@@ -24,6 +30,9 @@
  * Appends records as the leader of one epoch. An append without an answer is repeated with the same
  * sequence number until the store reports its outcome, so no append is stored twice or out of
  * order. A leader that was replaced finds out with its next append.
+ *
+ * One append carries the records of many jobs. If the store rejects it, its records are appended in
+ * smaller parts, so that a record that can never be stored delays the others only once.
  */
 export class LeaderWriter {
   readonly #target: KeyedLog;
@@ -32,6 +41,8 @@
 
   readonly #epoch: number;
 
+  readonly #replacementFor: ReplacementFinder;
+
   #sequence: number;
 
   #confirmedMs: number;
@@ -41,7 +52,13 @@
 
   readonly #stopping = new AbortController();
 
-  constructor(target: KeyedLog, log: NodeLog, { epoch, sequence, sentMs }: StoredClaim) {
+  constructor(
+    target: KeyedLog,
+    log: NodeLog,
+    { epoch, sequence, sentMs }: StoredClaim,
+    replacementFor: ReplacementFinder = () => undefined,
+  ) {
+    this.#replacementFor = replacementFor;
     this.#target = target;
     this.#log = log;
     this.#epoch = epoch;
@@ -77,7 +94,25 @@
     return true;
   }
 
+  /** Stores the records, except those that the store rejects; returns false once replaced. */
   async #writePart(records: readonly KeyedWrite[]): Promise<boolean> {
+    const end = await this.#append(records);
+    if (end !== 'rejected') return end === 'stored';
+    if (records.length === 1) return this.#replace(records[0]!);
+    const middle = Math.ceil(records.length / 2);
+    if (!(await this.#writePart(records.slice(0, middle)))) return false;
+    return this.#writePart(records.slice(middle));
+  }
+
+  /** Stores the replacement of a rejected record; returns false once replaced as leader. */
+  async #replace(rec: KeyedWrite): Promise<boolean> {
+    const replacement = this.#replacementFor(rec);
+    if (!replacement) return true;
+    const end = await this.#append([replacement]);
+    return end !== 'replaced';
+  }
+
+  async #append(records: readonly KeyedWrite[]): Promise<AppendEnd> {
     this.#sequence += 1;
     const stamp = { writer: LEADER_WRITER, epoch: this.#epoch, sequence: this.#sequence };
     // With many silent workers, an append may come without the leader's own record. Reading back the
@@ -90,10 +125,12 @@
     });
     // Others may have read the first attempt although its answer was lost.
     const sentMs = steadyMs();
-    const isStored = await this.#repeat(records, stamp, readBack);
+    const end = await this.#repeat(records, stamp, readBack);
     this.#confirmInFlight = undefined;
-    if (isStored) this.#confirmedMs = Math.max(this.#confirmedMs, sentMs);
-    return isStored;
+    if (end === 'stored') this.#confirmedMs = Math.max(this.#confirmedMs, sentMs);
+    // The store has not counted an append that it has rejected.
+    if (end === 'rejected') this.#sequence -= 1;
+    return end;
   }
 
   /** Repeats an append until the store reports its outcome or the log shows it. */
@@ -101,24 +138,59 @@
     records: readonly KeyedWrite[],
     stamp: WriterStamp,
     readBack: Promise<AppendResult>,
-  ): Promise<boolean> {
+  ): Promise<AppendEnd> {
     let failures = 0;
     while (!this.#stopping.signal.aborted) {
       const result = await Promise.race([readBack, this.#target.append(records, { stamp })]);
       if (result.outcome === 'appended') {
         if (failures > 0) this.#log.emit('info', 'store-regained', { failures });
-        return true;
+        return 'stored';
       }
       if (isReplaced(result)) {
         this.#log.emit('warn', 'leader-replaced', { epoch: this.#epoch, reason: result.reason });
-        return false;
+        return 'replaced';
+      }
+      if (result.outcome === 'rejected' && !isOwnRecord(records)) {
+        this.#logRejected(records, result.reason);
+        return 'rejected';
       }
       failures += 1;
       if (failures === 1) this.#log.emit('warn', 'store-lost', { reason: result.reason });
       await Promise.race([readBack, delay(REPEAT_MS, this.#stopping.signal)]);
     }
-    return false;
+    return 'replaced';
   }
+
+  #logRejected(records: readonly KeyedWrite[], reason: string): void {
+    const bytes = records.reduce((sum, rec) => sum + sizeOf(rec), 0);
+    const [rec] = records;
+    if (records.length > 1 || !rec) {
+      this.#log.emit('warn', 'append-rejected', { records: records.length, bytes, reason });
+      return;
+    }
+    const { key } = rec;
+    const outcome = parseKey(key)?.kind ?? 'other';
+    this.#log.emit('error', 'record-rejected', { key, bytes, outcome, reason });
+  }
+}
+
+/**
+ * How an append has ended.
+ *
+ * - `stored`: its records are stored.
+ * - `rejected`: none is, and the store will never accept them together.
+ * - `replaced`: another node has taken over, or this one is stopping.
+ */
+type AppendEnd = 'stored' | 'rejected' | 'replaced';
+
+/** Whether these are the leader's own record alone: without it no leader can go on. */
+function isOwnRecord(records: readonly KeyedWrite[]): boolean {
+  return records.length === 1 && records[0]!.key === leaderKey();
+}
+
+/** Returns the size of a record in bytes, without its length. */
+function sizeOf({ key, value = '' }: KeyedWrite): number {
+  return Buffer.byteLength(key) + Buffer.byteLength(value);
 }
 
 function isReplaced({ outcome }: AppendResult): boolean {
@@ -129,7 +201,7 @@
   let part: KeyedWrite[] = [];
   let bytes = 0;
   for (const rec of records) {
-    const size = rec.key.length + (rec.value?.length ?? 0);
+    const size = sizeOf(rec);
     if (part.length > 0 && bytes + size > MAX_BYTES) {
       yield part;
       part = [];
--- a/packages/runtime/src/job-service.ts
+++ b/packages/runtime/src/job-service.ts
@@ -330,6 +330,7 @@
         case 'appended':
           return { outcome: 'stored', reason: 'confirmed', sends: sends + 1 };
         case 'refused':
+        case 'rejected':
           return { outcome: 'not-run', reason: 'store-refused', sends: sends + 1 };
         case 'moved':
           break;
@@ -387,7 +388,7 @@
       }
       sends += 1;
       if (result.outcome === 'appended') return { outcome: 'stored', reason: 'confirmed', sends };
-      if (result.outcome === 'refused') {
+      if (result.outcome === 'refused' || result.outcome === 'rejected') {
         if (sends > 1) return { outcome: 'unknown', reason: 'refused-after-loss', sends };
         return { outcome: 'not-run', reason: 'store-refused', sends };
       }
--- a/packages/runtime/src/keyed-log.ts
+++ b/packages/runtime/src/keyed-log.ts
@@ -49,10 +49,12 @@
  * - `moved`: the log did not end at the expected offset.
  * - `out-of-sequence`: the append before this one is missing or was a different one.
  * - `refused`: nothing was done; the store is busy or rejects this node.
+ * - `rejected`: nothing was done, and these records will never be accepted together: one of them, or
+ *   all of them, are too large or malformed.
  * - `unknown`: there was no answer; the records may have been stored, or may be stored later.
  */
 export type AppendOutcome =
-  'appended' | 'fenced' | 'moved' | 'out-of-sequence' | 'refused' | 'unknown';
+  'appended' | 'fenced' | 'moved' | 'out-of-sequence' | 'refused' | 'rejected' | 'unknown';
 
 export interface AppendResult {
   readonly outcome: AppendOutcome;
