jobs: open occurrences that are due some at a time

Cause: JobProgress.openDue opened every occurrence that was due, each with all its tasks as objects (2,073,600 here), and nothing bounded them, at the acceptance or later. An interval of 0, and an outage of hours with a short interval, come to the same.

Fix: the occurrences of a job are opened oldest first, as many as its window holds (256 occurrences, 1,024 steps, 10,000 tasks; 2,000 and 100,000 for all scheduled jobs, shared, and at least one of each job). The number of the next one is all that is kept of the others. The next round is due when one can be opened, not merely when it is due. What earlier releases have stored is read as not opened, from the last occurrence that was started on; a record that lists more tasks than a leader can hold is unreadable.

--- a/packages/jobs/src/internal/compact-progress.ts
+++ b/packages/jobs/src/internal/compact-progress.ts
@@ -1,4 +1,5 @@
 import type { JobState } from '../job.js';
+import { MAX_OPEN_OCCURRENCES } from './occurrence-window.js';
 import { PackedText, escapeText, unescapeText } from './packed-text.js';
 import type { ProgressRecord, TaskTuple } from './progress-record.js';
 
@@ -19,6 +20,12 @@
 
 const COUNT = /^(?:0|[1-9]\d{0,15})$/;
 
+/** An occurrence of which no task was ever started. */
+const UNSTARTED = /^\d+(?:\|w\d*)+$/;
+
+/** Maximum number of tasks in a record; more would fill the memory of each node that reads it. */
+const MAX_TASKS = 200_000;
+
 /** Packs checkpoints, which have no common prefix. */
 const CHECKPOINTS = new PackedText('');
 
@@ -58,25 +65,53 @@
 }
 
 /**
- * Decodes compact text of a job whose steps have up to `maxTasks` tasks; returns undefined for text
- * that is malformed. Whether the record fits its job is for the caller to check.
+ * Decodes compact text of a job whose steps have up to `maxTasks` tasks and of which `maxOpen`
+ * occurrences may be open; returns undefined for text that is malformed. Whether the record fits its
+ * job is for the caller to check.
  */
-export function decodeCompact(text: string, maxTasks: number): ProgressRecord | undefined {
+export function decodeCompact(
+  text: string,
+  maxTasks: number,
+  maxOpen = MAX_OPEN_OCCURRENCES,
+): ProgressRecord | undefined {
   if (!text.endsWith(END)) return undefined;
-  const [head, escapedPrefix, ...occurrences] = text.slice(0, -END.length).split(';');
-  const [, letter, opened, ended] = HEAD.exec(head!) ?? [];
+  const [head, escapedPrefix, ...listed] = text.slice(0, -END.length).split(';');
+  const [, letter, listedOpened, ended] = HEAD.exec(head!) ?? [];
   const s = letter === undefined ? undefined : STATES_BY_LETTER.get(letter);
   if (s === undefined || escapedPrefix === undefined) return undefined;
   const names = PackedText.of(unescapeText(escapedPrefix));
+  const { occurrences, opened } = withoutUnstartedExcess(listed, Number(listedOpened), maxOpen);
   const o: ProgressRecord['o'] = [];
+  let taskCount = 0;
   for (const occurrence of occurrences) {
     const [number, ...steps] = occurrence.split('|');
     const tasks = steps.map((step) => decodeTasks(step, names, maxTasks));
     if (!COUNT.test(number!) || !tasks.every((list) => list !== undefined)) return undefined;
+    for (const { length } of tasks) taskCount += length;
+    if (taskCount > MAX_TASKS) return undefined;
     o.push([Number(number), tasks]);
   }
   const e = ended === undefined ? {} : { e: Number(ended) };
-  return { s, b: Number(opened), ...e, o };
+  return { s, b: opened, ...e, o };
+}
+
+/**
+ * Leaves out the last occurrences if more are listed than may be open and none of these was ever
+ * started: they count as not yet opened. Earlier releases listed all that were due.
+ */
+function withoutUnstartedExcess(
+  occurrences: readonly string[],
+  opened: number,
+  maxOpen: number,
+): { occurrences: readonly string[]; opened: number } {
+  const firstUnstarted = 1 + occurrences.findLastIndex((text) => !UNSTARTED.test(text));
+  const kept = Math.max(firstUnstarted, maxOpen);
+  const excess = occurrences.length - kept;
+  // The occurrences were opened one after another, and none without a start has ended.
+  const isContiguous = excess > 0 && occurrences[kept]!.startsWith(`${opened - excess}|`);
+  return isContiguous
+    ? { occurrences: occurrences.slice(0, kept), opened: opened - excess }
+    : { occurrences, opened };
 }
 
 /** Returns what the name of the first worker has before its bytes in hexadecimal. */
@@ -135,6 +170,7 @@
       if (!task) return undefined;
       tasks.push(task);
     }
+    if (tasks.length > maxTasks) return undefined;
   }
   return tasks;
 }
--- a/packages/jobs/src/internal/progress-record.ts
+++ b/packages/jobs/src/internal/progress-record.ts
@@ -1,6 +1,7 @@
 import type { JobSpec, JobState, StepSpec } from '../job.js';
 import type { TaskPhase } from '../job-progress.js';
 import { decodeCompact, isCompact } from './compact-progress.js';
+import { windowOf } from './occurrence-window.js';
 
 /**
  * 0: never started; 1: done; otherwise the phase's index, run, worker, failures, checkpoint and, if
@@ -48,7 +49,7 @@
  */
 export function parseProgress(spec: JobSpec, text: string): ProgressRecord | undefined {
   const maxTasks = Math.max(0, ...spec.steps.map(({ taskCount }) => taskCount));
-  const parsed = isCompact(text) ? decodeCompact(text, maxTasks) : parseJson(text);
+  const parsed = isCompact(text) ? decodeCompact(text, maxTasks, windowOf(spec)) : parseJson(text);
   const rec = parsed as Partial<ProgressRecord> | null | undefined;
   if (typeof rec !== 'object' || rec === null) return undefined;
   const { s, e, b, o } = rec;
--- a/packages/jobs/src/job-progress.ts
+++ b/packages/jobs/src/job-progress.ts
@@ -1,6 +1,7 @@
 import type { JobSpec, JobState, StepSpec } from './job.js';
 import { isFinal } from './job.js';
 import { encodeCompact } from './internal/compact-progress.js';
+import { windowOf } from './internal/occurrence-window.js';
 import type { ProgressRecord, TaskTuple } from './internal/progress-record.js';
 import { PHASES, parseProgress } from './internal/progress-record.js';
 
@@ -99,10 +100,18 @@
     return schedule.firstDueMs + this.#nextOccurrence * schedule.intervalMs;
   }
 
-  /** Opens every occurrence that is due. Returns whether any was opened. */
-  openDue(timeOfDayMs: number): boolean {
+  /** Whether any occurrence has yet to be opened. */
+  get hasUnopened(): boolean {
+    return this.#nextOccurrence < this.occurrenceCount;
+  }
+
+  /**
+   * Opens the occurrences that are due, the oldest first, until `maxOpen` are open. Returns whether any
+   * was opened.
+   */
+  openDue(timeOfDayMs: number, maxOpen = windowOf(this.spec)): boolean {
     let opened = false;
-    while (this.#nextOccurrence < this.occurrenceCount && this.nextDueMs <= timeOfDayMs) {
+    while (this.hasUnopened && this.nextDueMs <= timeOfDayMs && this.occurrences.size < maxOpen) {
       const number = this.#nextOccurrence;
       this.#nextOccurrence += 1;
       this.occurrences.set(number, { number, steps: this.spec.steps.map(newTasks) });
@@ -137,8 +146,7 @@
         this.occurrences.delete(occurrence.number);
       }
     }
-    const allOpened = this.#nextOccurrence === this.occurrenceCount;
-    if (allOpened && this.occurrences.size === 0) this.finish('completed', timeOfDayMs);
+    if (!this.hasUnopened && this.occurrences.size === 0) this.finish('completed', timeOfDayMs);
   }
 
   encode(): string {
--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -18,6 +18,7 @@
 import type { InterferenceWeights } from './internal/interference-model.js';
 import type { RoundLimits } from './internal/round-limits.js';
 import { NO_LIMITS } from './internal/round-limits.js';
+import { OccurrenceWindow } from './internal/occurrence-window.js';
 import { ReportReader } from './internal/report-reader.js';
 import { boundRuns, newRun, unlistedEntry } from './internal/runs.js';
 import { StopRules } from './internal/stop-rules.js';
@@ -79,6 +80,8 @@
 
   readonly #restarts: WorkerRestarts;
 
+  readonly #window = new OccurrenceWindow();
+
   readonly #model: TailLatencyModel;
 
   /**
@@ -467,16 +470,10 @@
   }
 
   /**
-   * Returns the earliest due time of an occurrence that is not open yet; undefined if there is
-   * none.
+   * Returns the earliest due time of an occurrence that can be opened; undefined if there is none.
    */
   nextDueMs(): number | undefined {
-    let next: number | undefined;
-    for (const job of this.#state.jobs.values()) {
-      const isPending = !isFinal(job.state) && job.nextOccurrence < job.occurrenceCount;
-      if (isPending && (next === undefined || job.nextDueMs < next)) next = job.nextDueMs;
-    }
-    return next;
+    return this.#window.nextDueMs(this.#state.jobs.values());
   }
 
   /**
@@ -585,10 +582,8 @@
   }
 
   #openDue(timeOfDayMs: number): void {
-    for (const job of this.#state.jobs.values()) {
-      const isOpen = !isFinal(job.state) && job.nextOccurrence < job.occurrenceCount;
-      if (isOpen && job.openDue(timeOfDayMs)) this.#state.changed.add(job);
-    }
+    for (const job of this.#window.openDue(this.#state.jobs.values(), timeOfDayMs))
+      this.#state.changed.add(job);
   }
 
   /** Stops the runs that no job needs, and those whose worker is about to leave. */
--- a/packages/runtime/src/internal/job-record.ts
+++ b/packages/runtime/src/internal/job-record.ts
@@ -42,7 +42,9 @@
   if (tasks > MAX_TASKS) return faultOf('wrong-type', 'steps');
   if (!isSchedule(schedule)) return faultOf('wrong-type', 'schedule');
   const base = { id, queue, payload, steps: fullSteps, acceptedMs };
-  return { value: schedule ? { ...base, schedule } : base };
+  if (!schedule) return { value: base };
+  // Earlier releases accepted counts that are not whole, and ran the last occurrence as well.
+  return { value: { ...base, schedule: { ...schedule, count: Math.ceil(schedule.count) } } };
 }
 
 /**
