jobs: keep the progress of a job within one record

Cause: the record of a job lists each started task with its worker and its checkpoint. MAX_TASKS bounds the number of tasks, not the bytes.

Fix: what a started task adds to the record, and what its entry may grow by later, is reserved before the task is bound, also for second runs and for bindings ahead. A job whose tasks do not fit together runs them in parts (keptBy=record). Checkpoints are not reserved: a record that lacks the room has none, which costs work and no run. The limit is platform.record_bytes of the settings.

--- a/packages/jobs/src/internal/cluster-state.ts
+++ b/packages/jobs/src/internal/cluster-state.ts
@@ -60,6 +60,9 @@
 
   readonly changed = new Set<JobProgress>();
 
+  /** Maximum size of the progress of one job, in bytes. */
+  maxProgressBytes = Infinity;
+
   readonly endsProcessed = new Set<WorkerState>();
 
   orders: Order[] = [];
--- a/packages/jobs/src/internal/compact-progress.ts
+++ b/packages/jobs/src/internal/compact-progress.ts
@@ -114,6 +114,11 @@
     : { occurrences, opened };
 }
 
+/** Returns the size of a checkpoint in a record. */
+export function packedSizeOf(checkpoint: string): number {
+  return CHECKPOINTS.pack(checkpoint).length;
+}
+
 /** Returns what the name of the first worker has before its bytes in hexadecimal. */
 function namePrefix(occurrences: ProgressRecord['o']): string {
   for (const [, steps] of occurrences) {
--- a/packages/jobs/src/internal/obstacle.ts
+++ b/packages/jobs/src/internal/obstacle.ts
@@ -35,10 +35,10 @@
 
 /**
  * Why the tasks of a step wait: an obstacle, the `limits` of the rounds, no known cause, the full
- * rack of their data (`rack`), or, for new long-running tasks, jobs in time that lack room
- * (`yields`).
+ * rack of their data (`rack`), the full record of their job (`record`), or, for new long-running
+ * tasks, jobs in time that lack room (`yields`).
  */
-export type WaitCause = Obstacle | 'limits' | 'rack' | 'yields' | 'none';
+export type WaitCause = Obstacle | 'limits' | 'rack' | 'record' | 'yields' | 'none';
 
 /** Returns the most frequent obstacle; `closed` if there are no obstacles. */
 export function mostFrequent(obstacles: Iterable<Obstacle>): Obstacle {
--- a/packages/jobs/src/internal/step-waits.ts
+++ b/packages/jobs/src/internal/step-waits.ts
@@ -63,6 +63,12 @@
     if (wait) Object.assign(wait, { cause: 'rack', unplacedMs: nowMs });
   }
 
+  /** Records that the record of the job has no room for another started task. */
+  recordFull(tasks: readonly TaskProgress[], nowMs: number): void {
+    const wait = this.#waits.get(tasks);
+    if (wait) Object.assign(wait, { cause: 'record', unplacedMs: nowMs });
+  }
+
   /** Records that the limits ended the round while there were workers for the step. */
   cutShort(tasks: readonly TaskProgress[]): void {
     const wait = this.#waits.get(tasks);
--- a/packages/jobs/src/internal/task-copies.ts
+++ b/packages/jobs/src/internal/task-copies.ts
@@ -111,7 +111,7 @@
         use.copies < Math.max(MIN_COPY_LIMIT, Math.floor(MAX_COPY_SHARE * use.runs)) &&
         priority < (waitingPriorities.get(pool) ?? Infinity);
       const target = mayStart ? chooseWorker(candidate, candidates) : undefined;
-      if (target && use) {
+      if (target && use && this.#hasRecordRoom(candidate, target)) {
         this.#bind(candidate, target, nowMs);
         use.copies += 1;
         starts += 1;
@@ -191,6 +191,10 @@
     return medianMs ? (nowMs - beganMsOf(run, nowMs)) / medianMs : 0;
   }
 
+  #hasRecordRoom({ job, task }: CopyCandidate, { entry }: WorkerState): boolean {
+    return job.recordRoom.holds([[task, entry.id]], this.#state.maxProgressBytes);
+  }
+
   #bind(
     { job, queue, ref, task, run: first, worker, reason, ratio }: CopyCandidate,
     target: WorkerState,
@@ -198,6 +202,7 @@
   ): void {
     const run = Math.max(task.run, task.copy?.run ?? 0) + 1;
     const checkpoint = first.checkpoint || task.checkpoint;
+    job.recordRoom.reserve(task, target.entry.id);
     task.copy = { run, worker: target.entry.id };
     target.add(taskName(ref), newRun(ref, { run, checkpoint }, first.spec, nowMs));
     this.#state.changed.add(job);
--- a/packages/jobs/src/internal/task-placer.ts
+++ b/packages/jobs/src/internal/task-placer.ts
@@ -4,7 +4,7 @@
 import { isFinal } from '../job.js';
 import type { StepSpec } from '../job.js';
 import type { TaskRef } from '../task-ref.js';
-import { taskName } from '../task-ref.js';
+import { stepName, taskName } from '../task-ref.js';
 import { AdvisedSteps } from './advised-steps.js';
 import { AdmissionControl } from './admission-control.js';
 import type { AheadTask } from './ahead-bindings.js';
@@ -231,6 +231,7 @@
             nowMs,
           });
       if (outcome === 'yielded') this.#waits.yielded(step.tasks, nowMs);
+      if (outcome === 'record-full') this.#waits.recordFull(step.tasks, nowMs);
       if (outcome === 'placed' && step.maxTasks === Infinity) this.#waits.placed(step.tasks);
       if (outcome === 'awaits-rack') {
         unplaced.push(step);
@@ -449,6 +450,7 @@
         const worker = candidates.choose({ ref, spec: step.spec, avoid: task.worker, isSuspect });
         // The tasks of a step are alike: if one of them does not fit, the next one does not either.
         if (!worker) return candidates.isHeldBack ? 'yielded' : 'placeless';
+        if (!this.#hasRecordRoom(step.job, [[task, worker.entry.id]])) return 'record-full';
         this.#bind(step, ref, task, worker, nextRunOf(task), nowMs);
         budget.recordStarts(1);
         this.#started(step, nowMs);
@@ -480,6 +482,14 @@
     for (const [ref, worker] of placed) worker.remove(taskName(ref));
     if (placed.length > 0) candidates.capacityReturned();
     if (placed.length < step.tasks.length) return candidates.isHeldBack ? 'yielded' : 'placeless';
+    const bindings = placed.map(
+      ([{ index }, { entry }]) => [step.tasks[index]!, entry.id] as const,
+    );
+    if (!this.#hasRecordRoom(step.job, bindings)) {
+      // All members are bound together, and there will never be more room.
+      if (step.job.recordRoom.isEmpty) this.#failTooLarge(step);
+      return 'record-full';
+    }
     const { checkpoint } = step.tasks[0]!;
     for (const [ref, worker] of placed) {
       const task = step.tasks[ref.index]!;
@@ -491,6 +501,15 @@
     return 'placed';
   }
 
+  #hasRecordRoom(job: JobProgress, bindings: Iterable<readonly [TaskProgress, string]>): boolean {
+    return job.recordRoom.holds(bindings, this.#state.maxProgressBytes);
+  }
+
+  #failTooLarge({ job, ref, tasks }: WaitingStep): void {
+    this.#state.logEvent('gang-too-large', { step: stepName(ref), members: tasks.length });
+    this.#state.endJob(job, 'failed', this.#state.timeOfDayMs);
+  }
+
   #bind(
     { job, queue, spec, tasks, rank }: WaitingStep,
     ref: TaskRef,
@@ -501,6 +520,7 @@
   ): void {
     this.#startCount += 1;
     this.ahead.started(nowMs);
+    job.recordRoom.reserve(task, worker.entry.id);
     delete task.ahead;
     Object.assign(task, { phase: 'bound', run, worker: worker.entry.id });
     worker.add(taskName(ref), newRun(ref, task, spec, nowMs));
--- a/packages/jobs/src/job-progress.ts
+++ b/packages/jobs/src/job-progress.ts
@@ -1,8 +1,9 @@
 import type { JobSpec, JobState, StepSpec } from './job.js';
 import { isFinal } from './job.js';
-import { encodeCompact } from './internal/compact-progress.js';
+import { encodeCompact, packedSizeOf } from './internal/compact-progress.js';
 import { windowOf } from './internal/occurrence-window.js';
 import type { ProgressRecord, TaskTuple } from './internal/progress-record.js';
+import { RecordRoom } from './internal/record-room.js';
 import { PHASES, parseProgress } from './internal/progress-record.js';
 
 /**
@@ -67,6 +68,8 @@
 
   #endedMs = 0;
 
+  readonly recordRoom = new RecordRoom();
+
   /** Open occurrences, by number. */
   readonly occurrences = new Map<number, Occurrence>();
 
@@ -149,7 +152,11 @@
     if (!this.hasUnopened && this.occurrences.size === 0) this.finish('completed', timeOfDayMs);
   }
 
-  encode(): string {
+  /**
+   * Encodes the progress. If that takes more than `maxBytes`, checkpoints are left out, and with them
+   * only the work that they would have saved.
+   */
+  encode(maxBytes = Infinity): string {
     const rec: ProgressRecord = {
       s: this.#state,
       b: this.#nextOccurrence,
@@ -159,7 +166,27 @@
           : [...this.occurrences.values()].map(encodeOccurrence),
     };
     if (this.#endedMs) rec.e = this.#endedMs;
-    return encodeCompact(rec);
+    const text = encodeCompact(rec);
+    const checkpointBytes = this.#noteSize(rec, text);
+    if (text.length <= maxBytes || checkpointBytes === 0) return text;
+    return encodeCompact({ ...rec, o: rec.o.map(withoutCheckpoints) });
+  }
+
+  /** Records how much of its record the job uses, and returns the size of the checkpoints in it. */
+  #noteSize({ o }: ProgressRecord, text: string): number {
+    let [startedCount, checkpointBytes] = [0, 0];
+    for (const [, steps] of o) {
+      for (const tasks of steps) {
+        for (const task of tasks) {
+          if (typeof task === 'object') {
+            startedCount += 1;
+            if (task[4]) checkpointBytes += packedSizeOf(task[4]);
+          }
+        }
+      }
+    }
+    this.recordRoom.written(text.length - checkpointBytes, startedCount);
+    return checkpointBytes;
   }
 
   /**
@@ -210,6 +237,7 @@
         steps: steps.map((tasks) => tasks.map(decodeTask)),
       });
     }
+    progress.#noteSize(rec, text);
     return progress;
   }
 
@@ -282,6 +310,12 @@
   return [number, steps.map((tasks) => tasks.map(encodeTask))];
 }
 
+function withoutCheckpoints([number, steps]: [number, TaskTuple[][]]): [number, TaskTuple[][]] {
+  const without = (task: TaskTuple): TaskTuple =>
+    typeof task === 'object' ? (task.with(4, '') as TaskTuple) : task;
+  return [number, steps.map((tasks) => tasks.map(without))];
+}
+
 function encodeTask(task: TaskProgress): TaskTuple {
   if (task.phase === 'done') return 1;
   const isBoundAhead = task.phase === 'waiting' && task.ahead !== undefined;
--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -158,6 +158,14 @@
     this.#state.racks.remoteFactor = remoteFactor;
   }
 
+  /**
+   * Sets the maximum size of the progress of one job, in bytes. A job whose tasks do not fit runs them
+   * in parts.
+   */
+  setMaxProgressBytes(bytes: number): void {
+    this.#state.maxProgressBytes = bytes;
+  }
+
   /** Sets for how long a ticket must still be valid to be used for a start, in milliseconds. */
   setTicketMargin(minValidityMs: number): void {
     this.#state.advice.minValidityMs = minValidityMs;
--- a/packages/runtime/src/internal/leader-term.ts
+++ b/packages/runtime/src/internal/leader-term.ts
@@ -35,7 +35,7 @@
 import type { LinkListener } from './worker-link.js';
 import { WorkerLinks } from './worker-links.js';
 import type { LeaderRecord } from './work-records.js';
-import { encodeLeader, leaderKey, parseKey, progressKey } from './work-records.js';
+import { MAX_KEY_BYTES, encodeLeader, leaderKey, parseKey, progressKey } from './work-records.js';
 import type { WorkChange, WorkTable } from './work-table.js';
 import { WorkerList } from './worker-list.js';
 
@@ -55,6 +55,8 @@
 
   readonly #leaseMs: number;
 
+  readonly #maxProgressBytes: number;
+
   readonly #log: NodeLog;
 
   readonly #table: WorkTable;
@@ -166,6 +168,8 @@
     const agesNow = (): LogFields => this.views.ages(steadyMs());
     this.#scheduler = createScheduler(log, this.#leaseMs, table.formerLeases, agesNow);
     this.#scheduler.setRemoteFactor(settings.remoteFactor);
+    this.#maxProgressBytes = settings.maxRecordBytes - MAX_KEY_BYTES;
+    this.#scheduler.setMaxProgressBytes(this.#maxProgressBytes);
     this.#adviser = new Adviser({
       service: port.advice,
       scheduler: this.#scheduler,
@@ -351,7 +355,7 @@
     this.#load.decided(steadyMs() - startedMs, decisions.isCutShort);
     const writes: KeyedWrite[] = decisions.changed.map((job) => ({
       key: progressKey(job.spec.id),
-      value: job.encode(),
+      value: job.encode(this.#maxProgressBytes),
     }));
     writes.push(...upkeepWrites, ...this.#housekeeping.progressDeletions());
     writes.push(...this.#housekeeping.learnedWrites(this.#scheduler.learned));
--- a/packages/runtime/src/internal/work-records.ts
+++ b/packages/runtime/src/internal/work-records.ts
@@ -104,6 +104,9 @@
   number: 0,
 } as const;
 
+/** The most that the key of a record and its length take, in bytes. */
+export const MAX_KEY_BYTES = 256;
+
 export const jobKey = (id: string): string => `j/${id}`;
 
 export const progressKey = (id: string): string => `s/${id}`;
--- a/packages/runtime/src/node-settings.ts
+++ b/packages/runtime/src/node-settings.ts
@@ -41,6 +41,8 @@
   readonly remoteFactor: number;
   /** How long the final state of a job must be kept, in milliseconds. */
   readonly keepStateMs: number;
+  /** Maximum size of a record of the store with its key, in bytes. */
+  readonly maxRecordBytes: number;
   /** How long after SIGTERM the process is killed, in milliseconds. */
   readonly graceMs: number;
 }
--- a/packages/runtime/src/test/fixtures.ts
+++ b/packages/runtime/src/test/fixtures.ts
@@ -78,6 +78,7 @@
     machineCallsPerS: 60,
     machineReadsPerS: 60,
     remoteFactor: 1.5,
+    maxRecordBytes: 262_144,
     keepStateMs: 120_000,
     graceMs: 6_000,
   };
