runtime: store every job of allowed size, and say at once which one cannot be

Callers saw: a job of 5,000 small steps, in a body below the limit, got 503 each time, and so did the jobs of other callers that were sent to the store with it. The same with nine bodies of the largest size at once.

Cause: the record of a job held all values of each step, also those that were left out, so that it was several times larger than the body: over the record size of the store. The batcher appends the records of up to 200 callers together whatever their size; the store rejects the whole append, and each caller was told that the store could not be used.

Fix: values that a step leaves out are not stored (they are filled in when the record is read, as for records of earlier releases), and a text over 196,608 bytes is compressed. A batch has at most a megabyte, and one that the store rejects is appended in smaller parts. A job that no record can hold is answered with 413 and the reason, before anything is sent.

Earlier releases cannot read a compressed job; they could not store it.

--- a/packages/runtime/src/internal/append-batcher.ts
+++ b/packages/runtime/src/internal/append-batcher.ts
@@ -17,9 +17,14 @@
  */
 const MAX_BATCH = 200;
 
+/** Maximum size of the records in one append, in bytes, well below the limit of the store. */
+const MAX_BATCH_BYTES = 1024 * 1024;
+
 /**
  * Appends records of callers' requests, batching those that arrive while an append is in flight:
  * the store processes the appends of a partition one after another, so many small ones would queue.
+ * If the store rejects a batch, its records are appended in smaller ones: each belongs to a caller of
+ * its own.
  */
 export class AppendBatcher {
   readonly #target: KeyedLog;
@@ -46,11 +51,34 @@
   async #drain(): Promise<void> {
     this.#isBusy = true;
     while (this.#waiting.size > 0) {
-      const batch = [...this.#waiting].slice(0, MAX_BATCH);
+      const batch = this.#nextBatch();
       for (const waiting of batch) this.#waiting.delete(waiting);
-      const result = await this.#target.append(batch.map(({ rec }) => rec));
-      for (const { settle } of batch) settle(result);
+      await this.#send(batch);
     }
     this.#isBusy = false;
   }
+
+  /** Returns the records of the next append, at least one. */
+  #nextBatch(): QueuedAppend[] {
+    const batch: QueuedAppend[] = [];
+    let bytes = 0;
+    for (const waiting of this.#waiting) {
+      const { key, value = '' } = waiting.rec;
+      bytes += Buffer.byteLength(key) + Buffer.byteLength(value);
+      if (batch.length === MAX_BATCH || (batch.length > 0 && bytes > MAX_BATCH_BYTES)) break;
+      batch.push(waiting);
+    }
+    return batch;
+  }
+
+  async #send(batch: readonly QueuedAppend[]): Promise<void> {
+    const result = await this.#target.append(batch.map(({ rec }) => rec));
+    if (result.outcome === 'rejected' && batch.length > 1) {
+      const middle = Math.ceil(batch.length / 2);
+      await this.#send(batch.slice(0, middle));
+      await this.#send(batch.slice(middle));
+      return;
+    }
+    for (const { settle } of batch) settle(result);
+  }
 }
--- a/packages/runtime/src/internal/job-record.ts
+++ b/packages/runtime/src/internal/job-record.ts
@@ -1,3 +1,4 @@
+import { deflateRawSync, inflateRawSync } from 'node:zlib';
 import type { JobSpec, Schedule, StepSpec } from '@redwingcrank/jobs';
 import { PLAIN_STEP } from '@redwingcrank/jobs';
 import type { Decoded, FaultReason, RecordFault } from '../record-fault.js';
@@ -14,8 +15,43 @@
   fault: { reason, field },
 });
 
+/** Marks the text of a job that is compressed; any other text is JSON. */
+const COMPRESSED = 'z';
+
+/** Jobs with longer texts are compressed, in bytes; earlier releases read no compressed ones. */
+const MAX_PLAIN_BYTES = 196_608;
+
+/** Maximum size of a job before its compression, in bytes; a longer one is not read. */
+const MAX_TEXT_BYTES = 4 * 1024 * 1024;
+
+/**
+ * Encodes a job. Values that its steps leave out are not stored, and a long text is compressed: the
+ * largest job that a caller may send would not fit into a record otherwise.
+ */
 export function encodeJob(spec: JobSpec): string {
-  return JSON.stringify(spec);
+  const text = JSON.stringify({ ...spec, steps: spec.steps.map(withoutDefaults) });
+  if (Buffer.byteLength(text) <= MAX_PLAIN_BYTES) return text;
+  return COMPRESSED + deflateRawSync(text).toString('base64');
+}
+
+/** Returns the fields of a step that differ from those of a plain step; its task count is required. */
+function withoutDefaults(step: StepSpec): Partial<StepSpec> {
+  const { taskCount, after, ...rest } = step;
+  const changed = Object.entries(rest).filter(
+    ([name, value]) => value !== PLAIN_STEP[name as keyof StepSpec],
+  );
+  return { taskCount, ...(after.length > 0 && { after }), ...Object.fromEntries(changed) };
+}
+
+/** Returns the JSON text of a job; undefined if it cannot be decompressed. */
+function textOf(stored: string): string | undefined {
+  if (!stored.startsWith(COMPRESSED)) return stored;
+  try {
+    const bytes = Buffer.from(stored.slice(COMPRESSED.length), 'base64');
+    return inflateRawSync(bytes, { maxOutputLength: MAX_TEXT_BYTES }).toString('utf8');
+  } catch {
+    return undefined;
+  }
 }
 
 /**
@@ -24,7 +60,7 @@
  * counted.
  */
 export function decodeJob(id: string, text: string): Decoded<JobSpec> {
-  const job = parseObject<JobSpec>(text);
+  const job = parseObject<JobSpec>(textOf(text) ?? '');
   if (!job) return faultOf('unreadable', 'value');
   const { queue, payload, steps, schedule, acceptedMs } = job;
   if (job.id !== id) return faultOf('unknown-value', 'id');
--- a/packages/runtime/src/job-api.ts
+++ b/packages/runtime/src/job-api.ts
@@ -18,6 +18,7 @@
 const SUBMIT_RESULTS = {
   accepted: RESULT_CODES.jobAccepted,
   'not-run': RESULT_CODES.storeUnavailable,
+  'too-large': RESULT_CODES.badJob,
   conflict: RESULT_CODES.idReused,
   unknown: RESULT_CODES.unknownOutcome,
 } as const;
--- a/packages/runtime/src/job-service.ts
+++ b/packages/runtime/src/job-service.ts
@@ -14,7 +14,7 @@
 import { AppendBatcher } from './internal/append-batcher.js';
 import { encodeJob } from './internal/job-record.js';
 import type { LeaderRecord } from './internal/work-records.js';
-import { cancelKey, jobKey } from './internal/work-records.js';
+import { MAX_KEY_BYTES, cancelKey, jobKey } from './internal/work-records.js';
 import type { WorkTable } from './internal/work-table.js';
 import { shownState } from './internal/work-table.js';
 import { DelayRefusals } from './internal/delay-refusals.js';
@@ -26,10 +26,11 @@
  *
  * - `accepted`: the job is stored.
  * - `not-run`: nothing was stored, and nothing will be.
+ * - `too-large`: no record can hold the job; it will never be stored.
  * - `conflict`: the id already belongs to another job.
  * - `unknown`: the job may have been stored; it may be submitted again with the same id.
  */
-export type SubmitOutcome = 'accepted' | 'not-run' | 'conflict' | 'unknown';
+export type SubmitOutcome = 'accepted' | 'not-run' | 'too-large' | 'conflict' | 'unknown';
 
 /** `unavailable`: the view of this node is too old for an answer, or the store cannot be used. */
 export type CancelOutcome = 'cancelled' | 'no-such-job' | 'unavailable' | 'unknown';
@@ -123,11 +124,21 @@
 
   readonly #delayRefusals: DelayRefusals;
 
+  readonly #maxRecordBytes: number;
+
   /** Jobs that were stored through this node and not yet read back. */
   readonly #justAccepted = new Map<string, JobSpec>();
 
-  constructor(view: WorkView, target: KeyedLog, log: NodeLog, queues: QueueList) {
+  /** `maxRecordBytes`: maximum size of a record of the store with its key. */
+  constructor(
+    view: WorkView,
+    target: KeyedLog,
+    log: NodeLog,
+    queues: QueueList,
+    maxRecordBytes = Infinity,
+  ) {
     this.#view = view;
+    this.#maxRecordBytes = maxRecordBytes;
     this.#queues = queues;
     this.#target = target;
     this.#batcher = new AppendBatcher(target);
@@ -148,6 +159,11 @@
     const known = this.#find(spec.id);
     if (known) return this.#repeatedOutcome(spec, known);
     const write = { key: jobKey(spec.id), value: encodeJob(spec) };
+    const bytes = Buffer.byteLength(write.value);
+    if (bytes > this.#maxRecordBytes - MAX_KEY_BYTES) {
+      this.#log.emit('info', 'submit-bad', { job: spec.id, queue: spec.queue, bytes });
+      return 'too-large';
+    }
     const isLimited = !isAlwaysAccepted(spec) && this.#startsPerSecond !== undefined;
     const { outcome, reason, sends } = isLimited
       ? await this.#storeUnlessBacklog(spec, write, deadlineMs)
--- a/packages/runtime/src/node.ts
+++ b/packages/runtime/src/node.ts
@@ -1,3 +1,4 @@
+import type { QueuePolicy } from '@redwingcrank/jobs';
 import { Leadership } from './internal/leadership.js';
 import { ConfigWatch } from './internal/config-watch.js';
 import { FaultLog } from './internal/fault-log.js';
@@ -76,7 +77,8 @@
       },
       lost$: work.lost$,
     };
-    this.jobs = new JobService(view, port.jobLog, log, () => this.#config.current?.queues ?? []);
+    const queues = (): readonly QueuePolicy[] => this.#config.current?.queues ?? [];
+    this.jobs = new JobService(view, port.jobLog, log, queues, settings.maxRecordBytes);
   }
 
   start(): void {
--- a/packages/runtime/src/test/slow-leader-fleet.ts
+++ b/packages/runtime/src/test/slow-leader-fleet.ts
@@ -8,9 +8,15 @@
 } from '@redwingcrank/jobs';
 import { JobProgress, PLAIN_STEP, Scheduler, isFinal, taskName } from '@redwingcrank/jobs';
 import { Subject } from 'rxjs';
-import { jobKey, progressKey, leaderKey, encodeLeader } from '../internal/work-records.js';
+import {
+  jobKey,
+  parseKey,
+  progressKey,
+  leaderKey,
+  encodeLeader,
+} from '../internal/work-records.js';
 import { WorkTable } from '../internal/work-table.js';
-import { encodeJob } from '../internal/job-record.js';
+import { decodeJob, encodeJob } from '../internal/job-record.js';
 import { JobService } from '../job-service.js';
 import type {
   AppendOptions,
@@ -403,7 +409,7 @@
     const scheduler = this.#scheduler;
     if (!scheduler) return;
     for (const { key, value } of this.#jobLog.records.slice(this.#adopted)) {
-      const spec = JSON.parse(value!) as JobSpec;
+      const spec = specIn(key, value!);
       if (key === jobKey(spec.id)) scheduler.addJob(new JobProgress(spec));
     }
     this.#adopted = this.#jobLog.records.length;
@@ -479,3 +485,10 @@
   const percent = leftMs < Infinity ? Math.floor(100 * (1 - leftMs / LONG_TASK_MS)) : 0;
   return { task: taskName(task), run, checkpoint: '', percent, measure: 0 };
 }
+
+/** Returns the job that a record stores. */
+function specIn(key: string, text: string): JobSpec {
+  const decoded = decodeJob(parseKey(key)!.id, text);
+  if ('fault' in decoded) throw new Error(decoded.fault.reason);
+  return decoded.value;
+}
