jobs: bound what a round spends on the steps of one job

Callers see, beside one accepted job of many steps: starts and renewals that come late, as each round of the leader takes tenths of a second.

Cause: each round asked for each step whether all tasks of all steps that it waits for are done (a step may name thousands), and computed the longest path of its job anew, twice. Every node did the former with each record.

Fix: a look goes on where the one before has stopped, since a task that is done stays done; the longest path is kept with the job.

--- a/packages/jobs/src/internal/urgency.ts
+++ b/packages/jobs/src/internal/urgency.ts
@@ -21,13 +21,24 @@
  */
 export type Feasibility = 0 | 1 | 2;
 
-const knownPaths = new WeakMap<JobSpec, readonly number[]>();
+/** The estimated times of a job's steps, in milliseconds. */
+interface StepPaths {
+  /** For each step: from its start to the job's end. */
+  readonly pathsMs: readonly number[];
+  readonly longestMs: number;
+}
+
+const knownPaths = new WeakMap<JobSpec, StepPaths>();
 
 /**
  * Returns, for each step, the estimated time from its start to the job's end along the longest
  * chain of steps, in milliseconds.
  */
 export function criticalPathsMs(spec: JobSpec): readonly number[] {
+  return pathsOf(spec).pathsMs;
+}
+
+function pathsOf(spec: JobSpec): StepPaths {
   const known = knownPaths.get(spec);
   if (known) return known;
   const paths = spec.steps.map(({ estimateMs }) => estimateMs);
@@ -37,13 +48,14 @@
       paths[earlier] = Math.max(paths[earlier]!, pathMs);
     }
   }
-  knownPaths.set(spec, paths);
-  return paths;
+  const found = { pathsMs: paths, longestMs: paths.reduce((a, b) => Math.max(a, b), 0) };
+  knownPaths.set(spec, found);
+  return found;
 }
 
 /** Returns how long the job may take from its acceptance or due time, in milliseconds. */
 export function objectiveMsOf(spec: JobSpec, { stretch, targetLatencyMs }: QueuePolicy): number {
-  return stretch * Math.max(0, ...criticalPathsMs(spec)) + targetLatencyMs;
+  return stretch * pathsOf(spec).longestMs + targetLatencyMs;
 }
 
 /** Returns after how long from its acceptance the end of a job is of no use, in milliseconds. */
--- a/packages/jobs/src/job-progress.ts
+++ b/packages/jobs/src/job-progress.ts
@@ -4,6 +4,7 @@
 import { windowOf } from './internal/occurrence-window.js';
 import type { ProgressRecord, TaskTuple } from './internal/progress-record.js';
 import { RecordRoom } from './internal/record-room.js';
+import { StepReadiness } from './internal/step-readiness.js';
 import { PHASES, parseProgress } from './internal/progress-record.js';
 
 /**
@@ -73,6 +74,8 @@
   /** Open occurrences, by number. */
   readonly occurrences = new Map<number, Occurrence>();
 
+  readonly #readiness = new WeakMap<Occurrence, StepReadiness>();
+
   #nextOccurrence = 0;
 
   constructor(spec: JobSpec) {
@@ -136,8 +139,12 @@
 
   /** Returns whether all tasks that a step depends on are done. */
   isStepReady(occurrence: Occurrence, step: number): boolean {
-    const { after } = this.spec.steps[step]!;
-    return after.every((earlier) => occurrence.steps[earlier]!.every(isDone));
+    let readiness = this.#readiness.get(occurrence);
+    if (!readiness) {
+      readiness = new StepReadiness(occurrence);
+      this.#readiness.set(occurrence, readiness);
+    }
+    return readiness.isReady(step, this.spec.steps[step]!);
   }
 
   /**
@@ -279,12 +286,12 @@
 function unstartedIn({ schedule, steps }: JobSpec, { s, o }: ProgressRecord): UnstartedTasks {
   let [unstartedTasks, readyTasks] = [0, 0];
   for (const [, stepTasks] of schedule || isFinal(s) ? [] : o) {
+    const areDone = stepTasks.map((tasks) => tasks.every((tuple) => tuple === 1));
     for (const [step, tasks] of stepTasks.entries()) {
       const { lasting, after } = steps[step]!;
       const count = lasting ? 0 : tasks.filter(isUnstarted).length;
       unstartedTasks += count;
-      const isReady = after.every((earlier) => stepTasks[earlier]!.every((tuple) => tuple === 1));
-      if (isReady) readyTasks += count;
+      if (count > 0 && after.every((earlier) => areDone[earlier])) readyTasks += count;
     }
   }
   return { unstartedTasks, readyTasks };
