runtime: refuse jobs beyond the memory of a node

Callers see: many accepted jobs, each within its bounds, and then no task of any job starts, as each leader that loads them ends by itself.

Cause: nothing bounded the tasks of all jobs together. A leader holds each task of an open occurrence as an object.

Fix: each node estimates what the stored jobs take in the memory of a leader (by jobs, steps, tasks and texts; measured per job, step and task, rounded up) and refuses a job that no longer fits into two fifths of the heap, with 503 and Retry-After (submit reason=memory). Larger jobs leave a quarter of that to smaller ones, so that they don't keep these out. The decision needs no leader, and holds during a takeover.

Test: 'large jobs beyond the memory of a node are refused, and short ones run beside those accepted', which failed before (none was refused).

--- a/packages/runtime/src/internal/work-table.ts
+++ b/packages/runtime/src/internal/work-table.ts
@@ -13,6 +13,7 @@
 import type { FaultLog } from './fault-log.js';
 import { FormerLeases } from './former-leases.js';
 import { decodeJob } from './job-record.js';
+import { jobBytesOf } from './job-memory.js';
 import { decodeUpkeep } from './upkeep-record.js';
 import type { LeaderRecord, OfferRecord } from './work-records.js';
 import { decodeLeader, decodeLearned, decodeOffer, parseKey, progressKey } from './work-records.js';
@@ -33,6 +34,8 @@
   cancelled: boolean;
   /** How many of its tasks the leader has yet to start, as of its newest progress. */
   unstarted: UnstartedTasks;
+  /** About how many bytes it takes in the memory of the leader. */
+  bytes: number;
 }
 
 /** A job with tasks that the leader has yet to start. */
@@ -70,6 +73,8 @@
 
   readonly #faults: FaultLog | undefined;
 
+  #jobBytes = 0;
+
   readonly #early = new Map<string, EarlyRecords>();
 
   /** Deleted jobs whose progress is not deleted yet. */
@@ -148,6 +153,11 @@
       if (!cancelled && unstarted.unstartedTasks > 0) yield { queue: spec.queue, ...unstarted };
   }
 
+  /** About how many bytes all jobs take in the memory of the leader. */
+  get jobBytes(): number {
+    return this.#jobBytes;
+  }
+
   /** Deleted jobs whose progress is not deleted yet. */
   get orphanedProgress(): Iterable<string> {
     return this.#orphanedProgress;
@@ -173,6 +183,7 @@
       this.#early.set(id, { ...(rec && { progress: rec }), isUnsure });
     }
     this.#jobs.clear();
+    this.#jobBytes = 0;
   }
 
   apply(rec: KeyedRecord): void {
@@ -301,6 +312,8 @@
     }
     // A submission that was sent twice is one job: the first record counts.
     if (this.#jobs.has(id)) return;
+    const bytes = jobBytesOf(spec, false);
+    this.#jobBytes += bytes;
     this.#jobs.set(id, {
       spec,
       state: 'queued',
@@ -310,6 +323,7 @@
       isUnsure: false,
       cancelled: false,
       unstarted: unstartedTasksOf(spec),
+      bytes,
     });
     this.#orphanedProgress.delete(id);
     const { progress, isUnsure, cancel } = this.#early.get(id) ?? {};
@@ -324,6 +338,7 @@
     const job = this.#jobs.get(id);
     if (!job) return;
     this.#jobs.delete(id);
+    this.#jobBytes -= job.bytes;
     if (job.progress !== undefined || job.isUnsure) this.#orphanedProgress.add(id);
     this.changes$.next({ kind: 'deleted', id });
   }
@@ -366,6 +381,9 @@
   #setProgress(id: string, job: StoredJob, newest: Partial<StoredJob>): void {
     const wasUnsure = job.isUnsure;
     Object.assign(job, newest, { isUnsure: false, changedMs: steadyMs() });
+    const bytes = jobBytesOf(job.spec, isFinal(job.state));
+    this.#jobBytes += bytes - job.bytes;
+    Object.assign(job, { bytes });
     // The change is reported like a new job, so that a leader that had to skip the job loads it.
     if (wasUnsure) this.changes$.next({ kind: 'accepted', id });
   }
--- a/packages/runtime/src/job-service.ts
+++ b/packages/runtime/src/job-service.ts
@@ -14,6 +14,7 @@
 import { AppendBatcher } from './internal/append-batcher.js';
 import { encodeJob } from './internal/job-record.js';
 import type { LeaderRecord } from './internal/work-records.js';
+import { MEMORY_RETRY_MS, fitsInMemory, jobBytesOf, maxJobBytes } from './internal/job-memory.js';
 import { MAX_KEY_BYTES, cancelKey, jobKey } from './internal/work-records.js';
 import type { WorkTable } from './internal/work-table.js';
 import { shownState } from './internal/work-table.js';
@@ -126,19 +127,26 @@
 
   readonly #maxRecordBytes: number;
 
+  readonly #maxJobBytes: number;
+
   /** Jobs that were stored through this node and not yet read back. */
   readonly #justAccepted = new Map<string, JobSpec>();
 
-  /** `maxRecordBytes`: maximum size of a record of the store with its key. */
+  /**
+   * `maxRecordBytes`: maximum size of a record of the store with its key; `maxBytes`: how much memory
+   * all jobs together may take.
+   */
   constructor(
     view: WorkView,
     target: KeyedLog,
     log: NodeLog,
     queues: QueueList,
     maxRecordBytes = Infinity,
+    maxBytes = maxJobBytes(),
   ) {
     this.#view = view;
     this.#maxRecordBytes = maxRecordBytes;
+    this.#maxJobBytes = maxBytes;
     this.#queues = queues;
     this.#target = target;
     this.#batcher = new AppendBatcher(target);
@@ -195,10 +203,12 @@
     const idleMs = retryDelayMs(spec, queue, this.#refusals);
     const backlogMs = this.startBacklogMs(spec);
     const delayed = this.#delayRefusals.check(spec, queue, this.#recentLeader, steadyMs());
-    const waitMs = Math.max(idleMs ?? 0, backlogMs ?? 0, delayed?.returnInMs ?? 0);
+    const memoryMs = this.#memoryRetryMs(spec);
+    const waitMs = Math.max(idleMs ?? 0, backlogMs ?? 0, delayed?.returnInMs ?? 0, memoryMs ?? 0);
     if (waitMs === 0) return undefined;
     const delayReason = idleMs === undefined ? 'work-backlog' : 'idle-jobs';
-    const waitReason = backlogMs === undefined ? delayReason : 'start-backlog';
+    const loadReason = backlogMs === undefined ? delayReason : 'start-backlog';
+    const waitReason = memoryMs === undefined ? loadReason : 'memory';
     const { unstartedTasks, readyTasks, aheadTasks } = this.#startBacklog(spec.queue);
     this.#log.emit('info', 'submit', {
       job: spec.id,
@@ -217,6 +227,23 @@
     return waitMs;
   }
 
+  /**
+   * Returns in how many milliseconds a caller should retry a job because the jobs that are stored take
+   * the memory that a node has for them; undefined if there is room. Each node checks this for itself,
+   * as each of them may become the leader, which holds the tasks of all jobs.
+   */
+  #memoryRetryMs(spec: JobSpec): number | undefined {
+    const usedBytes = this.#view.table.jobBytes + this.#justAcceptedBytes;
+    return fitsInMemory(spec, usedBytes, this.#maxJobBytes) ? undefined : MEMORY_RETRY_MS;
+  }
+
+  /** What jobs that are not read back yet take in memory, in bytes. */
+  get #justAcceptedBytes(): number {
+    let bytes = 0;
+    for (const spec of this.#justAccepted.values()) bytes += jobBytesOf(spec, false);
+    return bytes;
+  }
+
   /** Returns whether a job is refused because only evacuated data centres could run it. */
   isEvacuated(spec: JobSpec, queue: QueuePolicy): boolean {
     return needsEvacuated(spec, queue, this.#refusals);
