jobs: count no capacity of workers that never answer

Callers see, with one odd entry among those of the workers (a capacity of 1e308, or any large one at a closed port): a full cluster that looks idle. Jobs are accepted that only wait, best-effort tasks are placed where they run slowly, and no start delay is stated.

Cause: the use of the workers is a ratio of sums over all listed workers, whether they have ever answered or not, and any capacity was taken as it stands: with 1e308 the ratio is 0, with two of 1.7e308 the sum is infinite.

Evidence: odd-workers_test on the code before, 0 % in use beside a worker whose 8 cores are all taken.

Fix: a worker that has not answered this leader for 10 s after its entry was first read offers no capacity.

--- a/packages/jobs/src/internal/cluster-state.ts
+++ b/packages/jobs/src/internal/cluster-state.ts
@@ -23,6 +23,12 @@
 /** The maximum number of attempts of a task whose queue is no longer known. */
 const DEFAULT_ATTEMPTS = 3;
 
+/**
+ * A worker that has never answered this leader for longer than this, in milliseconds, offers no
+ * capacity.
+ */
+const FIRST_ANSWER_MS = 10_000;
+
 /** Times that govern scheduling decisions, in milliseconds of the node's monotonic clock. */
 export interface SchedulerTiming {
   /** After its latest renewal, the leases of an unreachable worker expire within this time. */
@@ -49,6 +55,9 @@
 
   readonly startedMs: number;
 
+  /** When the latest round began, on the monotonic clock. */
+  roundMs: number;
+
   /** Time of day of the latest round. Jobs that end get this time as their end. */
   timeOfDayMs = 0;
 
@@ -90,6 +99,7 @@
   constructor(timing: SchedulerTiming, startedMs: number, logEvent: EventLogger) {
     this.timing = timing;
     this.startedMs = startedMs;
+    this.roundMs = startedMs;
     this.idleWaits = new IdleWaitEstimator(startedMs);
     this.work = new WorkBacklog(startedMs);
     this.logEvent = logEvent;
@@ -103,6 +113,7 @@
 
   addWorker(entry: WorkerEntry): WorkerState {
     const worker = new WorkerState(entry, this.startedMs + this.timing.inheritedLeaseMs);
+    worker.knownSinceMs = this.startedMs;
     this.workers.set(entry.id, worker);
     return worker;
   }
@@ -126,11 +137,16 @@
     };
   }
 
+  /** Whether a worker is known only by its entry, which anybody may have written. */
+  #neverAnswers({ fenced, knownSinceMs }: WorkerState): boolean {
+    return !fenced && this.roundMs - knownSinceMs > FIRST_ANSWER_MS;
+  }
+
   #shareOf(milliOf: (worker: WorkerState) => number): number {
     let taken = 0;
     let total = 0;
     for (const worker of this.workers.values()) {
-      if (worker.listed && !worker.isEvacuated) {
+      if (worker.listed && !worker.isEvacuated && !this.#neverAnswers(worker)) {
         taken += milliOf(worker);
         total += worker.entry.capacity.cpuMilli;
       }
--- a/packages/jobs/src/internal/worker-state.ts
+++ b/packages/jobs/src/internal/worker-state.ts
@@ -26,6 +26,9 @@
 
   answeredMs = -Infinity;
 
+  /** When its entry was first read, or when the term began. */
+  knownSinceMs = -Infinity;
+
   /** The earliest time at which a draining worker may leave; Infinity before it drains. */
   leavesMs = Infinity;
 
--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -258,6 +258,7 @@
     }
     const known = found && this.#restarts.stateOf(found, entry.incarnation, nowMs);
     const worker = known ?? this.#state.addWorker(entry);
+    if (worker !== found) worker.knownSinceMs = nowMs;
     worker.incarnation ??= entry.incarnation;
     if (entry.draining && !(known?.listed && known.entry.draining)) {
       const { id, remainingMs } = entry;
@@ -385,6 +386,7 @@
    */
   decide(nowMs: number, timeOfDayMs: number, limits: RoundLimits = NO_LIMITS): Decisions {
     this.#state.timeOfDayMs = timeOfDayMs;
+    this.#state.roundMs = nowMs;
     this.#expireSilent(nowMs);
     this.#reader.applyHeldEnds(nowMs);
     this.#openDue(timeOfDayMs);
