jobs: keep what is learned about images finite

Operators see, after one report of a worker with a figure beyond all bounds: no leader knows the interference of that image any more, as the learned record is unreadable on every node (wrong-type), and best-effort tasks are placed beside serving ones as if they took nothing from them.

Cause: the part of a worker that a run uses was the reported figure by the capacity, however large; its square made the sums infinite, and the weights not a number. A worker without processors divides by 0. Stored weights had to be finite, but rounding one of 1e308 makes it infinite again.

Fix: a run uses at most the whole worker, and no part of a worker without processors; stored weights beyond a million are not used.

Tests: 'a use of processors beyond all bounds leaves what is learned about images finite' and 'learned weights beyond all bounds are not used' failed before.

--- a/packages/jobs/src/internal/best-effort-parts.ts
+++ b/packages/jobs/src/internal/best-effort-parts.ts
@@ -8,7 +8,8 @@
   const parts = new Map<string, number>();
   for (const { spec, confirmed, measure } of worker.runs.values()) {
     if (spec.fills && confirmed) {
-      const part = measure / worker.entry.capacity.cpuMilli;
+      // A run uses no more than the whole worker, whatever the worker reports.
+      const part = Math.min(1, measure / worker.entry.capacity.cpuMilli) || 0;
       parts.set(spec.image, (parts.get(spec.image) ?? 0) + part);
     }
   }
--- a/packages/jobs/src/test/odd-workers_test.ts
+++ b/packages/jobs/src/test/odd-workers_test.ts
@@ -38,3 +38,23 @@
   harness.decide();
   assert.equal(harness.scheduler.backlog(harness.nowMs).reservedPercent, 50);
 });
+
+test('a use of processors beyond all bounds leaves what is learned about images finite', () => {
+  // Guards against one report after which no leader knows the interference of an image any more.
+  const harness = new SchedulerHarness([workerEntry('w1')]);
+  const serving = stepSpec({ lasting: true, targetMs: 20, image: 'web' });
+  const filling = stepSpec({ fills: true, image: 'batch', cpuMilli: 500 });
+  harness.submit(jobSpec([serving, filling]));
+  const starts = harness.starts();
+  assert.equal(starts.length, 2);
+  for (const start of starts) harness.answer(start, 'done');
+  for (const measure of [10, 1e308, Number.MAX_SAFE_INTEGER, 10, 10, 10, 10, 10, 10, 10, 10]) {
+    harness.nowMs += 500;
+    const running = starts.map((start) => runningRow(start, { percent: 100, measure }));
+    harness.report('w1', { running });
+    harness.decide();
+  }
+  const weights = Object.values(harness.scheduler.learned).flatMap((row) => Object.values(row));
+  assert.ok(weights.length > 0);
+  assert.ok(weights.every(Number.isFinite), `${weights}`);
+});
--- a/packages/runtime/src/internal/work-records.ts
+++ b/packages/runtime/src/internal/work-records.ts
@@ -96,6 +96,9 @@
   readonly epoch: number;
 }
 
+/** A larger weight was not learned: it would take all slack of a host many times over. */
+const MAX_WEIGHT = 1_000_000;
+
 /** Default fields for records of nodes that do not report their leases yet. */
 const DEFAULT_FIELDS = {
   leasesMs: DEFAULT_LEASE_MS,
@@ -245,7 +248,7 @@
 }
 
 function isWeight(value: unknown): value is number {
-  return Number.isFinite(value);
+  return Number.isFinite(value) && Math.abs(value as number) <= MAX_WEIGHT;
 }
 
 function isRow(value: unknown): value is Readonly<Record<string, number>> {
--- a/packages/runtime/src/test/broken-work-records_test.ts
+++ b/packages/runtime/src/test/broken-work-records_test.ts
@@ -6,7 +6,7 @@
 import type { KeyedRecord } from '../keyed-log.js';
 import { steadyMs } from '../internal/delay.js';
 import { encodeJob } from '../internal/job-record.js';
-import { encodeLeader, encodeLearned } from '../internal/work-records.js';
+import { decodeLearned, encodeLeader, encodeLearned } from '../internal/work-records.js';
 import { WorkTable } from '../internal/work-table.js';
 
 const SPEC: JobSpec = {
@@ -55,6 +55,13 @@
   { ...LEADER, nodes: 0 },
 ];
 
+test('learned weights beyond all bounds are not used', () => {
+  // Guards against a weight whose sums are infinite, which no later leader can read.
+  for (const weight of ['1e308', '-1e308', '1e999', '"1"', 'null'])
+    assert.ok('fault' in decodeLearned(`{"web":{"batch":${weight}}}`), weight);
+  assert.deepEqual(decodeLearned('{"web":{"batch":1.5}}'), { value: { web: { batch: 1.5 } } });
+});
+
 let table: WorkTable;
 
 const put = (key: string, value: string | undefined): void => table.apply({ key, value });
