jobs: bound what is learned about images

Operators see, with jobs of hundreds of images: rounds of seconds, and a record of what was learned that the store rejects every three seconds.

Cause: for each serving image there was a weight of every best-effort image that ran beside it, without a limit; solving for them takes time by the cube of their number, and the record grows by the product.

Fix: at most 64 best-effort images are told apart for a serving image, and 128 serving images; the others count as one. Rows that do not fit into a record are left out.

--- a/packages/jobs/src/internal/interference-model.ts
+++ b/packages/jobs/src/internal/interference-model.ts
@@ -36,6 +36,18 @@
  */
 const RESTORED_WEIGHT = 0.1;
 
+/**
+ * Maximum number of best-effort images that are told apart for a serving image: solving for the
+ * weights takes time in proportion to the cube of their number. Others count as one.
+ */
+const MAX_BEST_EFFORT_IMAGES = 64;
+
+/** Maximum number of serving images that are told apart; others count as one. */
+const MAX_SERVING_IMAGES = 128;
+
+/** The images that are not told apart; no image of a step has this name. */
+const OTHER_IMAGES = '\0others';
+
 /** For each serving image: the weights of best-effort images. */
 export type InterferenceWeights = Readonly<Record<string, Readonly<Record<string, number>>>>;
 
@@ -64,7 +76,10 @@
   add(parts: ReadonlyMap<string, number>, value: number): void {
     const inputs = new Map([[0, 1]]);
     for (const [image, part] of parts) {
-      if (part >= MIN_NOTICEABLE_PART) inputs.set(this.#indexOf(image), part);
+      if (part >= MIN_NOTICEABLE_PART) {
+        const index = this.#indexOf(image);
+        inputs.set(index, (inputs.get(index) ?? 0) + part);
+      }
     }
     for (const row of this.#products) for (let i = 0; i < row.length; i += 1) row[i]! *= DECAY;
     for (let i = 0; i < this.#targets.length; i += 1) this.#targets[i]! *= DECAY;
@@ -76,7 +91,7 @@
   }
 
   weightOf(image: string): number {
-    const index = this.#indexes.get(image);
+    const index = this.#indexes.get(image) ?? this.#indexes.get(OTHER_IMAGES);
     if (index === undefined) return 0;
     if (this.#unsolved >= SOLVE_INTERVAL) this.#solve();
     return Math.max(0, this.#weights[index] ?? 0);
@@ -98,6 +113,8 @@
   #indexOf(image: string): number {
     const known = this.#indexes.get(image);
     if (known !== undefined) return known;
+    const isFull = this.#indexes.size >= MAX_BEST_EFFORT_IMAGES;
+    if (isFull && image !== OTHER_IMAGES) return this.#indexOf(OTHER_IMAGES);
     const index = this.#targets.length;
     this.#indexes.set(image, index);
     for (const row of this.#products) row.push(0);
@@ -175,7 +192,8 @@
 
   /** Returns the slack that the best-effort image would take if it used a whole host. */
   weight(serving: string, bestEffort: string): number {
-    return this.#fits.get(serving)?.weightOf(bestEffort) ?? 0;
+    const fit = this.#fits.get(serving) ?? this.#fits.get(OTHER_IMAGES);
+    return fit?.weightOf(bestEffort) ?? 0;
   }
 
   /** Returns the slack that best-effort images take with the given parts of a host. */
@@ -188,6 +206,8 @@
   #fitOf(image: string): ImageFit {
     const known = this.#fits.get(image);
     if (known) return known;
+    const isFull = this.#fits.size >= MAX_SERVING_IMAGES;
+    if (isFull && image !== OTHER_IMAGES) return this.#fitOf(OTHER_IMAGES);
     const fit = new ImageFit();
     this.#fits.set(image, fit);
     return fit;
--- a/packages/runtime/src/internal/housekeeping.ts
+++ b/packages/runtime/src/internal/housekeeping.ts
@@ -30,14 +30,20 @@
 
   readonly #keepStateMs: number;
 
+  readonly #maxRecordBytes: number;
+
   #isDeletingJobs = false;
 
   #nextLearnedMs = steadyMs() + LEARNED_INTERVAL_MS;
 
   #nextDeletionMs = steadyMs() + DELETE_INTERVAL_MS;
 
-  /** `keepStateMs`: how long the final state of a job must be kept. */
-  constructor(table: WorkTable, jobLog: KeyedLog, keepStateMs: number) {
+  /**
+   * `keepStateMs`: how long the final state of a job must be kept; `maxRecordBytes`: the maximum size of
+   * the value of a record.
+   */
+  constructor(table: WorkTable, jobLog: KeyedLog, keepStateMs: number, maxRecordBytes: number) {
+    this.#maxRecordBytes = maxRecordBytes;
     this.#table = table;
     this.#jobLog = jobLog;
     this.#keepStateMs = keepStateMs;
@@ -47,7 +53,7 @@
   learnedWrites(weights: InterferenceWeights): KeyedWrite[] {
     if (steadyMs() < this.#nextLearnedMs) return [];
     this.#nextLearnedMs = steadyMs() + LEARNED_INTERVAL_MS;
-    return [{ key: learnedKey(), value: encodeLearned(weights) }];
+    return [{ key: learnedKey(), value: encodeLearned(weights, this.#maxRecordBytes) }];
   }
 
   /**
--- a/packages/runtime/src/internal/leader-term.ts
+++ b/packages/runtime/src/internal/leader-term.ts
@@ -55,7 +55,8 @@
 
   readonly #leaseMs: number;
 
-  readonly #maxProgressBytes: number;
+  /** Maximum size of the value of a record, in bytes. */
+  readonly #maxValueBytes: number;
 
   readonly #log: NodeLog;
 
@@ -139,7 +140,9 @@
     this.#table = table;
     this.#config = config;
     this.#writer = new LeaderWriter(port.workLog, log, claim, (rec) => this.#replacementFor(rec));
-    this.#housekeeping = new Housekeeping(table, port.jobLog, settings.keepStateMs);
+    this.#maxValueBytes = settings.maxRecordBytes - MAX_KEY_BYTES;
+    const { keepStateMs } = settings;
+    this.#housekeeping = new Housekeeping(table, port.jobLog, keepStateMs, this.#maxValueBytes);
     this.#leaseMs = Math.min(LEASE_MS, settings.maxLeaseMs);
     this.#links = new WorkerLinks({
       listener: this,
@@ -168,8 +171,7 @@
     const agesNow = (): LogFields => this.views.ages(steadyMs());
     this.#scheduler = createScheduler(log, this.#leaseMs, table.formerLeases, agesNow);
     this.#scheduler.setRemoteFactor(settings.remoteFactor);
-    this.#maxProgressBytes = settings.maxRecordBytes - MAX_KEY_BYTES;
-    this.#scheduler.setMaxProgressBytes(this.#maxProgressBytes);
+    this.#scheduler.setMaxProgressBytes(this.#maxValueBytes);
     this.#adviser = new Adviser({
       service: port.advice,
       scheduler: this.#scheduler,
@@ -355,7 +357,7 @@
     this.#load.decided(steadyMs() - startedMs, decisions.isCutShort);
     const writes: KeyedWrite[] = decisions.changed.map((job) => ({
       key: progressKey(job.spec.id),
-      value: job.encode(this.#maxProgressBytes),
+      value: job.encode(this.#maxValueBytes),
     }));
     writes.push(...upkeepWrites, ...this.#housekeeping.progressDeletions());
     writes.push(...this.#housekeeping.learnedWrites(this.#scheduler.learned));
--- a/packages/runtime/src/internal/work-records.ts
+++ b/packages/runtime/src/internal/work-records.ts
@@ -214,8 +214,20 @@
   return { value: { node, cores, epoch } };
 }
 
-export function encodeLearned(weights: InterferenceWeights): string {
-  return JSON.stringify(weights);
+/**
+ * Encodes what was learned about images, in at most `maxBytes`: the images that do not fit are left
+ * out, and a later leader learns them again.
+ */
+export function encodeLearned(weights: InterferenceWeights, maxBytes = Infinity): string {
+  const rows: string[] = [];
+  let bytes = 2;
+  for (const [image, row] of Object.entries(weights)) {
+    const text = `${JSON.stringify(image)}:${JSON.stringify(row)}`;
+    bytes += Buffer.byteLength(text) + 1;
+    if (bytes > maxBytes) break;
+    rows.push(text);
+  }
+  return `{${rows.join(',')}}`;
 }
 
 /** Decodes what was learned about images: every weight must be a number. */
--- a/packages/runtime/src/test/broken-work-records_test.ts
+++ b/packages/runtime/src/test/broken-work-records_test.ts
@@ -62,6 +62,17 @@
   assert.deepEqual(decodeLearned('{"web":{"batch":1.5}}'), { value: { web: { batch: 1.5 } } });
 });
 
+test('learned weights that no record can hold are stored in part', () => {
+  const weights = Object.fromEntries(
+    Array.from({ length: 100 }, (_, i) => [`web-${i}`, { ['b'.repeat(4_000)]: 1 }]),
+  );
+  const text = encodeLearned(weights, 100_000);
+  assert.ok(text.length <= 100_000);
+  const decoded = decodeLearned(text);
+  assert.ok('value' in decoded && Object.keys(decoded.value).length > 20);
+  assert.equal(encodeLearned({ web: { batch: 1.5 }, api: {} }), '{"web":{"batch":1.5},"api":{}}');
+});
+
 let table: WorkTable;
 
 const put = (key: string, value: string | undefined): void => table.apply({ key, value });
--- a/packages/runtime/src/test/work-follower_test.ts
+++ b/packages/runtime/src/test/work-follower_test.ts
@@ -187,7 +187,7 @@
     outcome: 'refused',
     reason: 'busy',
   }));
-  const housekeeping = new Housekeeping(table, logs.jobLog, 0);
+  const housekeeping = new Housekeeping(table, logs.jobLog, 0, Infinity);
   const runHousekeeping = async (): Promise<readonly KeyedWrite[]> => {
     const writes = housekeeping.progressDeletions();
     await logs.workLog.append(writes);
