runtime: give a record up after three rejections

A record that is rejected alone fails its job, so one odd answer of the store must not be enough. A single record is sent three times, 0.1 s apart, before it is left out; an append of several is still tried in parts at once.

Found by reading, no run showed it. The test of a rejected record without a replacement counts three attempts now; the others hold as they are.

--- a/packages/runtime/src/internal/leader-writer.ts
+++ b/packages/runtime/src/internal/leader-writer.ts
@@ -9,6 +9,9 @@
 /** The pause before an unanswered or refused append is repeated, in milliseconds. */
 const REPEAT_MS = 100;
 
+/** How often a single record must be rejected until it is given up: its job fails then. */
+const MAX_REJECTIONS = 3;
+
 /** Maximum size of one append in bytes, well below the limit of the store. */
 const MAX_BYTES = 512 * 1024;
 
@@ -140,6 +143,7 @@
     readBack: Promise<AppendResult>,
   ): Promise<AppendEnd> {
     let failures = 0;
+    let rejections = 0;
     while (!this.#stopping.signal.aborted) {
       const result = await Promise.race([readBack, this.#target.append(records, { stamp })]);
       if (result.outcome === 'appended') {
@@ -150,7 +154,8 @@
         this.#log.emit('warn', 'leader-replaced', { epoch: this.#epoch, reason: result.reason });
         return 'replaced';
       }
-      if (result.outcome === 'rejected' && !isOwnRecord(records)) {
+      if (result.outcome === 'rejected') rejections += 1;
+      if (rejections >= maxRejectionsOf(records)) {
         this.#logRejected(records, result.reason);
         return 'rejected';
       }
@@ -183,9 +188,13 @@
  */
 type AppendEnd = 'stored' | 'rejected' | 'replaced';
 
-/** Whether these are the leader's own record alone: without it no leader can go on. */
-function isOwnRecord(records: readonly KeyedWrite[]): boolean {
-  return records.length === 1 && records[0]!.key === leaderKey();
+/**
+ * Returns after how many rejections records are given up: several at once are tried in parts, and no
+ * leader can go on without its own record.
+ */
+function maxRejectionsOf(records: readonly KeyedWrite[]): number {
+  if (records.length > 1) return 1;
+  return records[0]?.key === leaderKey() ? Infinity : MAX_REJECTIONS;
 }
 
 /** Returns the size of a record in bytes, without its length. */
--- a/packages/runtime/src/test/rejected-records_test.ts
+++ b/packages/runtime/src/test/rejected-records_test.ts
@@ -87,7 +87,7 @@
   assert.ok(await writer.write([{ key: 'learned', value: 'x' }]));
   clearTimeout(timeout);
   assert.deepEqual(log.writes, []);
-  assert.equal(log.rejectedCount, 1);
+  assert.equal(log.rejectedCount, 3);
 });
 
 test('a leader whose own record is rejected does not count it as stored', async () => {
