jobs: measure the record of a loaded job by what is written next

Callers would see: a job that waits for ever after an update, as the record that an earlier release stored is nearly as large as a record may be, though the occurrences that it lists count as not opened now and nothing of it changes until a task is bound. And a cancelled job whose runs do not fit into its record would be written, and rejected, with each end.

Cause: the room was taken from the stored text; the record of an ended job listed its runs whatever their size.

Fix: the room of a loaded job is known when it is first needed, from its own encoding. An ended job whose runs do not fit is stored without them: a later leader stops what workers list of it.

--- a/packages/jobs/src/internal/compact-progress.ts
+++ b/packages/jobs/src/internal/compact-progress.ts
@@ -104,6 +104,7 @@
   opened: number,
   maxOpen: number,
 ): { occurrences: readonly string[]; opened: number } {
+  if (occurrences.length <= maxOpen) return { occurrences, opened };
   const firstUnstarted = 1 + occurrences.findLastIndex((text) => !UNSTARTED.test(text));
   const kept = Math.max(firstUnstarted, maxOpen);
   const excess = occurrences.length - kept;
--- a/packages/jobs/src/job-progress.ts
+++ b/packages/jobs/src/job-progress.ts
@@ -69,7 +69,10 @@
 
   #endedMs = 0;
 
-  readonly recordRoom = new RecordRoom();
+  readonly #recordRoom = new RecordRoom();
+
+  /** Whether the size of the record is known; that of a loaded job may differ from what was stored. */
+  #isRecordSized = true;
 
   /** Open occurrences, by number. */
   readonly occurrences = new Map<number, Occurrence>();
@@ -106,6 +109,12 @@
     return schedule.firstDueMs + this.#nextOccurrence * schedule.intervalMs;
   }
 
+  /** How much of its record the job uses. */
+  get recordRoom(): RecordRoom {
+    if (!this.#isRecordSized) this.encode();
+    return this.#recordRoom;
+  }
+
   /** Whether any occurrence has yet to be opened. */
   get hasUnopened(): boolean {
     return this.#nextOccurrence < this.occurrenceCount;
@@ -175,7 +184,8 @@
     if (this.#endedMs) rec.e = this.#endedMs;
     const text = encodeCompact(rec);
     const checkpointBytes = this.#noteSize(rec, text);
-    if (text.length <= maxBytes || checkpointBytes === 0) return text;
+    if (text.length <= maxBytes) return text;
+    if (text.length - checkpointBytes > maxBytes && isFinal(this.#state)) return this.encodeEnd();
     return encodeCompact({ ...rec, o: rec.o.map(withoutCheckpoints) });
   }
 
@@ -192,7 +202,8 @@
         }
       }
     }
-    this.recordRoom.written(text.length - checkpointBytes, startedCount);
+    this.#isRecordSized = true;
+    this.#recordRoom.written(text.length - checkpointBytes, startedCount);
     return checkpointBytes;
   }
 
@@ -244,7 +255,7 @@
         steps: steps.map((tasks) => tasks.map(decodeTask)),
       });
     }
-    progress.#noteSize(rec, text);
+    progress.#isRecordSized = false;
     return progress;
   }
 
--- a/packages/jobs/src/test/record-room_test.ts
+++ b/packages/jobs/src/test/record-room_test.ts
@@ -120,3 +120,25 @@
   assert.equal(job.state, 'failed');
   assert.equal(harness.fieldsOf('gang-too-large').length, 1);
 });
+
+test('a loaded job uses the room that its next record takes, not the stored one', () => {
+  // Guards against a job that waits for ever, as a record of an earlier release listed thousands of
+  // occurrences that count as not opened now.
+  const schedule = { count: 40_000, firstDueMs: 0, intervalMs: 1 };
+  const spec = jobSpec([stepSpec({ memMb: 1 })], { schedule });
+  const listed = Array.from({ length: 35_000 }, (_, i) => `${i}|w`).join(';');
+  const harness = harnessWith(['w1']);
+  harness.scheduler.addJob(JobProgress.decode(spec, `q35000;;${listed}!`));
+  assert.ok(listed.length > MAX_BYTES - 20);
+  assert.ok(harness.starts().length > 0);
+});
+
+test('a cancelled job whose runs do not fit into its record is stored without them', () => {
+  const harness = harnessWith(['w1']);
+  const job = harness.submit(jobSpec([manyTasks()]));
+  harness.starts();
+  harness.scheduler.cancel(job.spec.id, harness.nowMs);
+  const stored = JobProgress.decode(job.spec, job.encode(1_000));
+  assert.equal(stored.state, 'cancelled');
+  assert.equal(stored.hasBoundTasks(), false);
+});
