--- a/packages/jobs/src/test/record-room_test.ts
+++ b/packages/jobs/src/test/record-room_test.ts
@@ -112,6 +112,28 @@
   assert.equal(again.length, lost.length);
 });
 
+test('all tasks of a full record start again after all workers have ended', () => {
+  // Guards against entries that have grown since, so that none of their tasks is bound again.
+  const workers = ['00a1b2c3d4e5f607', '10a1b2c3d4e5f607'];
+  const harness = harnessWith(workers);
+  const job = harness.submit(jobSpec([manyTasks({ taskCount: 20_000, lasting: true })]));
+  const starts: Start[] = [];
+  for (let round = 0; round < 5; round += 1) {
+    starts.push(...harness.starts());
+    job.encode(MAX_BYTES);
+  }
+  assert.ok(starts.length < 20_000);
+  for (const id of workers) harness.scheduler.workerEnded(id, harness.nowMs, 'other-life');
+  harness.decide();
+  job.encode(MAX_BYTES);
+  for (const id of ['20a1b2c3d4e5f607', '30a1b2c3d4e5f607']) {
+    harness.scheduler.listWorker(workerEntry(id, { capacity: LARGE }), harness.nowMs);
+    harness.report(id);
+  }
+  assert.equal(harness.starts().length, starts.length);
+  assert.ok(recordBytes(job) <= MAX_BYTES);
+});
+
 test('a gang that no record can hold fails at once', () => {
   // Guards against a job that is shown as queued for ever.
   const harness = harnessWith(LONG_NAMES);
