--- a/packages/jobs/src/internal/ahead-bindings.ts
+++ b/packages/jobs/src/internal/ahead-bindings.ts
@@ -177,7 +177,7 @@
       } else if (!known && task.phase === 'waiting' && !task.crashWeight) {
         hosts ??= capacity.hostsFor(step);
         const worker = capacity.choose(step, hosts);
-        if (worker && this.#hasRecordRoom(step, task, worker)) {
+        if (worker && this.#state.hasRecordRoom(step.job, [[task, worker.entry.id]])) {
           capacity.add(step, worker);
           next.push(this.#bind(step, { ...step.ref, index }, task, worker));
         } else hosts = [];
@@ -185,10 +185,6 @@
     }
   }
 
-  #hasRecordRoom({ job }: WaitingStep, task: TaskProgress, { entry }: WorkerState): boolean {
-    return job.recordRoom.holds([[task, entry.id]], this.#state.maxProgressBytes);
-  }
-
   #bind(step: WaitingStep, ref: TaskRef, task: TaskProgress, worker: WorkerState): AheadTask {
     const binding = { run: task.run + 1, worker: worker.entry.id };
     step.job.recordRoom.reserve(task, binding.worker);
--- a/packages/jobs/src/internal/cluster-state.ts
+++ b/packages/jobs/src/internal/cluster-state.ts
@@ -154,6 +154,11 @@
     return total > 0 ? taken / total : 1;
   }
 
+  /** Returns whether the record of a job has room for its tasks to be bound to these workers. */
+  hasRecordRoom(job: JobProgress, bindings: Iterable<readonly [TaskProgress, string]>): boolean {
+    return job.recordRoom.holds(bindings, this.maxProgressBytes);
+  }
+
   endJob(job: JobProgress, state: JobState, timeOfDayMs: number): void {
     job.finish(state, timeOfDayMs);
     this.changed.add(job);
--- a/packages/jobs/src/internal/task-copies.ts
+++ b/packages/jobs/src/internal/task-copies.ts
@@ -111,7 +111,9 @@
         use.copies < Math.max(MIN_COPY_LIMIT, Math.floor(MAX_COPY_SHARE * use.runs)) &&
         priority < (waitingPriorities.get(pool) ?? Infinity);
       const target = mayStart ? chooseWorker(candidate, candidates) : undefined;
-      if (target && use && this.#hasRecordRoom(candidate, target)) {
+      const { job, task } = candidate;
+      const isStorable = target && this.#state.hasRecordRoom(job, [[task, target.entry.id]]);
+      if (isStorable && use) {
         this.#bind(candidate, target, nowMs);
         use.copies += 1;
         starts += 1;
@@ -191,10 +193,6 @@
     return medianMs ? (nowMs - beganMsOf(run, nowMs)) / medianMs : 0;
   }
 
-  #hasRecordRoom({ job, task }: CopyCandidate, { entry }: WorkerState): boolean {
-    return job.recordRoom.holds([[task, entry.id]], this.#state.maxProgressBytes);
-  }
-
   #bind(
     { job, queue, ref, task, run: first, worker, reason, ratio }: CopyCandidate,
     target: WorkerState,
--- a/packages/jobs/src/internal/task-placer.ts
+++ b/packages/jobs/src/internal/task-placer.ts
@@ -450,7 +450,7 @@
         const worker = candidates.choose({ ref, spec: step.spec, avoid: task.worker, isSuspect });
         // The tasks of a step are alike: if one of them does not fit, the next one does not either.
         if (!worker) return candidates.isHeldBack ? 'yielded' : 'placeless';
-        if (!this.#hasRecordRoom(step.job, [[task, worker.entry.id]])) return 'record-full';
+        if (!this.#state.hasRecordRoom(step.job, [[task, worker.entry.id]])) return 'record-full';
         this.#bind(step, ref, task, worker, nextRunOf(task), nowMs);
         budget.recordStarts(1);
         this.#started(step, nowMs);
@@ -485,7 +485,7 @@
     const bindings = placed.map(
       ([{ index }, { entry }]) => [step.tasks[index]!, entry.id] as const,
     );
-    if (!this.#hasRecordRoom(step.job, bindings)) {
+    if (!this.#state.hasRecordRoom(step.job, bindings)) {
       // All members are bound together, and there will never be more room.
       if (step.job.recordRoom.isEmpty) this.#failTooLarge(step);
       return 'record-full';
@@ -501,10 +501,6 @@
     return 'placed';
   }
 
-  #hasRecordRoom(job: JobProgress, bindings: Iterable<readonly [TaskProgress, string]>): boolean {
-    return job.recordRoom.holds(bindings, this.#state.maxProgressBytes);
-  }
-
   #failTooLarge({ job, ref, tasks }: WaitingStep): void {
     this.#state.logEvent('gang-too-large', { step: stepName(ref), members: tasks.length });
     this.#state.endJob(job, 'failed', this.#state.timeOfDayMs);
