jobs: open less of a job that is far behind while the leader is busy

Callers see, beside a job with 86,400 past occurrences and a leader with 0.27 of a core: short jobs start a third of a second later.

Cause: the window of such a job is as wide as that of one that is in time, so the leader spends its processor time on what is late in any case.

Fix: while the node has no processor time left, a job whose next occurrence has been due for over 10 s opens only up to 8. One that is in time opens what is due, as its occurrences overlap by right. A narrow window in general would keep a job of a short interval behind for ever.

Test: 'on a busy node a job that is far behind has few occurrences open'; the code before opened all 100 (it has no such input).

--- a/packages/jobs/src/internal/occurrence-window.ts
+++ b/packages/jobs/src/internal/occurrence-window.ts
@@ -5,7 +5,7 @@
 /** Maximum number of open occurrences of a job. */
 export const MAX_OPEN_OCCURRENCES = 256;
 
-/** As many occurrences of a job may be open however many steps each has. */
+/** As many occurrences of a job may be open however many steps each has, and on a busy node. */
 const MIN_OPEN_OCCURRENCES = 8;
 
 /**
@@ -22,6 +22,9 @@
 
 const MAX_OPEN_TASKS_OF_ALL = 100_000;
 
+/** A job whose next occurrence has been due for longer than this is far behind, in milliseconds. */
+const OVERDUE_MS = 10_000;
+
 /** The limits on what a job may have open. */
 interface WindowLimits {
   readonly occurrences: number;
@@ -71,8 +74,11 @@
   /** The window of each job, as of the latest round. */
   #limits = LIMITS_OF_ONE;
 
+  /** Jobs whose next occurrence was due before this time of day have a narrow window. */
+  #narrowBeforeMs = -Infinity;
+
   /** Opens what is due, and returns the jobs of which an occurrence was opened. */
-  openDue(jobs: Iterable<JobProgress>, timeOfDayMs: number): JobProgress[] {
+  openDue(jobs: Iterable<JobProgress>, timeOfDayMs: number, isNodeBusy = false): JobProgress[] {
     const due: JobProgress[] = [];
     let sharingCount = 0;
     for (const job of jobs) {
@@ -83,7 +89,18 @@
       }
     }
     this.#limits = limitsFor(sharingCount);
-    return due.filter((job) => job.openDue(timeOfDayMs, windowOf(job.spec, this.#limits)));
+    this.#narrowBeforeMs = isNodeBusy ? timeOfDayMs - OVERDUE_MS : -Infinity;
+    return due.filter((job) => job.openDue(timeOfDayMs, this.#windowOf(job)));
+  }
+
+  /**
+   * Returns how many occurrences of a job may be open. While the node has no processor time left, a job
+   * that is far behind leaves it to the others: its occurrences are late in any case.
+   */
+  #windowOf(job: JobProgress): number {
+    const size = windowOf(job.spec, this.#limits);
+    const isNarrow = job.nextDueMs < this.#narrowBeforeMs && !sizeOf(job.spec).hasLasting;
+    return isNarrow ? Math.min(size, MIN_OPEN_OCCURRENCES) : size;
   }
 
   /** Returns when the next occurrence can be opened; undefined if there is none. */
@@ -92,8 +109,7 @@
     for (const job of jobs) {
       const isPending = !isFinal(job.state) && job.hasUnopened;
       const isEarlier = isPending && (next === undefined || job.nextDueMs < next);
-      if (isEarlier && job.occurrences.size < windowOf(job.spec, this.#limits))
-        next = job.nextDueMs;
+      if (isEarlier && job.occurrences.size < this.#windowOf(job)) next = job.nextDueMs;
     }
     return next;
   }
--- a/packages/jobs/src/scheduler.ts
+++ b/packages/jobs/src/scheduler.ts
@@ -389,7 +389,7 @@
     this.#state.roundMs = nowMs;
     this.#expireSilent(nowMs);
     this.#reader.applyHeldEnds(nowMs);
-    this.#openDue(timeOfDayMs);
+    this.#openDue(timeOfDayMs, limits.isNodeBusy);
     const isCutShort = this.#placer.placeAll(nowMs, limits);
     this.#stopUnwanted(nowMs);
     this.#state.work.roundDone(this.#state, isCutShort, nowMs);
@@ -591,8 +591,8 @@
     }
   }
 
-  #openDue(timeOfDayMs: number): void {
-    for (const job of this.#window.openDue(this.#state.jobs.values(), timeOfDayMs))
+  #openDue(timeOfDayMs: number, isNodeBusy = false): void {
+    for (const job of this.#window.openDue(this.#state.jobs.values(), timeOfDayMs, isNodeBusy))
       this.#state.changed.add(job);
   }
 
--- a/packages/jobs/src/test/past-occurrences_test.ts
+++ b/packages/jobs/src/test/past-occurrences_test.ts
@@ -147,3 +147,23 @@
   const stored = encodeCompact({ s: 'running', b: 5_000, o: o as never });
   assert.equal(JobProgress.decodeState(spec, stored), undefined);
 });
+
+test('on a busy node a job that is far behind has few occurrences open, and others all that are due', () => {
+  // Guards against short jobs that start late, as the leader is busy with what is late in any case.
+  const harness = new SchedulerHarness([workerEntry('w1', { capacity: BIG })]);
+  harness.nowMs = DAY_MS;
+  harness.report('w1');
+  const busy = { placingMs: Infinity, starts: Infinity, clockMs: () => 0, isNodeBusy: true };
+  const submit = (id: string, firstDueMs: number): JobProgress =>
+    harness.submit(
+      jobSpec([stepSpec()], { id, schedule: { count: 100, firstDueMs, intervalMs: 1 } }),
+    );
+  const behind = submit('00000000000000a1', 0);
+  const inTime = submit('00000000000000a2', DAY_MS - 200);
+  harness.scheduler.decide(harness.nowMs, harness.nowMs, busy);
+  assert.equal(behind.occurrences.size, 8);
+  assert.equal(inTime.occurrences.size, 100);
+  assert.equal(harness.scheduler.nextDueMs(), undefined);
+  harness.decide();
+  assert.equal(behind.occurrences.size, 100);
+});
