--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/bin/bash
-# Prepares what the scripts of cases 10 to 13 start. The nodes are built by the deploy file; the other
+# Prepares what the scripts of cases 10 to 12 start. The nodes are built by the deploy file; the other
 # stand-ins in review/standins-3 need no build, so this only checks that they can be loaded.
 set -e
 cd "$(dirname "$0")/.."
