--- a/review/standins-3/deployment.mjs
+++ b/review/standins-3/deployment.mjs
@@ -83,8 +83,8 @@
   #startedMs = Date.now();
 
   /** `settings`: lines of the settings file that all nodes share. */
-  constructor(folder, settings) {
-    this.#recordFile = path.join(folder, 'record.txt');
+  constructor(recordFile, settings) {
+    this.#recordFile = recordFile;
     this.#settings = settings;
   }
 
